--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command.
+
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The router daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/dev/src/main.rs
@@ -0,0 +1,3 @@
+//! Development command: local fleet, trace replay, reports and measurements.
+
+fn main() {}
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and for upstreams.
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router: HTTP serving, upstream calls and the control loops.
--- /dev/null
+++ b/crates/snipeusher/src/hash.rs
@@ -0,0 +1,31 @@
+//! Stable 64-bit hashes and rendezvous scores.
+//!
+//! Every router must rank the same engines in the same order without asking, so the hash is
+//! fixed (xxh3) and never seeded by the process.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Odd constant of the `SplitMix64` finaliser.
+const MIX_1: u64 = 0xbf58_476d_1ce4_e5b9;
+/// Second odd constant of the `SplitMix64` finaliser.
+const MIX_2: u64 = 0x94d0_49bb_1331_11eb;
+
+/// Hashes bytes to 64 bits, the same on every machine.
+pub fn bytes(data: &[u8]) -> u64 {
+    xxh3_64(data)
+}
+
+/// Combines two hashes into one that depends on both and on their order.
+pub const fn mix(left: u64, right: u64) -> u64 {
+    let mut x = left.rotate_left(32) ^ right.wrapping_mul(MIX_2);
+    x = (x ^ (x >> 30)).wrapping_mul(MIX_1);
+    x = (x ^ (x >> 27)).wrapping_mul(MIX_2);
+    x ^ (x >> 31)
+}
+
+/// The rendezvous score of a key at a node; the node with the highest score is the first choice.
+///
+/// A node that joins or leaves moves only the keys that it scores highest for.
+pub const fn score(key: u64, node: u64) -> u64 {
+    mix(key, node)
+}
--- /dev/null
+++ b/crates/snipeusher/src/lib.rs
@@ -0,0 +1,18 @@
+//! Coordination parts of a fleet of routers before model engines and plain services.
+//!
+//! Everything here is free of sockets, clocks and threads: time and random numbers come in as
+//! arguments, events go in and typed actions come out, so that the same inputs give the same
+//! outputs on every machine. The design is described in `docs/design.md`.
+
+pub mod board;
+pub mod hash;
+pub mod kv;
+pub mod load;
+pub mod machine;
+pub mod name;
+pub mod placement;
+pub mod policy;
+pub mod request;
+pub mod template;
+pub mod time;
+pub mod upstream;
--- /dev/null
+++ b/crates/snipeusher/src/load.rs
@@ -0,0 +1,58 @@
+//! Load of upstreams, counted in the work that they feel.
+//!
+//! See `docs/design.md#load-and-its-bound`.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::name;
+use crate::request::Request;
+
+/// Work of one output token against one prompt token that must be prefilled.
+///
+/// Decoding is bound by memory bandwidth and takes several times the time of a prefill token.
+pub const OUTPUT_TOKEN_WORK: u64 = 4;
+
+/// Work in prompt-token equivalents: uncached prompt tokens plus weighted output tokens.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Work(pub u64);
+
+impl Work {
+    /// The work of a request of which `cached` prompt tokens need no prefill.
+    pub const fn of(request: &Request, cached: u64) -> Self {
+        let prefill = request.prompt_tokens.saturating_sub(cached);
+        let output = request.output_tokens.saturating_mul(OUTPUT_TOKEN_WORK);
+        Self(prefill.saturating_add(output))
+    }
+}
+
+/// An upstream's own word on its load, which arrives with a lag.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Report {
+    /// Which run of the upstream reports.
+    pub incarnation: name::Incarnation,
+    /// Counts reports of one run; a lower one than the last is out of order.
+    pub sequence: u64,
+    /// Work outstanding: queued and running.
+    pub work: Work,
+    /// Requests running.
+    pub running: u32,
+    /// Requests queued.
+    pub queued: u32,
+    /// Milliseconds between the reading and its arrival, as far as the reporter knows.
+    pub age_ms: u32,
+}
+
+/// Work that one router has in flight at upstreams, as it tells its peers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Share {
+    /// Work in flight for each upstream.
+    pub in_flight: BTreeMap<name::Upstream, Work>,
+}
--- /dev/null
+++ b/crates/snipeusher/src/name.rs
@@ -0,0 +1,97 @@
+//! Names of the things that the fleet works with.
+//!
+//! Each is a shared immutable string, so that a copy costs one reference count.
+
+use std::borrow::Borrow;
+use std::fmt;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(text: String) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    )*};
+}
+
+names! {
+    /// A host that runs a router.
+    Host
+    /// An availability zone.
+    Zone
+    /// A region, which holds one or more availability zones.
+    Region
+    /// A tenant, known by its bearer key.
+    Workspace
+    /// A model engine or an instance of a plain service.
+    Upstream
+    /// A model that engines serve.
+    Model
+    /// A fine-tuned adapter of a model.
+    Adapter
+    /// A version of a model or adapter.
+    Version
+    /// A class of work within a workspace, such as interactive or review.
+    Class
+    /// A template that operators write.
+    Template
+    /// A plain service, which several upstreams may serve.
+    Service
+}
+
+/// Tells one run of a process from an earlier run under the same name.
+///
+/// It is the start time in milliseconds since the Unix epoch, moved up where a higher one is
+/// known.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/snipeusher/src/policy.rs
@@ -0,0 +1,144 @@
+//! The compiled form of a template with a workspace's parameters.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest as _;
+use sha2::Sha256;
+use subtle::ConstantTimeEq as _;
+
+use crate::name;
+
+/// SHA-256 digest of a bearer key; the key itself is never kept.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Digest(#[serde(with = "hex::serde")] [u8; 32]);
+
+impl Digest {
+    /// Digests a bearer key.
+    pub fn of(key: &str) -> Self {
+        Self(Sha256::digest(key.as_bytes()).into())
+    }
+
+    /// Compares in constant time, so that timing tells nothing about the stored digest.
+    pub fn matches(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Digest(redacted)")
+    }
+}
+
+/// A model that a workspace may reach.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Model {
+    /// Versions that may serve it; the first is the default.
+    pub versions: Vec<name::Version>,
+    /// Adapters that may be asked for.
+    #[serde(default)]
+    pub adapters: Vec<name::Adapter>,
+}
+
+/// How a class of work is treated.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Class {
+    /// Priority passed to engines; a higher number goes first.
+    pub priority: u8,
+    /// Longest time to the end of the answer, in milliseconds.
+    pub deadline_ms: u64,
+    /// Weight of its share against other classes and workspaces.
+    pub weight: u32,
+    /// Bound of its queue at each router, in requests.
+    pub queue_entries: u32,
+    /// Bound of its queue at each router, in bytes.
+    pub queue_bytes: u64,
+    /// Whether it starts at once, past all queues.
+    pub immediate: bool,
+    /// Whether its requests may run more than once.
+    pub idempotent: bool,
+    /// Longest answer in tokens, where the caller names none.
+    pub output_tokens: u64,
+}
+
+impl Default for Class {
+    fn default() -> Self {
+        Self {
+            priority: 4,
+            deadline_ms: 60_000,
+            weight: 10,
+            queue_entries: 256,
+            queue_bytes: 16 << 20,
+            immediate: false,
+            idempotent: true,
+            output_tokens: 512,
+        }
+    }
+}
+
+/// How a plain service is reached and treated.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Path prefix under which callers reach it, such as `/match`.
+    pub path: String,
+    /// Class of its requests.
+    pub class: name::Class,
+    /// Methods that may run more than once.
+    #[serde(default)]
+    pub idempotent_methods: Vec<String>,
+    /// Whether the upstream itself rejects a repeated `Idempotency-Key`.
+    #[serde(default)]
+    pub upstream_checks_key: bool,
+}
+
+/// Bounds that hold for a workspace's work.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Highest load of an engine as a multiple of the mean of its kind, above 1.
+    pub load_limit: f64,
+    /// Largest request body in bytes.
+    pub body_bytes: u64,
+    /// Retries as a fraction of requests.
+    pub retry_ratio: f64,
+    /// Most upstreams of a kind out of service for orders at once.
+    pub max_unavailable: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            load_limit: 1.25,
+            body_bytes: 1 << 20,
+            retry_ratio: 0.1,
+            max_unavailable: 1,
+        }
+    }
+}
+
+/// Everything that a router needs to treat a workspace's requests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Policy {
+    /// The workspace.
+    pub workspace: name::Workspace,
+    /// Digests of its bearer keys.
+    pub keys: Vec<Digest>,
+    /// Models that it may reach.
+    pub models: BTreeMap<name::Model, Model>,
+    /// Its classes of work.
+    pub classes: BTreeMap<name::Class, Class>,
+    /// The class of a request that names none.
+    pub default_class: name::Class,
+    /// Plain services that it may reach.
+    pub services: BTreeMap<name::Service, Service>,
+    /// Its bounds.
+    pub limits: Limits,
+}
