Check answers to their end and test the path's failures over sockets

Cause: awc takes the end of a connection within a body for the end of the body, so a cut answer passed for a whole one; it also reports an open connection that ends before the answer as a failure to connect. A dispatch that came while an earlier attempt was still worked on was lost. Sent was told before the connection was open, which made a refused connection unknown.

--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -83,10 +83,23 @@
     pub most_running: u32,
 }
 
+/// What the headers of a request said.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// Identity of the attempt.
+    pub attempt: String,
+    /// The chat.
+    pub chat: String,
+    /// Priority.
+    pub priority: u8,
+    /// Milliseconds that remained.
+    pub deadline_ms: u64,
+}
+
 /// A run of one request.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
-    pub(crate) events: Arc<Vec<String>>,
+    pub(crate) reply: Arc<stream::Reply>,
     pub(crate) cancelled: bool,
     pub(crate) work: u64,
 }
@@ -103,7 +116,7 @@
     pub(crate) running: u32,
     pub(crate) reports: work::Reports,
     pub(crate) fencing: u64,
-    pub(crate) priorities: Vec<u8>,
+    pub(crate) calls: Vec<Call>,
 }
 
 /// A running fake engine.
@@ -141,7 +154,7 @@
             running: 0,
             reports: work::Reports::default(),
             fencing: 0,
-            priorities: Vec::new(),
+            calls: Vec::new(),
             options,
         };
         let state = Shared(Arc::new(Mutex::new(state)));
@@ -183,9 +196,9 @@
         self.state.lock().running
     }
 
-    /// Priorities of the requests, in the order of their arrival.
-    pub fn priorities(&self) -> Vec<u8> {
-        self.state.lock().priorities.clone()
+    /// The requests in the order of their arrival.
+    pub fn calls(&self) -> Vec<Call> {
+        self.state.lock().calls.clone()
     }
 
     /// Stops after its requests ended.
--- a/crates/fakes/src/engine/serve.rs
+++ b/crates/fakes/src/engine/serve.rs
@@ -17,6 +17,7 @@
 use serde_json::json;
 use tokio::time::sleep;
 
+use crate::engine::Call;
 use crate::engine::Fault;
 use crate::engine::Run;
 use crate::engine::Shared;
@@ -154,13 +155,20 @@
 ) -> HttpResponse {
     let attempt = header(&request, "x-attempt-id").to_owned();
     let chat = header(&request, "x-chat-id").to_owned();
-    let priority = header(&request, "x-priority").parse().unwrap_or_default();
+    let call = Call {
+        attempt: attempt.clone(),
+        chat: chat.clone(),
+        priority: header(&request, "x-priority").parse().unwrap_or_default(),
+        deadline_ms: header(&request, "x-deadline-ms")
+            .parse()
+            .unwrap_or_default(),
+    };
     let Ok(body) = serde_json::from_slice::<Value>(&body) else {
         return HttpResponse::BadRequest().body("the body is no JSON");
     };
     let faults = {
         let mut locked = state.lock();
-        locked.priorities.push(priority);
+        locked.calls.push(call);
         locked.take_faults()
     };
     for fault in &faults {
@@ -200,13 +208,12 @@
         prompt_tokens: prompt.tokens(),
         cached,
     };
-    let work = (prompt.tokens() - cached) + reply.words.len() as u64 * OUTPUT_WORK;
+    let reply = Arc::new(reply);
     let run = Run {
-        events: Arc::new(reply.events()),
+        reply: Arc::clone(&reply),
         cancelled: false,
-        work,
+        work: (prompt.tokens() - cached) + reply.words.len() as u64 * OUTPUT_WORK,
     };
-    let events = Arc::clone(&run.events);
     let running = Running::start(&state, &attempt, run);
     sleep_for(options.prefill_token * (prompt.tokens() - cached) as u32).await;
     for fault in &faults {
@@ -229,7 +236,7 @@
         .insert_header(("X-Attempt-Id", named.unwrap_or_else(|| attempt.clone())))
         .insert_header(("X-Cached-Tokens", cached));
     if streamed {
-        let sender = stream::Sender::new(running, events, 0, options.output_token, faults);
+        let sender = stream::Sender::new(running, reply, 0, options.output_token, faults);
         return response
             .content_type("text/event-stream")
             .streaming(sender.stream());
@@ -339,9 +346,9 @@
         locked.counts.resumed += 1;
         (run, locked.options.output_token)
     };
-    let events = Arc::clone(&run.events);
+    let reply = Arc::clone(&run.reply);
     let running = Running::start(&state, &attempt, run);
-    let sender = stream::Sender::new(running, events, query.after, pace, Vec::new());
+    let sender = stream::Sender::new(running, reply, query.after, pace, Vec::new());
     HttpResponse::Ok()
         .insert_header(("X-Attempt-Id", attempt))
         .content_type("text/event-stream")
--- a/crates/fakes/src/engine/stream.rs
+++ b/crates/fakes/src/engine/stream.rs
@@ -9,9 +9,11 @@
 use actix_web::HttpResponseBuilder;
 use actix_web::web::Bytes;
 use futures_util::Stream;
+use futures_util::StreamExt as _;
 use futures_util::stream;
 use serde_json::Value;
 use serde_json::json;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 use crate::engine::Fault;
@@ -57,16 +59,18 @@
         .to_string()
     }
 
-    /// The data of all events in order; the end marker comes last.
-    pub(crate) fn events(&self) -> Vec<String> {
-        let mut events: Vec<_> = self
-            .words
-            .iter()
-            .map(|word| self.event(word, None, Value::Null))
-            .collect();
-        events.push(self.event("", Some("stop"), self.usage()));
-        events.push("[DONE]".to_owned());
-        events
+    /// The data of the event at a position, counted from zero; the end marker comes last.
+    pub(crate) fn data(&self, position: u64) -> Option<String> {
+        let words = self.words.len() as u64;
+        match position {
+            _ if position < words => {
+                let word = self.words[position as usize];
+                Some(self.event(word, None, Value::Null))
+            }
+            _ if position == words => Some(self.event("", Some("stop"), self.usage())),
+            _ if position == words + 1 => Some("[DONE]".to_owned()),
+            _ => None,
+        }
     }
 
     fn event(&self, word: &str, finish: Option<&str>, usage: Value) -> String {
@@ -98,7 +102,7 @@
 pub(crate) struct Sender {
     running: Running,
     attempt: String,
-    events: Arc<Vec<String>>,
+    reply: Arc<Reply>,
     next: u64,
     pace: Duration,
     faults: Vec<Fault>,
@@ -108,7 +112,7 @@
 impl Sender {
     pub(crate) fn new(
         running: Running,
-        events: Arc<Vec<String>>,
+        reply: Arc<Reply>,
         after: u64,
         pace: Duration,
         faults: Vec<Fault>,
@@ -116,7 +120,7 @@
         Self {
             attempt: running.attempt().to_owned(),
             running,
-            events,
+            reply,
             next: after,
             pace,
             faults,
@@ -142,7 +146,7 @@
         if let Some(bytes) = self.ready.pop_front() {
             return Some(Ok(bytes));
         }
-        let data = self.events.get(self.next as usize)?.clone();
+        let data = self.reply.data(self.next)?;
         if self.running.cancelled() {
             return Some(Err(io::Error::other("cancelled")));
         }
@@ -154,6 +158,8 @@
         for fault in &self.faults {
             match fault {
                 Fault::Cut(after) if *after == self.next => {
+                    // Lets the server flush what came before.
+                    yield_now().await;
                     return Some(Err(io::Error::other("cut")));
                 }
                 Fault::Stall(at, time) if *at == self.next => sleep(*time).await,
@@ -184,9 +190,13 @@
 pub(crate) fn cut(mut response: HttpResponseBuilder, body: String) -> HttpResponse {
     let length = body.len() as u64;
     let half = Bytes::from(body).slice(..length as usize / 2);
-    let parts = vec![Ok(half), Err(io::Error::other("cut"))];
+    let parts = stream::once(async { Ok(half) }).chain(stream::once(async {
+        // Lets the server flush what came before.
+        yield_now().await;
+        Err(io::Error::other("cut"))
+    }));
     response
         .content_type("application/json")
         .no_chunking(length)
-        .streaming(stream::iter(parts))
+        .streaming(parts)
 }
--- a/crates/fakes/src/plain.rs
+++ b/crates/fakes/src/plain.rs
@@ -20,6 +20,7 @@
 use futures_util::stream;
 use serde_json::json;
 use snipeusher::name;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 /// A fault of the next request.
@@ -46,6 +47,8 @@
     pub key: Option<String>,
     /// Bytes of its body.
     pub bytes: usize,
+    /// Whether it carried a bearer key.
+    pub has_bearer: bool,
 }
 
 #[derive(Debug, Default)]
@@ -156,6 +159,7 @@
         line: format!("{} {}", request.method(), request.uri()),
         key: header("idempotency-key"),
         bytes: parts.iter().map(Bytes::len).sum(),
+        has_bearer: header("authorization").is_some(),
     };
     state.lock().calls.push(call);
     for fault in &faults {
@@ -166,14 +170,19 @@
             Fault::Cut | Fault::Refuse => {}
         }
     }
-    let broken = Err::<Bytes, _>(io::Error::other("cut"));
-    let mut answer: Vec<_> = parts.into_iter().map(Ok).collect();
-    if faults.contains(&Fault::Cut) || faults.contains(&Fault::DieBeforeAnswer) {
-        answer.push(broken);
-    }
+    let is_cut = faults.contains(&Fault::Cut);
+    let is_broken = is_cut || faults.contains(&Fault::DieBeforeAnswer);
+    let end = stream::iter(is_broken.then_some(())).then(move |()| async move {
+        if is_cut {
+            // Lets the server flush what came before.
+            yield_now().await;
+        }
+        Err(io::Error::other("broken"))
+    });
+    let answer = stream::iter(parts.into_iter().map(Ok)).chain(end);
     HttpResponse::Ok()
         .insert_header(("X-Attempt-Id", attempt))
         .insert_header(("X-Service", service.as_str()))
         .content_type("application/octet-stream")
-        .streaming(stream::iter(answer))
+        .streaming(answer)
 }
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -9,7 +9,6 @@
 use awc::Client;
 use awc::ClientRequest;
 use awc::ClientResponse;
-use awc::Connector;
 use awc::error::ConnectError;
 use awc::error::SendRequestError;
 use bytes::Bytes;
@@ -19,11 +18,12 @@
 use snipeusher::request::Attempt;
 use snipeusher::request::Ran;
 
+use crate::dispatch::Dispatch;
 use crate::dispatch::InFlight;
 use crate::problem;
-use crate::session::Dispatch;
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::socket;
 
 /// Header with the identity of an attempt, both ways.
 pub(crate) const ATTEMPT: &str = "x-attempt-id";
@@ -73,7 +73,7 @@
 ///
 /// A followed redirect would send a request a second time.
 pub(crate) fn client(settings: &Settings, idle: Duration) -> Client {
-    let connector = Connector::new()
+    let connector = socket::connector(None)
         .timeout(settings.connect_timeout)
         .handshake_timeout(settings.connect_timeout)
         .conn_keep_alive(idle)
@@ -188,7 +188,7 @@
     text(response.headers(), CACHED)?.parse().ok()
 }
 
-/// Reads a whole body that must be complete.
+/// Reads a whole body; a cut one gives `None`, see [`socket`].
 pub(crate) async fn whole(response: &mut ClientResponse, limit: usize) -> Option<Bytes> {
     response.body().limit(limit).await.ok()
 }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -36,20 +36,24 @@
 use snipeusher::upstream::State;
 use tokio::sync::mpsc::UnboundedSender;
 
+/// Where and as what to send a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Dispatch {
+    /// Identity of the try.
+    pub(crate) attempt: Attempt,
+    /// Name of the upstream.
+    pub(crate) upstream: name::Upstream,
+    /// Address of the upstream.
+    pub(crate) address: SocketAddr,
+    /// Priority for the engine.
+    pub(crate) priority: u8,
+}
+
 /// What the machine decided on a request.
 #[derive(Debug)]
 pub(crate) enum Order {
     /// Send it.
-    Dispatch {
-        /// Identity of the try.
-        attempt: Attempt,
-        /// Name of the upstream.
-        upstream: name::Upstream,
-        /// Address of the upstream.
-        address: SocketAddr,
-        /// Priority for the engine.
-        priority: u8,
-    },
+    Dispatch(Dispatch),
     /// Answer with a refusal.
     Refuse {
         /// Why.
@@ -195,9 +199,6 @@
 
     fn dispatch(&mut self, request: Id, attempt: Attempt, upstream: name::Upstream, priority: u8) {
         let address = self.address(&upstream);
-        // Told before the first byte can leave, so that `sent` is never false by mistake.
-        let now = self.now();
-        self.machine.handle(now, Event::Sent(attempt));
         let Some(entry) = self.requests.get_mut(&request) else {
             return;
         };
@@ -211,12 +212,12 @@
             self.carry_out();
             return;
         };
-        let order = Order::Dispatch {
+        let order = Order::Dispatch(Dispatch {
             attempt,
             upstream,
             address,
             priority,
-        };
+        });
         // The receiver is gone where the caller left in the meantime; its `Leave` follows.
         let _gone = entry.orders.send(order);
     }
--- a/crates/router/src/events.rs
+++ b/crates/router/src/events.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout;
 
 use crate::attempt;
-use crate::session::Dispatch;
+use crate::dispatch::Dispatch;
 use crate::shared::Shared;
 
 /// Data of the event that ends a complete stream.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -25,6 +25,7 @@
 mod serve;
 mod session;
 mod shared;
+mod socket;
 mod stream;
 
 pub use crate::router::Error;
--- a/crates/router/src/relay.rs
+++ b/crates/router/src/relay.rs
@@ -58,6 +58,11 @@
         self.chunks.send(chunk).await.is_ok()
     }
 
+    /// Waits for room for one chunk; returns `None` once nobody reads.
+    pub(crate) async fn room(&self) -> Option<mpsc::Permit<'_, Bytes>> {
+        self.chunks.reserve().await.ok()
+    }
+
     /// Sends if there is room at once.
     pub(crate) fn try_send(&self, chunk: Bytes) -> bool {
         self.chunks.try_send(chunk).is_ok()
--- a/crates/router/src/session.rs
+++ b/crates/router/src/session.rs
@@ -1,6 +1,5 @@
 //! One caller's request between its arrival and its answer.
 
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Instant;
@@ -8,7 +7,6 @@
 use snipeusher::machine::Event;
 use snipeusher::machine::Outcome;
 use snipeusher::machine::Reason;
-use snipeusher::name;
 use snipeusher::request::Attempt;
 use snipeusher::request::Id;
 use snipeusher::request::Ran;
@@ -18,6 +16,7 @@
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
+use crate::dispatch::Dispatch;
 use crate::dispatch::Finish;
 use crate::dispatch::Leave;
 use crate::dispatch::Notify;
@@ -28,15 +27,6 @@
 use crate::shared::Open;
 use crate::shared::Shared;
 
-/// Where and as what to send the request.
-#[derive(Clone, Debug)]
-pub(crate) struct Dispatch {
-    pub(crate) attempt: Attempt,
-    pub(crate) upstream: name::Upstream,
-    pub(crate) address: SocketAddr,
-    pub(crate) priority: u8,
-}
-
 /// Why work on an attempt stopped before its end.
 #[derive(Debug)]
 pub(crate) enum Stop {
@@ -54,9 +44,12 @@
     orders: UnboundedReceiver<Order>,
     deadline: Instant,
     current: Option<Attempt>,
+    /// A dispatch that came while an earlier attempt was still worked on.
+    pending: Option<Dispatch>,
     /// Whether an attempt may have run.
     ran: Ran,
     ended: bool,
+    expired: bool,
     open: Open,
 }
 
@@ -80,8 +73,10 @@
             orders,
             deadline,
             current: None,
+            pending: None,
             ran: Ran::NotRun,
             ended: false,
+            expired: false,
             open,
         }
     }
@@ -95,40 +90,25 @@
         self.open.clone()
     }
 
+    /// Whether an attempt is in flight.
+    pub(crate) const fn is_running(&self) -> bool {
+        self.current.is_some()
+    }
+
     /// Waits for the next attempt.
     pub(crate) async fn next(&mut self) -> Result<Dispatch, Problem> {
         loop {
+            if let Some(dispatch) = self.pending.take() {
+                self.current = Some(dispatch.attempt);
+                self.shared.counts.attempts.add();
+                return Ok(dispatch);
+            }
             let order = timeout_at(self.deadline.into(), self.orders.recv()).await;
-            match order {
-                Ok(Some(Order::Dispatch {
-                    attempt,
-                    upstream,
-                    address,
-                    priority,
-                })) => {
-                    self.current = Some(attempt);
-                    self.shared.counts.attempts.add();
-                    return Ok(Dispatch {
-                        attempt,
-                        upstream,
-                        address,
-                        priority,
-                    });
-                }
-                Ok(Some(Order::Cancel(_))) => {}
-                Ok(Some(Order::Refuse {
-                    reason,
-                    ran,
-                    retry_after,
-                })) => {
-                    let problem = refusal(reason, self.worst(ran)).retry_after(retry_after);
-                    return Err(self.refuse(problem));
-                }
-                Ok(None) => {
-                    let kind = Kind::ShuttingDown;
-                    return Err(self.refuse(self.problem(kind, "the router stops")));
-                }
-                Err(_) => return Err(self.expire()),
+            let Ok(order) = order else {
+                return Err(self.expire());
+            };
+            if let Err(Stop::Refused(problem)) = self.take(order) {
+                return Err(problem);
             }
         }
     }
@@ -143,35 +123,51 @@
                 result = &mut work => return Ok(result),
                 order = self.orders.recv() => order,
                 () = sleep_until(deadline) => {
-                    self.ran = Ran::Unknown;
+                    self.stop_attempt();
                     return Err(Stop::Refused(self.expire()));
                 }
             };
-            match order {
-                Some(Order::Cancel(attempt)) if Some(attempt) != self.current => {}
-                Some(Order::Cancel(_) | Order::Dispatch { .. }) => {
-                    self.current = None;
-                    self.ran = Ran::Unknown;
-                    return Err(Stop::Cancelled);
-                }
-                Some(Order::Refuse {
-                    reason,
-                    retry_after,
-                    ..
-                }) => {
-                    self.ran = Ran::Unknown;
-                    let problem = refusal(reason, self.ran).retry_after(retry_after);
-                    return Err(Stop::Refused(self.refuse(problem)));
-                }
-                None => {
-                    self.ran = Ran::Unknown;
-                    let problem = self.problem(Kind::ShuttingDown, "the router stops");
-                    return Err(Stop::Refused(self.refuse(problem)));
-                }
+            self.take(order)?;
+        }
+    }
+
+    /// Takes an order; fails if the current attempt must stop.
+    fn take(&mut self, order: Option<Order>) -> Result<(), Stop> {
+        match order {
+            Some(Order::Cancel(attempt)) if Some(attempt) != self.current => Ok(()),
+            Some(Order::Cancel(_)) => {
+                self.stop_attempt();
+                Err(Stop::Cancelled)
+            }
+            Some(Order::Dispatch(dispatch)) => {
+                self.stop_attempt();
+                self.pending = Some(dispatch);
+                Err(Stop::Cancelled)
+            }
+            Some(Order::Refuse {
+                reason,
+                ran,
+                retry_after,
+            }) => {
+                self.stop_attempt();
+                let problem = refusal(reason, self.worst(ran)).retry_after(retry_after);
+                Err(Stop::Refused(self.refuse(problem)))
+            }
+            None => {
+                self.stop_attempt();
+                let problem = self.problem(Kind::ShuttingDown, "the router stops");
+                Err(Stop::Refused(self.refuse(problem)))
             }
         }
     }
 
+    /// Leaves the current attempt, if any, whose request may have run.
+    const fn stop_attempt(&mut self) {
+        if self.current.take().is_some() {
+            self.ran = Ran::Unknown;
+        }
+    }
+
     /// Tells how the current attempt ended.
     pub(crate) fn finish(&mut self, outcome: Outcome) {
         let Some(attempt) = self.current.take() else {
@@ -222,7 +218,8 @@
     }
 
     /// The deadline passed; the machine cancels the attempt once this is dropped.
-    fn expire(&self) -> Problem {
+    fn expire(&mut self) -> Problem {
+        self.expired = true;
         self.shared.counts.failed.add();
         self.problem(Kind::DeadlineExceeded, "the answer was not whole in time")
     }
@@ -245,9 +242,13 @@
 
 impl Drop for Session {
     fn drop(&mut self) {
-        if !self.ended {
-            self.shared.dispatcher.do_send(Leave(self.id));
+        if self.ended {
+            return;
+        }
+        if !self.expired {
+            self.shared.counts.abandoned.add();
         }
+        self.shared.dispatcher.do_send(Leave(self.id));
     }
 }
 
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -3,17 +3,20 @@
 use std::borrow::Cow;
 use std::fmt::Write as _;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_web::HttpResponse;
 use bytes::Bytes;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use snipeusher::machine::Outcome;
+use tokio::time::timeout;
 
 use crate::attempt;
 use crate::attempt::Clients;
 use crate::call::Call;
 use crate::chat;
+use crate::dispatch::Dispatch;
 use crate::events::Cut;
 use crate::events::DONE;
 use crate::events::Events;
@@ -21,13 +24,14 @@
 use crate::problem::Problem;
 use crate::relay;
 use crate::relay::Sender;
-use crate::session::Dispatch;
 use crate::session::Session;
 use crate::session::Stop;
 use crate::shared::Shared;
 
 /// Events between two reports of output to the machine.
 const OUTPUT_EVENTS: u64 = 32;
+/// How often an engine that waits for a slow caller is reported as alive.
+const ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Resumes in a row without a new event before the engine is given up.
 const RESUMES: u32 = 2;
 
@@ -89,7 +93,17 @@
     dispatch: &Dispatch,
     clients: &Clients,
 ) -> Result<Opened, Outcome> {
-    let mut response = chat::send(shared, call, body, dispatch, clients).await?;
+    let response = chat::send(shared, call, body, dispatch, clients).await;
+    let mut response = match response {
+        Ok(response) => response,
+        Err(Outcome::Broken) => {
+            // The engine may have run it and may still hold the whole answer.
+            let mut events = resume(shared, dispatch, 0, clients).await?;
+            let first = events.next().await.map_err(|Cut| Outcome::Broken)?;
+            return Ok(Opened::Stream(Box::new(events), first, None));
+        }
+        Err(outcome) => return Err(outcome),
+    };
     let cached = attempt::cached(&response);
     let kind = attempt::text(response.headers(), "content-type").unwrap_or("");
     if !kind.starts_with("text/event-stream") {
@@ -103,7 +117,7 @@
     let mut first = events.next().await;
     if first.is_err() {
         shared.counts.cut.add();
-        events = resume(shared, dispatch, &events, clients).await?;
+        events = resume(shared, dispatch, events.last(), clients).await?;
         first = events.next().await;
     }
     let first = first.map_err(|Cut| Outcome::Broken)?;
@@ -114,10 +128,9 @@
 async fn resume(
     shared: &Arc<Shared>,
     dispatch: &Dispatch,
-    events: &Events,
+    last: u64,
     clients: &Clients,
 ) -> Result<Events, Outcome> {
-    let last = events.last();
     let (address, attempt) = (dispatch.address, dispatch.attempt);
     let url = format!(
         "{}://{address}/engine/v1/resume/{attempt}?after={last}",
@@ -256,15 +269,23 @@
                 self.session.output(self.answer.tokens, None);
             }
         }
-        let sender = &self.sender;
-        match self.session.race(sender.send(frame(data))).await {
-            Ok(true) => Ok(()),
-            Ok(false) => Err(End::Gone),
-            Err(Stop::Cancelled) => Err(End::Failed(
-                self.session
-                    .problem(Kind::AttemptsFailed, "the attempt was taken back"),
-            )),
-            Err(Stop::Refused(problem)) => Err(End::Failed(problem)),
+        let mut frame = Some(frame(data));
+        loop {
+            // Waits for room first, so that an interrupted wait does not lose the event.
+            let room = timeout(ALIVE_INTERVAL, self.sender.room());
+            match self.session.race(room).await {
+                Ok(Ok(Some(room))) => {
+                    if let Some(frame) = frame.take() {
+                        room.send(frame);
+                    }
+                    return Ok(());
+                }
+                Ok(Ok(None)) => return Err(End::Gone),
+                // The engine waits for a slow caller and is not to be taken for stalled.
+                Ok(Err(_)) => self.session.output(self.answer.tokens, None),
+                Err(Stop::Cancelled) => {}
+                Err(Stop::Refused(problem)) => return Err(End::Failed(problem)),
+            }
         }
     }
 
@@ -272,6 +293,10 @@
     async fn next(&mut self) -> Result<String, End> {
         let mut resumes = 0;
         loop {
+            if !self.session.is_running() {
+                resumes = 0;
+                self.proceed().await?;
+            }
             let events = &mut self.events;
             let sender = &self.sender;
             let work = async {
@@ -285,21 +310,19 @@
                 Ok(Some(Ok(data))) => return Ok(data),
                 Ok(Some(Err(Cut))) => self.session.shared().counts.cut.add(),
                 Ok(None) => return Err(End::Gone),
-                Err(Stop::Cancelled) => resumes = RESUMES,
+                Err(Stop::Cancelled) => continue,
                 Err(Stop::Refused(problem)) => return Err(End::Failed(problem)),
             }
             resumes += 1;
             if resumes > RESUMES || !self.resume().await? {
                 self.session.finish(Outcome::Broken);
-                resumes = 0;
-                self.proceed().await?;
             }
         }
     }
 
     async fn resume(&mut self) -> Result<bool, End> {
         let shared = Arc::clone(self.session.shared());
-        let work = resume(&shared, &self.dispatch, &self.events, &self.clients);
+        let work = resume(&shared, &self.dispatch, self.events.last(), &self.clients);
         match self.session.race(work).await {
             Ok(Ok(events)) => {
                 self.events = events;
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -19,6 +19,8 @@
 use snipeusher_router::log;
 use snipeusher_router::settings::Settings;
 use snipeusher_router::settings::Upstream;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
 
 pub const KEY: &str = "reading-circle-key";
 /// Test waits end with the condition; this only bounds a test that hangs.
@@ -159,6 +161,29 @@
     assert!(ended.is_ok(), "the condition never held");
 }
 
+/// Whether a raw HTTP answer with a chunked body is there to its end.
+///
+/// `awc` takes a cut chunked body for a whole one, so tests look at the bytes.
+pub fn is_whole(raw: &[u8]) -> bool {
+    raw.ends_with(b"0\r\n\r\n")
+}
+
+/// Opens a raw connection and sends a chat whose answer is then up to the test.
+pub async fn raw_chat(fleet: &Fleet, headers: &str, body: &Value) -> TcpStream {
+    let mut stream = TcpStream::connect(fleet.router.address())
+        .await
+        .expect("a connection");
+    let body = body.to_string();
+    let length = body.len();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\
+         Authorization: Bearer {KEY}\r\nContent-Length: {length}\r\n{headers}\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("a head");
+    stream.write_all(body.as_bytes()).await.expect("a body");
+    stream
+}
+
 /// A streamed answer as the caller saw it.
 #[derive(Debug, Default)]
 pub struct Answer {
@@ -194,7 +219,10 @@
             }
         }
         let text = String::from_utf8(bytes).expect("text");
-        for event in text.split("\n\n").filter(|event| !event.is_empty()) {
+        let mut events: Vec<_> = text.split("\n\n").collect();
+        let rest = events.pop().unwrap_or_default();
+        assert!(answer.broken || rest.is_empty(), "half an event: {rest}");
+        for event in events {
             answer.event(event);
         }
         answer
@@ -205,7 +233,8 @@
             self.error = Some(serde_json::from_str(data).expect("a problem"));
             return;
         }
-        let data = event.strip_prefix("data: ").expect("an event");
+        let data = event.strip_prefix("data: ");
+        let data = data.unwrap_or_else(|| panic!("no event: {event}"));
         assert!(!self.done, "an event after the end marker: {event}");
         if data == "[DONE]" {
             self.done = true;
--- /dev/null
+++ b/crates/router/tests/plain.rs
@@ -0,0 +1,122 @@
+//! Plain services over sockets.
+
+mod common;
+
+use awc::http::StatusCode;
+use bytes::Bytes;
+use common::Fleet;
+use common::KEY;
+use common::Plan;
+use common::is_whole;
+use futures_util::stream;
+use serde_json::Value;
+use snipeusher_fakes::plain::Fault;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
+
+async fn fleet() -> Fleet {
+    Fleet::start(Plan {
+        engines: 0,
+        ..Plan::default()
+    })
+    .await
+}
+
+/// Guards against a path, query, method or body that does not arrive as it was sent.
+#[actix_rt::test]
+async fn requests_go_through_unchanged() {
+    let fleet = fleet().await;
+    let path = "/match/pairings/7?by=name&by=date";
+    let part = Bytes::from(vec![b'x'; 9_000]);
+    let parts = (0..100).map(move |_| Ok::<_, std::io::Error>(part.clone()));
+    let call = fleet.post(path).insert_header(("idempotency-key", "key-1"));
+    let mut response = call
+        .send_stream(stream::iter(parts))
+        .await
+        .expect("an answer");
+    assert_eq!(response.status(), StatusCode::OK);
+    let header = |name: &str| response.headers().get(name).cloned();
+    assert_eq!(header("x-upstream").expect("an upstream"), "match-desk-0");
+    assert_eq!(
+        header("x-service").expect("a header of the service"),
+        "match-desk"
+    );
+    assert!(header("x-attempt-id").is_none());
+    let body = response.body().limit(2_000_000).await.expect("a body");
+    assert_eq!(body.len(), 900_000);
+    let url = format!("{}/match", fleet.base);
+    let call = fleet.client.delete(url);
+    let call = call.insert_header(("authorization", format!("Bearer {KEY}")));
+    call.send().await.expect("an answer");
+    let calls = fleet.plain[0].calls();
+    assert_eq!(calls[0].line, format!("POST {path}"));
+    assert_eq!(calls[0].bytes, 900_000);
+    assert_eq!(calls[0].key.as_deref(), Some("key-1"));
+    assert_eq!(calls[1].line, "DELETE /match");
+    assert!(
+        calls.iter().all(|call| !call.has_bearer),
+        "the bearer key went on"
+    );
+}
+
+/// Guards against a request that must not run twice being sent twice.
+#[actix_rt::test]
+async fn non_idempotent_request_runs_once() {
+    for fault in [Fault::DieBeforeAnswer, Fault::WrongAttempt("ff".to_owned())] {
+        let fleet = fleet().await;
+        fleet.plain[0].inject(fault);
+        let mut response = fleet
+            .post("/match/pairings")
+            .send_body("a pairing")
+            .await
+            .expect("an answer");
+        assert_eq!(response.status(), StatusCode::BAD_GATEWAY);
+        let problem: Value = response.json().await.expect("JSON");
+        assert_eq!(problem["ran"], "unknown");
+        assert_eq!(fleet.plain[0].calls().len(), 1);
+    }
+}
+
+/// Guards against a refused connection or a refusal by the service being called `unknown`.
+#[actix_rt::test]
+async fn request_that_did_not_run_says_so() {
+    let fleet = fleet().await;
+    let ask = async || {
+        let call = fleet.post("/match/pairings").send_body("a pairing");
+        let mut response = call.await.expect("an answer");
+        response.json::<Value>().await.expect("JSON")
+    };
+    fleet.plain[0].inject(Fault::Refuse);
+    assert_eq!(ask().await["ran"], "not_run");
+    fleet.plain[0].die().await;
+    assert_eq!(ask().await["ran"], "not_run");
+    assert!(fleet.plain[0].calls().is_empty());
+}
+
+/// Guards against a cut body passing for a whole one.
+#[actix_rt::test]
+async fn cut_body_breaks_the_connection() {
+    let fleet = fleet().await;
+    for is_cut in [false, true] {
+        if is_cut {
+            fleet.plain[0].inject(Fault::Cut);
+        }
+        let mut stream = TcpStream::connect(fleet.router.address())
+            .await
+            .expect("a connection");
+        let request = format!(
+            "POST /match HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\
+             Authorization: Bearer {KEY}\r\nContent-Length: 9\r\n\r\na pairing"
+        );
+        stream
+            .write_all(request.as_bytes())
+            .await
+            .expect("a request");
+        let mut raw = Vec::new();
+        // The router may also reset the connection.
+        let _reset = stream.read_to_end(&mut raw).await;
+        assert_eq!(is_whole(&raw), !is_cut, "{}", String::from_utf8_lossy(&raw));
+    }
+    assert_eq!(fleet.count("cut").await, 1);
+}
