--- a/crates/router/src/chat.rs
+++ b/crates/router/src/chat.rs
@@ -87,7 +87,13 @@
     let limit = caller.policy.limits.body_bytes;
     let body = call::body(&request, &mut payload, limit, deadline).await?;
     let call = Call::parse(&shared, &caller, &request, form, body, deadline)?;
-    let session = Session::submit(&shared, open, call.request.clone(), deadline);
+    let session = Session::submit(
+        &shared,
+        open,
+        call.request.clone(),
+        caller.arrived,
+        deadline,
+    );
     if call.streamed {
         stream::open(session, call, clients).await
     } else {
@@ -157,6 +163,7 @@
         match session.race(work).await {
             Ok(Ok((response, body))) => {
                 let cached = attempt::cached(&response);
+                session.progress();
                 session.output(call.request.output_tokens, cached);
                 session.finish(Outcome::Complete);
                 let mut head = head(response.status(), &dispatch, cached);
--- /dev/null
+++ b/crates/router/src/clock.rs
@@ -0,0 +1,58 @@
+//! When a request arrived, started and progressed.
+
+use std::time::Instant;
+
+use snipeusher::name;
+use snipeusher::request::Request;
+
+use crate::metric::Metrics;
+use crate::metric::Span;
+
+/// Measures one request.
+#[derive(Debug)]
+pub(crate) struct Clock {
+    workspace: name::Workspace,
+    class: name::Class,
+    arrived: Instant,
+    is_dispatched: bool,
+    last: Option<Instant>,
+}
+
+impl Clock {
+    pub(crate) fn new(request: &Request, arrived: Instant) -> Self {
+        Self {
+            workspace: request.workspace.clone(),
+            class: request.class.clone(),
+            arrived,
+            is_dispatched: false,
+            last: None,
+        }
+    }
+
+    pub(crate) fn dispatched(&mut self, metrics: &Metrics) {
+        if !self.is_dispatched {
+            self.is_dispatched = true;
+            self.record(metrics, Span::Queue, self.arrived);
+        }
+    }
+
+    pub(crate) fn progress(&mut self, metrics: &Metrics) {
+        if !metrics.is_on() {
+            return;
+        }
+        match self.last.replace(Instant::now()) {
+            Some(last) => self.record(metrics, Span::Between, last),
+            None => self.record(metrics, Span::First, self.arrived),
+        }
+    }
+
+    pub(crate) fn ended(&self, metrics: &Metrics) {
+        self.record(metrics, Span::Whole, self.arrived);
+    }
+
+    fn record(&self, metrics: &Metrics, span: Span, since: Instant) {
+        if metrics.is_on() {
+            metrics.record(span, &self.workspace, &self.class, since.elapsed());
+        }
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -16,8 +16,10 @@
 mod attempt;
 mod call;
 mod chat;
+mod clock;
 mod count;
 mod events;
+mod metric;
 mod plain;
 mod probe;
 mod relay;
@@ -30,3 +32,4 @@
 
 pub use crate::router::Error;
 pub use crate::router::Router;
+pub use crate::router::check;
--- a/crates/router/src/log.rs
+++ b/crates/router/src/log.rs
@@ -7,17 +7,19 @@
 use crate::settings;
 
 /// Opens the root logger; records go to standard error without blocking the caller.
+///
+/// Records are dropped where standard error is closed or too slow.
 pub fn open(format: settings::Log) -> Logger {
     match format {
         settings::Log::Human => {
             let decorator = slog_term::TermDecorator::new().stderr().build();
-            let drain = slog_term::FullFormat::new(decorator).build().fuse();
-            let drain = slog_async::Async::new(drain).build().fuse();
+            let drain = slog_term::FullFormat::new(decorator).build().ignore_res();
+            let drain = slog_async::Async::new(drain).build().ignore_res();
             Logger::root(drain, o!())
         }
         settings::Log::Json => {
-            let drain = slog_json::Json::default(std::io::stderr()).fuse();
-            let drain = slog_async::Async::new(drain).build().fuse();
+            let drain = slog_json::Json::default(std::io::stderr()).ignore_res();
+            let drain = slog_async::Async::new(drain).build().ignore_res();
             Logger::root(drain, o!())
         }
     }
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -108,7 +108,7 @@
         idempotent: class.idempotent && repeatable && is_small,
     };
     let idempotent = record.idempotent;
-    let session = Session::submit(&shared, open, record, deadline);
+    let session = Session::submit(&shared, open, record, caller.arrived, deadline);
     let call = Call {
         request,
         body,
@@ -312,6 +312,7 @@
             }
             Ok(None) | Err(_) => return,
         };
+        session.progress();
         match session.race(sender.send(part)).await {
             Ok(true) => {}
             Ok(false) | Err(_) => return,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -23,6 +23,7 @@
 use snafu::Snafu;
 use snipeusher::hash;
 use snipeusher::machine::Machine;
+use snipeusher::policy::Policy;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -32,6 +33,8 @@
 use crate::dispatch::Dispatcher;
 use crate::dispatch::ReadyEngines;
 use crate::documents;
+use crate::metric::FLUSH_INTERVAL;
+use crate::metric::Metrics;
 use crate::probe::Probe;
 use crate::serve;
 use crate::settings::Settings;
@@ -51,6 +54,12 @@
         /// The cause.
         source: io::Error,
     },
+    /// Metrics cannot be sent.
+    #[snafu(display("cannot open a socket for metrics: {source}"))]
+    Metrics {
+        /// The cause.
+        source: io::Error,
+    },
     /// The documents cannot be used.
     #[snafu(display("{source}"))]
     Documents {
@@ -59,6 +68,11 @@
     },
 }
 
+/// Checks the files that the settings name, without starting anything.
+pub fn check(settings: &Settings) -> Result<(), Error> {
+    read_documents(settings).map(|_policies| ())
+}
+
 /// A running router; it must be bound within an actix system.
 #[derive(Debug)]
 pub struct Router {
@@ -73,10 +87,8 @@
 impl Router {
     /// Starts a router.
     pub fn bind(settings: Settings, log: Logger) -> Result<Self, Error> {
-        let policies = match &settings.documents {
-            Some(folder) => documents::read(folder).context(DocumentsSnafu)?,
-            None => Vec::new(),
-        };
+        let policies = read_documents(&settings)?;
+        let metrics = Metrics::open(settings.statsd).context(MetricsSnafu)?;
         let origin = Instant::now();
         let first_attempt = first_attempt(&settings);
         let scheme = "http";
@@ -85,12 +97,14 @@
         let (mut publisher, directory) = Policies::new(dispatcher.clone());
         publisher.put(policies);
         start_probe(&control, &settings, dispatcher.clone(), scheme, &log);
+        start_flush(&control, &metrics);
         let listen = settings.listen;
         let shared = Data::new(Shared {
             settings,
             dispatcher,
             directory,
             counts: Counts::default(),
+            metrics,
             origin,
             scheme,
             log: log.clone(),
@@ -150,6 +164,7 @@
             warn!(self.log, "router: requests did not end in time"; "open" => self.open());
         }
         self.server.stop(drained).await;
+        self.shared.metrics.flush();
         self.control.stop();
         info!(self.log, "router: stopped");
         drained
@@ -166,6 +181,26 @@
     }
 }
 
+fn read_documents(settings: &Settings) -> Result<Vec<Policy>, Error> {
+    let folder = settings.documents.as_ref();
+    let read = folder.map_or(Ok(Vec::new()), |folder| documents::read(folder));
+    read.context(DocumentsSnafu)
+}
+
+/// Sends what waits in datagrams that are not full.
+fn start_flush(control: &Arbiter, metrics: &Metrics) {
+    if !metrics.is_on() {
+        return;
+    }
+    let metrics = metrics.clone();
+    control.spawn(async move {
+        loop {
+            sleep(FLUSH_INTERVAL).await;
+            metrics.flush();
+        }
+    });
+}
+
 /// The first attempt id of this run; hosts and runs start far apart.
 ///
 /// The top bit stays free, so that ids do not wrap around within the life of a process.
--- a/crates/router/src/session.rs
+++ b/crates/router/src/session.rs
@@ -16,6 +16,7 @@
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
 
+use crate::clock::Clock;
 use crate::dispatch::Dispatch;
 use crate::dispatch::Finish;
 use crate::dispatch::Leave;
@@ -43,6 +44,7 @@
     id: Id,
     orders: UnboundedReceiver<Order>,
     deadline: Instant,
+    clock: Clock,
     current: Option<Attempt>,
     /// A dispatch that came while an earlier attempt was still worked on.
     pending: Option<Dispatch>,
@@ -58,10 +60,12 @@
         shared: &Arc<Shared>,
         open: Open,
         request: Request,
+        arrived: Instant,
         deadline: Instant,
     ) -> Self {
         let (sender, orders) = mpsc::unbounded_channel();
         let id = request.id;
+        let clock = Clock::new(&request, arrived);
         let submit = Submit {
             request,
             orders: sender,
@@ -72,6 +76,7 @@
             id,
             orders,
             deadline,
+            clock,
             current: None,
             pending: None,
             ran: Ran::NotRun,
@@ -101,6 +106,7 @@
             if let Some(dispatch) = self.pending.take() {
                 self.current = Some(dispatch.attempt);
                 self.shared.counts.attempts.add();
+                self.clock.dispatched(&self.shared.metrics);
                 return Ok(dispatch);
             }
             let order = timeout_at(self.deadline.into(), self.orders.recv()).await;
@@ -177,6 +183,7 @@
             Outcome::Complete => {
                 self.ended = true;
                 self.shared.counts.completed.add();
+                self.clock.ended(&self.shared.metrics);
             }
             Outcome::Cancelled => self.ended = true,
             Outcome::Broken => self.ran = Ran::Unknown,
@@ -195,6 +202,11 @@
         self.refuse(problem)
     }
 
+    /// Notes a token or a part of the answer on its way to the caller.
+    pub(crate) fn progress(&mut self) {
+        self.clock.progress(&self.shared.metrics);
+    }
+
     /// Tells the output of the current attempt.
     pub(crate) fn output(&self, tokens: u64, cached: Option<u64>) {
         if let Some(attempt) = self.current {
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -16,6 +16,7 @@
 use crate::count::Counts;
 use crate::directory::Directory;
 use crate::dispatch::Dispatcher;
+use crate::metric::Metrics;
 use crate::settings::Settings;
 
 /// Shared by reference among the serving threads.
@@ -25,6 +26,7 @@
     pub(crate) dispatcher: Addr<Dispatcher>,
     pub(crate) directory: watch::Receiver<Arc<Directory>>,
     pub(crate) counts: Counts,
+    pub(crate) metrics: Metrics,
     pub(crate) origin: Instant,
     pub(crate) scheme: &'static str,
     pub(crate) log: Logger,
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -264,6 +264,7 @@
 
     async fn forward(&mut self, data: &str, done: bool) -> Result<(), End> {
         if !done {
+            self.session.progress();
             self.answer.note(data);
             if self.answer.tokens.is_multiple_of(OUTPUT_EVENTS) {
                 self.session.output(self.answer.tokens, None);
