Add leases with a fencing token, at-most-once claims and full template checks

Cause: the design page names these state machines; only the types of the calls existed. Change: lease::Holder, claim::Claims and template validation that lists every mistake; the calls of the key-value service gain nested transactions, a range condition and reads by revision.

--- a/crates/snipeusher/src/kv.rs
+++ b/crates/snipeusher/src/kv.rs
@@ -3,9 +3,13 @@
 //! State machines emit these and take the replies; the embedding process carries them.
 //! The service follows the model of etcd v3: every change raises one revision of the whole store.
 
+mod backoff;
+
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use self::backoff::Backoff;
+
 /// A revision of the whole store; zero stands for a key that does not exist.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -18,6 +22,20 @@
 #[serde(transparent)]
 pub struct Lease(pub i64);
 
+/// Matches the reply to a call of one state machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct CallId(pub u64);
+
+impl CallId {
+    /// The next identity, which becomes the current one.
+    #[must_use]
+    pub const fn advance(&mut self) -> Self {
+        self.0 += 1;
+        *self
+    }
+}
+
 /// A key with its value.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -42,6 +60,11 @@
     Modified(String, Revision),
     /// The key was created at this revision; zero if it must not exist.
     Created(String, Revision),
+    /// No key with this prefix was changed after this revision.
+    ///
+    /// It also fails for a key that did not exist at the revision, so that a check over a set of
+    /// keys holds until the write.
+    Unchanged(String, Revision),
 }
 
 /// One operation of a transaction.
@@ -64,6 +87,8 @@
     },
     /// Reads the keys of a range.
     Range(Range),
+    /// A transaction within the transaction, which succeeds or fails on its own.
+    Txn(Txn),
 }
 
 /// Keys with a common prefix, or one key.
@@ -94,6 +119,13 @@
 pub enum Call {
     /// Reads.
     Range(Range),
+    /// Reads only the keys that were changed after a revision.
+    Changed {
+        /// The keys.
+        range: Range,
+        /// The highest revision that the caller already knows.
+        after: Revision,
+    },
     /// Compares, then reads or writes.
     Txn(Txn),
     /// Creates a lease with a time to live in seconds.
@@ -107,11 +139,38 @@
     Revoke(Lease),
 }
 
+/// The result of one operation of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Done {
+    /// Of [`Op::Put`] and [`Op::Delete`].
+    Written,
+    /// Of [`Op::Range`]: what was found, in key order.
+    Found(Vec<Entry>),
+    /// Of [`Op::Txn`].
+    Txn {
+        /// Whether its conditions held.
+        succeeded: bool,
+        /// The result of each of its operations, in order.
+        results: Vec<Done>,
+    },
+}
+
+impl Done {
+    /// What a read found; empty for other operations.
+    pub fn found(&self) -> &[Entry] {
+        match self {
+            Self::Found(entries) => entries,
+            Self::Written | Self::Txn { .. } => &[],
+        }
+    }
+}
+
 /// The service's answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Reply {
-    /// To [`Call::Range`].
+    /// To [`Call::Range`] and [`Call::Changed`].
     Range {
         /// The store's revision at the read.
         revision: Revision,
@@ -124,8 +183,8 @@
         revision: Revision,
         /// Whether the conditions held.
         succeeded: bool,
-        /// What each [`Op::Range`] found, in order; empty for other operations.
-        results: Vec<Vec<Entry>>,
+        /// The result of each operation, in order.
+        results: Vec<Done>,
     },
     /// To [`Call::Grant`].
     Grant {
--- a/crates/snipeusher/src/lib.rs
+++ b/crates/snipeusher/src/lib.rs
@@ -5,8 +5,10 @@
 //! outputs on every machine. The design is described in `docs/design.md`.
 
 pub mod board;
+pub mod claim;
 pub mod hash;
 pub mod kv;
+pub mod lease;
 pub mod load;
 pub mod machine;
 pub mod name;
--- a/crates/snipeusher/src/template.rs
+++ b/crates/snipeusher/src/template.rs
@@ -2,7 +2,11 @@
 //!
 //! See `docs/design.md#configuration`.
 
+mod check;
+mod parameter;
+
 use std::collections::BTreeMap;
+use std::fmt;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -13,9 +17,31 @@
 use crate::policy;
 use crate::policy::Policy;
 
+pub use self::parameter::Kind;
+pub use self::parameter::Parameter;
+
 /// A text value that starts with this character names a parameter.
 const PARAMETER_MARK: char = '$';
 
+/// One thing that is wrong, with the place where it stands.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Mistake {
+    /// Path within the document, such as `limits.load_limit`.
+    pub place: String,
+    /// What is wrong there.
+    pub text: String,
+}
+
+impl fmt::Display for Mistake {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.place.is_empty() {
+            return f.write_str(&self.text);
+        }
+        write!(f, "{}: {}", self.place, self.text)
+    }
+}
+
 /// Why a template and a binding do not give a policy.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -27,11 +53,19 @@
         /// What the TOML library reports.
         source: toml::de::Error,
     },
+    /// The document has mistakes; all of them are listed.
+    #[snafu(display("{document} is not valid: {}", joined(mistakes)))]
+    Invalid {
+        /// The document, such as `template "letters"`.
+        document: String,
+        /// Every mistake found.
+        mistakes: Vec<Mistake>,
+    },
     /// A value names a parameter that the template does not declare.
     #[snafu(display("template {template:?} has no parameter {parameter:?}"))]
     UnknownParameter {
         /// The template.
-        template: name::Template,
+        template: String,
         /// The parameter.
         parameter: String,
     },
@@ -39,31 +73,28 @@
     #[snafu(display("workspace {workspace:?} is bound to template {bound:?}, not {template:?}"))]
     OtherTemplate {
         /// The workspace.
-        workspace: name::Workspace,
+        workspace: String,
         /// The template that the binding names.
-        bound: name::Template,
+        bound: String,
         /// The template given.
-        template: name::Template,
-    },
-    /// The class of requests that name none does not exist.
-    #[snafu(display("template {template:?} has no class {class:?}, which default_class names"))]
-    UnknownClass {
-        /// The template.
-        template: name::Template,
-        /// The class.
-        class: name::Class,
+        template: String,
     },
 }
 
+fn joined(mistakes: &[Mistake]) -> String {
+    let texts: Vec<_> = mistakes.iter().map(ToString::to_string).collect();
+    texts.join("; ")
+}
+
 /// A template: which models, adapters and versions may be reached and how work is treated.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Template {
     /// Its name.
     pub name: name::Template,
-    /// Parameters with their defaults, which any text value below may name as `$parameter`.
+    /// Parameters, which any text value below may name as `$parameter`.
     #[serde(default)]
-    pub parameters: BTreeMap<String, toml::Value>,
+    pub parameters: BTreeMap<String, Parameter>,
     /// The body, a [`Body`] once parameters are filled in.
     pub body: toml::Table,
 }
@@ -110,34 +141,53 @@
         })
     }
 
+    /// Reports every mistake in the template, also those that a parameter at the end of its range
+    /// would cause.
+    pub fn validate(&self) -> Result<(), Error> {
+        let mut mistakes = check::template(self);
+        mistakes.sort();
+        mistakes.dedup();
+        if mistakes.is_empty() {
+            return Ok(());
+        }
+        self.invalid(mistakes)
+    }
+
     /// Fills in a workspace's parameters.
     pub fn compile(&self, binding: &Binding) -> Result<Policy, Error> {
         if binding.template != self.name {
             return OtherTemplateSnafu {
-                workspace: binding.workspace.clone(),
-                bound: binding.template.clone(),
-                template: self.name.clone(),
+                workspace: binding.workspace.as_str(),
+                bound: binding.template.as_str(),
+                template: self.name.as_str(),
             }
             .fail();
         }
-        let mut values = self.parameters.clone();
+        let mut mistakes = Vec::new();
         for (parameter, value) in &binding.parameters {
-            if values.insert(parameter.clone(), value.clone()).is_none() {
-                return self.unknown(parameter);
-            }
+            let Some(declared) = self.parameters.get(parameter) else {
+                return UnknownParameterSnafu {
+                    template: self.name.as_str(),
+                    parameter,
+                }
+                .fail();
+            };
+            mistakes.extend(declared.refuses(value).map(|text| Mistake {
+                place: format!("parameters.{parameter}"),
+                text,
+            }));
         }
-        let mut table = toml::Value::Table(self.body.clone());
-        self.fill(&mut table, &values)?;
-        let body: Body = table.try_into().with_context(|_| SyntaxSnafu {
-            document: format!("template {:?}", self.name.as_str()),
-        })?;
-        if !body.classes.contains_key(&body.default_class) {
-            return UnknownClassSnafu {
-                template: self.name.clone(),
-                class: body.default_class,
+        if !mistakes.is_empty() {
+            return InvalidSnafu {
+                document: format!("workspace {:?}", binding.workspace.as_str()),
+                mistakes,
             }
             .fail();
         }
+        let body = match self.filled(&binding.parameters) {
+            Ok(body) => body,
+            Err(mistakes) => return self.invalid(mistakes),
+        };
         Ok(Policy {
             workspace: binding.workspace.clone(),
             keys: binding.keys.clone(),
@@ -149,36 +199,57 @@
         })
     }
 
+    /// The checked body, with `given` in place of the defaults that it names.
+    fn filled(&self, given: &BTreeMap<String, toml::Value>) -> Result<Body, Vec<Mistake>> {
+        let mut mistakes = Vec::new();
+        let mut table = toml::Value::Table(self.body.clone());
+        self.fill(&mut table, given, "", &mut mistakes);
+        let body = check::body(table, &mut mistakes);
+        body.filter(|_| mistakes.is_empty()).ok_or(mistakes)
+    }
+
     fn fill(
         &self,
         value: &mut toml::Value,
-        values: &BTreeMap<String, toml::Value>,
-    ) -> Result<(), Error> {
+        given: &BTreeMap<String, toml::Value>,
+        place: &str,
+        mistakes: &mut Vec<Mistake>,
+    ) {
         match value {
-            toml::Value::Table(table) => table
-                .iter_mut()
-                .try_for_each(|(_, inner)| self.fill(inner, values)),
-            toml::Value::Array(items) => items
-                .iter_mut()
-                .try_for_each(|inner| self.fill(inner, values)),
+            toml::Value::Table(table) => {
+                for (key, inner) in table.iter_mut() {
+                    self.fill(inner, given, &check::inside(place, key), mistakes);
+                }
+            }
+            toml::Value::Array(items) => {
+                for inner in items {
+                    self.fill(inner, given, place, mistakes);
+                }
+            }
             toml::Value::String(text) => {
                 let Some(parameter) = text.strip_prefix(PARAMETER_MARK) else {
-                    return Ok(());
-                };
-                let Some(given) = values.get(parameter) else {
-                    return self.unknown(parameter);
+                    return;
                 };
-                *value = given.clone();
-                Ok(())
+                let default = self.parameters.get(parameter).map(|p| &p.default);
+                match given.get(parameter).or(default) {
+                    Some(filled) => *value = filled.clone(),
+                    None => mistakes.push(Mistake {
+                        place: place.to_owned(),
+                        text: format!(
+                            "template {:?} has no parameter {parameter:?}",
+                            self.name.as_str()
+                        ),
+                    }),
+                }
             }
-            _ => Ok(()),
+            _ => {}
         }
     }
 
-    fn unknown<T>(&self, parameter: &str) -> Result<T, Error> {
-        UnknownParameterSnafu {
-            template: self.name.clone(),
-            parameter,
+    fn invalid<T>(&self, mistakes: Vec<Mistake>) -> Result<T, Error> {
+        InvalidSnafu {
+            document: format!("template {:?}", self.name.as_str()),
+            mistakes,
         }
         .fail()
     }
@@ -191,4 +262,17 @@
             document: "workspace",
         })
     }
+
+    /// Reports every mistake that shows without the template.
+    pub fn validate(&self) -> Result<(), Error> {
+        let mistakes = check::binding(self);
+        if mistakes.is_empty() {
+            return Ok(());
+        }
+        InvalidSnafu {
+            document: format!("workspace {:?}", self.workspace.as_str()),
+            mistakes,
+        }
+        .fail()
+    }
 }
