Add the configuration replica and operators' edits

Cause: routers need one configuration that never reverts, and operators need edits whose fate is known after a lost reply. Change: config::Replica merges documents by highest revision from the service, the watch and peers; config::Edit writes a document with conditions on everything its checks depend on, and resolves lost replies by the edit ids that documents carry. Histories have keys of their own, outside the prefix that routers watch, so that a router does not read old texts. A store in memory with the revisions of etcd serves the tests.

--- a/crates/snipeusher/src/lib.rs
+++ b/crates/snipeusher/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod board;
 pub mod claim;
+pub mod config;
 pub mod hash;
 pub mod kv;
 pub mod lease;
--- /dev/null
+++ b/crates/snipeusher/tests/edit.rs
@@ -0,0 +1,336 @@
+//! Operators' edits against a store in memory, with calls that fail and operators that race.
+
+use rstest::rstest;
+use snipeusher::config::Author;
+use snipeusher::config::Change;
+use snipeusher::config::Edit;
+use snipeusher::config::EditId;
+use snipeusher::config::History;
+use snipeusher::config::Name;
+use snipeusher::config::Outcome;
+use snipeusher::config::PREFIX;
+use snipeusher::config::Refusal;
+use snipeusher::config::Step;
+use snipeusher::config::World;
+use snipeusher::kv::Call;
+use snipeusher::kv::Fault;
+use snipeusher::kv::Reply;
+use snipeusher::kv::Revision;
+use snipeusher::kv::Txn;
+use snipeusher::time::Time;
+use snipeusher_fakes::kv::Memory;
+
+const DEADLINE: Time = Time::from_millis(10_000);
+
+/// What becomes of a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Carry {
+    Deliver,
+    LoseRequest,
+    LoseReply,
+    NotSent,
+}
+
+fn template(name: &str) -> Name {
+    Name::Template(name.into())
+}
+
+fn workspace(name: &str) -> Name {
+    Name::Workspace(name.into())
+}
+
+/// A template with a parameter of the given name.
+fn text(name: &str, parameter: &str, note: u32) -> String {
+    format!(
+        "name = {name:?}\n[parameters]\n{parameter} = {{ default = 2, min = 1 }}\n\
+         [body]\ndefault_class = \"chat\"\n[body.classes.chat]\nweight = \"${parameter}\"\n\
+         deadline_ms = {}\n",
+        1_000 + note
+    )
+}
+
+fn binding(name: &str, template: &str, parameter: &str) -> String {
+    let digit = name.len() % 10;
+    let key = digit.to_string().repeat(64);
+    format!(
+        "workspace = {name:?}\ntemplate = {template:?}\nkeys = [{key:?}]\n\
+         [parameters]\n{parameter} = 5\n"
+    )
+}
+
+fn put(name: Name, text: String) -> Change {
+    Change::Put { name, text }
+}
+
+fn open(id: u128, change: Change) -> Edit {
+    let author = Author {
+        name: format!("operator-{id}"),
+        at_ms: 0,
+    };
+    Edit::open(change, author, EditId(id), None, Time(0), DEADLINE)
+}
+
+/// Runs an edit to its end; `carry` transports its writes.
+fn run(
+    edit: &mut Edit,
+    memory: &mut Memory,
+    mut carry: impl FnMut(&mut Memory, &Call) -> Result<Reply, Fault>,
+) -> Outcome {
+    let mut now = Time(0);
+    edit.handle(now, None);
+    loop {
+        let steps: Vec<_> = edit.drain().collect();
+        if steps.is_empty() {
+            now = edit.next_wake();
+            edit.handle(now, None);
+        }
+        for step in steps {
+            let (id, call) = match step {
+                Step::Done(outcome) => return outcome,
+                Step::Call { id, call } => (id, call),
+            };
+            let reply = if is_write(&call) {
+                carry(memory, &call)
+            } else {
+                memory.call(now, &call)
+            };
+            edit.handle(now, Some((id, reply)));
+        }
+    }
+}
+
+fn send(memory: &mut Memory, call: &Call, way: Carry) -> Result<Reply, Fault> {
+    match way {
+        Carry::Deliver => memory.call(Time(0), call),
+        Carry::LoseRequest => Err(Fault::Lost),
+        Carry::NotSent => Err(Fault::NotSent),
+        Carry::LoseReply => memory.call(Time(0), call).and(Err(Fault::Lost)),
+    }
+}
+
+fn is_write(call: &Call) -> bool {
+    matches!(call, Call::Txn(Txn { compare, .. }) if !compare.is_empty())
+}
+
+fn apply(memory: &mut Memory, id: u128, change: Change) -> Outcome {
+    run(&mut open(id, change), memory, |memory, call| {
+        send(memory, call, Carry::Deliver)
+    })
+}
+
+fn world(memory: &Memory) -> World {
+    let entries: Vec<_> = memory.entries().cloned().collect();
+    World::read(memory.revision(), &entries)
+}
+
+/// Guards against an edit that overwrites one it has not seen, and against a conflict that does
+/// not name the other edit.
+#[test]
+fn racing_edits_conflict() {
+    let mut memory = Memory::default();
+    let mut first = open(1, put(template("a"), text("a", "p", 1)));
+    let outcome = run(&mut first, &mut memory, |memory, call| {
+        apply(memory, 2, put(template("a"), text("a", "p", 2)));
+        send(memory, call, Carry::Deliver)
+    });
+    let Outcome::Refused(refusal @ Refusal::Conflict { found, edit, .. }) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!((found, edit), (memory.revision(), EditId(2)));
+    assert_eq!(
+        refusal.to_string(),
+        "template \"a\" was changed by \"operator-2\" in revision 1, this change expected revision 0"
+    );
+}
+
+/// Guards against a wrong report after a lost request or reply, also when another operator has
+/// written in the meantime.
+#[rstest]
+#[case(Carry::LoseReply, 0, true)]
+#[case(Carry::LoseReply, 3, true)]
+#[case(Carry::LoseRequest, 0, true)]
+#[case(Carry::LoseRequest, 3, false)]
+#[case(Carry::NotSent, 0, true)]
+#[case(Carry::NotSent, 3, false)]
+fn lost_calls_are_resolved(#[case] carry: Carry, #[case] others: u32, #[case] applied: bool) {
+    let mut memory = Memory::default();
+    apply(&mut memory, 1, put(template("a"), text("a", "p", 0)));
+    let mut edit = open(2, put(template("a"), text("a", "p", 100)));
+    let mut first = true;
+    let outcome = run(&mut edit, &mut memory, |memory, call| {
+        if !std::mem::take(&mut first) {
+            return send(memory, call, Carry::Deliver);
+        }
+        let reply = send(memory, call, carry);
+        for other in 0..others {
+            let change = put(template("a"), text("a", "p", other + 1));
+            apply(memory, 10 + u128::from(other), change);
+        }
+        reply
+    });
+    if applied {
+        assert_eq!(outcome, Outcome::Applied(Revision(2)));
+    } else {
+        assert!(
+            matches!(outcome, Outcome::Refused(Refusal::Conflict { .. })),
+            "{outcome:?}"
+        );
+    }
+}
+
+/// Guards against a template that loses a parameter while a binding begins to use it, in either
+/// order.
+#[test]
+fn a_race_never_strands_a_workspace() {
+    let mut memory = Memory::default();
+    apply(&mut memory, 1, put(template("a"), text("a", "p", 0)));
+    let mut edit = open(2, put(template("a"), text("a", "q", 0)));
+    let outcome = run(&mut edit, &mut memory, |memory, call| {
+        apply(memory, 3, put(workspace("w"), binding("w", "a", "p")));
+        send(memory, call, Carry::Deliver)
+    });
+    assert!(
+        matches!(outcome, Outcome::Refused(Refusal::Strands { .. })),
+        "{outcome:?}"
+    );
+
+    let mut memory = Memory::default();
+    apply(&mut memory, 1, put(template("a"), text("a", "p", 0)));
+    let mut edit = open(2, put(workspace("w"), binding("w", "a", "p")));
+    let outcome = run(&mut edit, &mut memory, |memory, call| {
+        apply(memory, 3, put(template("a"), text("a", "q", 0)));
+        send(memory, call, Carry::Deliver)
+    });
+    let Outcome::Refused(Refusal::Invalid { text }) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(text, "template \"a\" has no parameter \"p\"");
+}
+
+/// Guards against edits of different documents that refuse each other.
+#[test]
+fn edits_of_different_templates_survive() {
+    let mut memory = Memory::default();
+    let mut first = open(1, put(template("a"), text("a", "p", 0)));
+    let outcome = run(&mut first, &mut memory, |memory, call| {
+        apply(memory, 2, put(template("b"), text("b", "p", 0)));
+        send(memory, call, Carry::Deliver)
+    });
+    assert_eq!(outcome, Outcome::Applied(Revision(2)));
+    assert_eq!(world(&memory).documents.len(), 2);
+}
+
+/// Guards against changes that leave a workspace without a policy, or are not valid.
+#[rstest]
+#[case(Change::Delete(template("a")), "would strand workspace \"w\"")]
+#[case(Change::Delete(template("z")), "there is no template \"z\"")]
+#[case(put(template("a"), text("a", "q", 0)), "would strand workspace \"w\"")]
+#[case(
+    put(template("b"), text("a", "p", 0)),
+    "cannot hold the text of template \"a\""
+)]
+#[case(
+    put(workspace("v"), binding("v", "z", "p")),
+    "template \"z\", which does not exist"
+)]
+#[case(
+    put(workspace("v"), binding("v", "a", "p")),
+    "has a bearer key of workspace \"w\""
+)]
+#[case(
+    put(workspace("vv"), binding("vv", "a", "q")),
+    "has no parameter \"q\""
+)]
+#[case(put(template("a"), format!("{}#{}", text("a", "p", 0), "x".repeat(300_000))), "at most 204800")]
+#[case(Change::Rollback { name: template("a"), to: Revision(99) }, "has no revision 99")]
+#[case(Change::Set { name: workspace("w"), parameter: "p".into(), value: 0.into() }, "must be at least 1")]
+#[case(Change::Set { name: template("a"), parameter: "q".into(), value: 0.into() }, "no parameter \"q\"")]
+fn harmful_changes_are_refused(#[case] change: Change, #[case] reason: &str) {
+    let mut memory = Memory::default();
+    apply(&mut memory, 1, put(template("a"), text("a", "p", 0)));
+    apply(&mut memory, 2, put(workspace("w"), binding("w", "a", "p")));
+    let before = memory.revision();
+    let outcome = apply(&mut memory, 3, change);
+    let Outcome::Refused(refusal) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert!(refusal.to_string().contains(reason), "{refusal}");
+    assert_eq!(memory.revision(), before);
+}
+
+/// Guards against a rollback, a parameter or a deletion that does something else.
+#[test]
+fn changes_do_what_they_say() {
+    let mut memory = Memory::default();
+    let original = text("a", "p", 0);
+    apply(&mut memory, 1, put(template("a"), original.clone()));
+    apply(&mut memory, 2, put(workspace("w"), binding("w", "a", "p")));
+    let set = Change::Set {
+        name: template("a"),
+        parameter: "p".into(),
+        value: 9.into(),
+    };
+    assert_eq!(
+        apply(&mut memory, 3, set.clone()),
+        Outcome::Applied(Revision(3))
+    );
+    assert_eq!(apply(&mut memory, 4, set), Outcome::Unchanged(Revision(3)));
+    let changed = world(&memory).template(&"a".into()).unwrap();
+    assert_eq!(changed.parameters["p"].default, 9.into());
+    let rollback = Change::Rollback {
+        name: template("a"),
+        to: Revision(1),
+    };
+    assert_eq!(
+        apply(&mut memory, 5, rollback),
+        Outcome::Applied(Revision(4))
+    );
+    assert_eq!(world(&memory).text(&template("a")), Some(original.as_str()));
+    assert_eq!(
+        apply(&mut memory, 6, Change::Delete(workspace("w"))),
+        Outcome::Applied(Revision(5))
+    );
+    assert_eq!(
+        apply(&mut memory, 7, Change::Delete(template("a"))),
+        Outcome::Applied(Revision(6))
+    );
+    assert_eq!(world(&memory).text(&template("a")), None);
+    let history = &memory.get(&template("a").history_key()).unwrap().value;
+    let revisions: Vec<_> = History::decode(history).unwrap().versions;
+    let revisions: Vec<_> = revisions.iter().map(|version| version.revision.0).collect();
+    assert_eq!(revisions, [4, 3, 1]);
+}
+
+/// Guards against values beyond the service's limit after many edits of a large document.
+#[test]
+fn values_stay_below_one_megabyte() {
+    let mut memory = Memory::default();
+    for note in 0..8 {
+        let padding = "\"".repeat(190_000);
+        let change = put(template("a"), format!("{}#{padding}", text("a", "p", note)));
+        let outcome = apply(&mut memory, u128::from(note), change);
+        assert!(matches!(outcome, Outcome::Applied(_)), "{outcome:?}");
+    }
+    let largest = memory
+        .entries()
+        .map(|entry| entry.value.len())
+        .max()
+        .unwrap();
+    assert!(largest < 1_000_000, "{largest}");
+}
+
+/// Guards against a claim of success or failure that nobody can know.
+#[rstest]
+#[case(Carry::NotSent, Outcome::Unavailable)]
+#[case(Carry::LoseRequest, Outcome::Unresolved(EditId(1)))]
+fn an_outage_is_reported_as_such(#[case] carry: Carry, #[case] expected: Outcome) {
+    let mut memory = Memory::default();
+    let mut edit = open(1, put(template("a"), text("a", "p", 0)));
+    assert_eq!(
+        run(&mut edit, &mut memory, |memory, call| send(
+            memory, call, carry
+        )),
+        expected
+    );
+    assert!(memory.get(&format!("{PREFIX}template/a")).is_none());
+}
