Add the gateway client of the key-value service and its fake

Cause: the state machines emit calls that nothing carried. Change: Gateway speaks the etcd v3 JSON gateway over awc, with a deadline on every call and NotSent only where no connection was made; the fake serves the same interface with its own reading of the messages, with switches for outage, delay, lost requests and replies, cut, late and repeated watch events, and counts calls.

--- /dev/null
+++ b/crates/fakes/src/kv/json.rs
@@ -0,0 +1,218 @@
+//! Requests and answers of the JSON gateway, read and written field by field so that a mistake
+//! in the client's own message types does not go unnoticed.
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::Value;
+use serde_json::json;
+use snipeusher::kv::Call;
+use snipeusher::kv::Compare;
+use snipeusher::kv::Done;
+use snipeusher::kv::Entry;
+use snipeusher::kv::Lease;
+use snipeusher::kv::Op;
+use snipeusher::kv::Range;
+use snipeusher::kv::Reply;
+use snipeusher::kv::Revision;
+use snipeusher::kv::Txn;
+
+use super::Write;
+
+/// Reads the call that a request to a path stands for.
+pub(super) fn call(path: &str, request: &Value) -> Option<Call> {
+    match path {
+        "/v3/kv/range" => {
+            let range = range(request)?;
+            let least = integer(request, "min_mod_revision")?;
+            Some(match least {
+                0 => Call::Range(range),
+                _ => Call::Changed {
+                    range,
+                    after: Revision(u64::try_from(least).ok()? - 1),
+                },
+            })
+        }
+        "/v3/kv/txn" => Some(Call::Txn(txn(request)?)),
+        "/v3/lease/grant" => Some(Call::Grant {
+            ttl_s: u64::try_from(integer(request, "TTL")?).ok()?,
+        }),
+        "/v3/lease/keepalive" => Some(Call::KeepAlive(Lease(integer(request, "ID")?))),
+        "/v3/lease/revoke" => Some(Call::Revoke(Lease(integer(request, "ID")?))),
+        _ => None,
+    }
+}
+
+/// The prefix and the first revision of a watch.
+pub(super) fn watch(request: &Value) -> Option<(String, Revision)> {
+    let create = request.get("create_request")?;
+    let Range::Prefix(prefix) = range(create)? else {
+        return None;
+    };
+    let from = u64::try_from(integer(create, "start_revision")?).ok()?;
+    Some((prefix, Revision(from)))
+}
+
+/// Integers of 64 bits are texts; a field that is left out is zero.
+fn integer(object: &Value, field: &str) -> Option<i64> {
+    match object.get(field) {
+        None => Some(0),
+        Some(Value::String(text)) => text.parse().ok(),
+        Some(_) => None,
+    }
+}
+
+fn bytes(object: &Value, field: &str) -> Option<Vec<u8>> {
+    STANDARD.decode(object.get(field)?.as_str()?).ok()
+}
+
+fn text(object: &Value, field: &str) -> Option<String> {
+    String::from_utf8(bytes(object, field)?).ok()
+}
+
+fn range(object: &Value) -> Option<Range> {
+    let key = text(object, "key")?;
+    if object.get("range_end").is_none() {
+        return Some(Range::Key(key));
+    }
+    // Only ranges that stand for a prefix are needed.
+    let mut end = key.clone().into_bytes();
+    *end.last_mut()? += 1;
+    (bytes(object, "range_end")? == end).then_some(Range::Prefix(key))
+}
+
+fn txn(object: &Value) -> Option<Txn> {
+    let list = |field| match object.get(field) {
+        None => Some(Vec::new()),
+        Some(list) => list.as_array().cloned(),
+    };
+    Some(Txn {
+        compare: list("compare")?
+            .iter()
+            .map(compare)
+            .collect::<Option<_>>()?,
+        success: list("success")?.iter().map(op).collect::<Option<_>>()?,
+        failure: list("failure")?.iter().map(op).collect::<Option<_>>()?,
+    })
+}
+
+fn compare(object: &Value) -> Option<Compare> {
+    let result = object.get("result")?.as_str()?;
+    let target = object.get("target")?.as_str()?;
+    let revision = |field| Some(Revision(u64::try_from(integer(object, field)?).ok()?));
+    match (result, target, range(object)?) {
+        ("EQUAL", "MOD", Range::Key(key)) => {
+            Some(Compare::Modified(key, revision("mod_revision")?))
+        }
+        ("EQUAL", "CREATE", Range::Key(key)) => {
+            Some(Compare::Created(key, revision("create_revision")?))
+        }
+        ("LESS", "MOD", Range::Prefix(prefix)) => {
+            let below = revision("mod_revision")?;
+            Some(Compare::Unchanged(prefix, Revision(below.0 - 1)))
+        }
+        _ => None,
+    }
+}
+
+fn op(object: &Value) -> Option<Op> {
+    let (kind, inner) = object.as_object()?.iter().next()?;
+    match kind.as_str() {
+        "request_put" => {
+            let lease = integer(inner, "lease")?;
+            Some(Op::Put {
+                key: text(inner, "key")?,
+                value: bytes(inner, "value")?,
+                lease: (lease != 0).then_some(Lease(lease)),
+            })
+        }
+        "request_delete_range" => Some(Op::Delete {
+            key: text(inner, "key")?,
+        }),
+        "request_range" => Some(Op::Range(range(inner)?)),
+        "request_txn" => Some(Op::Txn(txn(inner)?)),
+        _ => None,
+    }
+}
+
+fn header(revision: Revision) -> Value {
+    json!({"cluster_id": "1", "member_id": "1", "revision": revision.0.to_string()})
+}
+
+fn key_value(entry: &Entry) -> Value {
+    let mut object = json!({
+        "key": STANDARD.encode(&entry.key),
+        "value": STANDARD.encode(&entry.value),
+        "create_revision": entry.created.0.to_string(),
+        "mod_revision": entry.modified.0.to_string(),
+        "version": "1",
+    });
+    if let Some(lease) = entry.lease {
+        object["lease"] = json!(lease.0.to_string());
+    }
+    object
+}
+
+fn found(entries: &[Entry]) -> Value {
+    let kvs: Vec<_> = entries.iter().map(key_value).collect();
+    json!({"kvs": kvs, "count": entries.len().to_string()})
+}
+
+fn done(done: &Done) -> Value {
+    match done {
+        Done::Written => json!({"response_put": {}}),
+        Done::Found(entries) => json!({"response_range": found(entries)}),
+        Done::Txn { succeeded, results } => {
+            let responses: Vec<_> = results.iter().map(self::done).collect();
+            json!({"response_txn": {"succeeded": succeeded, "responses": responses}})
+        }
+    }
+}
+
+/// The answer to a call.
+pub(super) fn answer(reply: &Reply, revision: Revision) -> Value {
+    let mut answer = match reply {
+        Reply::Range { entries, .. } => found(entries),
+        Reply::Txn {
+            succeeded, results, ..
+        } => {
+            let responses: Vec<_> = results.iter().map(done).collect();
+            json!({"succeeded": succeeded, "responses": responses})
+        }
+        Reply::Grant { lease, ttl_s } => {
+            json!({"ID": lease.0.to_string(), "TTL": ttl_s.to_string()})
+        }
+        // The gateway leaves out a field that is zero and wraps the messages of a stream.
+        Reply::KeepAlive { ttl_s: 0 } => return json!({"result": {"header": header(revision)}}),
+        Reply::KeepAlive { ttl_s } => {
+            return json!({"result": {"header": header(revision), "TTL": ttl_s.to_string()}});
+        }
+        Reply::Revoke => json!({}),
+    };
+    answer["header"] = header(revision);
+    answer
+}
+
+/// The first message of a watch.
+pub(super) fn watch_created(revision: Revision) -> Value {
+    json!({"result": {"header": header(revision), "created": true}})
+}
+
+/// A message of a watch with the keys under its prefix; `None` if there are none.
+pub(super) fn watched(write: &Write, prefix: &str) -> Option<Value> {
+    let written = write
+        .entries
+        .iter()
+        .filter(|entry| entry.key.starts_with(prefix))
+        .map(|entry| json!({"kv": key_value(entry)}));
+    let deleted = write
+        .deleted
+        .iter()
+        .filter(|key| key.starts_with(prefix))
+        .map(|key| {
+            let revision = write.revision.0.to_string();
+            json!({"type": "DELETE", "kv": {"key": STANDARD.encode(key), "mod_revision": revision}})
+        });
+    let events: Vec<_> = written.chain(deleted).collect();
+    let message = json!({"result": {"header": header(write.revision), "events": events}});
+    (!events.is_empty()).then_some(message)
+}
--- /dev/null
+++ b/crates/store/src/gateway.rs
@@ -0,0 +1,224 @@
+//! Client of the etcd v3 JSON gateway.
+
+use std::cell::Cell;
+use std::fmt;
+use std::future::ready;
+use std::time::Duration;
+
+use awc::Client;
+use awc::error::ConnectError;
+use awc::error::SendRequestError;
+use awc::http::StatusCode;
+use futures_util::Stream;
+use futures_util::StreamExt as _;
+use futures_util::stream;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::Snafu;
+use snafu::ensure;
+use snipeusher::kv::Call;
+use snipeusher::kv::Fault;
+use snipeusher::kv::Lease;
+use snipeusher::kv::Range;
+use snipeusher::kv::Reply;
+use snipeusher::kv::Revision;
+
+use crate::Change;
+use crate::Store;
+use crate::message::Failure;
+use crate::message::GrantRequest;
+use crate::message::LeaseRequest;
+use crate::message::LeaseResponse;
+use crate::message::RangeRequest;
+use crate::message::RangeResponse;
+use crate::message::Revoked;
+use crate::message::Streamed;
+use crate::message::TxnRequest;
+use crate::message::TxnResponse;
+use crate::message::WatchRequest;
+use crate::watch;
+
+/// Largest answer that is read; all documents at their largest size are far below it.
+pub(crate) const ANSWER_BYTES_MAX: usize = 64 << 20;
+/// Status codes of gRPC for calls that were refused without effect: invalid argument, not found,
+/// permission denied, resource exhausted, failed precondition, out of range, unauthenticated.
+const REFUSALS: [u32; 7] = [3, 5, 7, 8, 9, 11, 16];
+
+/// Why a gateway cannot be opened.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// No endpoint is named.
+    #[snafu(display("the key-value service needs at least one endpoint"))]
+    NoEndpoint,
+}
+
+/// Where the service is and how long a call may take.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Base addresses such as `http://10.0.0.1:2379`; the next is used when one fails.
+    pub endpoints: Vec<String>,
+    /// Longest time to the end of an answer, and to the start of a watch.
+    pub timeout: Duration,
+}
+
+/// A client of the service.
+#[derive(Clone)]
+pub struct Gateway {
+    client: Client,
+    settings: Settings,
+    current: Cell<usize>,
+}
+
+impl fmt::Debug for Gateway {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Gateway")
+            .field("settings", &self.settings)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Gateway {
+    /// Prepares a client for the current thread; the first call connects.
+    pub fn open(settings: Settings) -> Result<Self, Error> {
+        ensure!(!settings.endpoints.is_empty(), NoEndpointSnafu);
+        let client = Client::builder()
+            .disable_redirects()
+            .timeout(settings.timeout)
+            .finish();
+        Ok(Self {
+            client,
+            settings,
+            current: Cell::new(0),
+        })
+    }
+
+    /// Posts to one endpoint after the other until a byte was sent or the time is over.
+    async fn post<Q: Serialize, R: DeserializeOwned>(
+        &self,
+        path: &str,
+        request: &Q,
+    ) -> Result<R, Fault> {
+        let attempt = async {
+            let mut fault = Fault::NotSent;
+            for _ in &self.settings.endpoints {
+                match self.send(path, request).await {
+                    Ok(mut response) => {
+                        let body = response.body().limit(ANSWER_BYTES_MAX).await;
+                        let body = body.map_err(|_error| self.advance(Fault::Lost))?;
+                        return serde_json::from_slice(&body).map_err(|_error| Fault::Lost);
+                    }
+                    Err(Fault::NotSent) => {
+                        fault = self.advance(Fault::NotSent);
+                    }
+                    Err(other) => return Err(other),
+                }
+            }
+            Err(fault)
+        };
+        let timely = tokio::time::timeout(self.settings.timeout, attempt).await;
+        timely.unwrap_or_else(|_| Err(self.advance(Fault::Lost)))
+    }
+
+    /// Sends a request and takes the head of its answer.
+    async fn send<Q: Serialize>(&self, path: &str, request: &Q) -> Result<Response, Fault> {
+        let endpoint = &self.settings.endpoints[self.current.get()];
+        let url = format!("{}{path}", endpoint.trim_end_matches('/'));
+        let sent = self.client.post(url).send_json(request).await;
+        let mut response = sent.map_err(|error| match error {
+            SendRequestError::Connect(ConnectError::Disconnected) => self.advance(Fault::Lost),
+            SendRequestError::Connect(_) | SendRequestError::Url(_) => Fault::NotSent,
+            _ => self.advance(Fault::Lost),
+        })?;
+        let status = response.status();
+        if status == StatusCode::OK {
+            return Ok(response);
+        }
+        let failure: Failure = response.json().await.unwrap_or_default();
+        let refused = REFUSALS.contains(&failure.code) || status.is_client_error();
+        Err(if refused {
+            Fault::Refused
+        } else {
+            self.advance(Fault::Lost)
+        })
+    }
+
+    /// Lets the next call use the next endpoint.
+    fn advance(&self, fault: Fault) -> Fault {
+        self.current
+            .set((self.current.get() + 1) % self.settings.endpoints.len());
+        fault
+    }
+
+    async fn range(&self, range: &Range, after: Revision) -> Result<Reply, Fault> {
+        let request = RangeRequest::new(range, after);
+        let response: RangeResponse = self.post("/v3/kv/range", &request).await?;
+        Ok(Reply::Range {
+            revision: response.header.revision(),
+            entries: response.entries(),
+        })
+    }
+
+    async fn open_watch(
+        &self,
+        prefix: &str,
+        from: Revision,
+    ) -> Result<impl Stream<Item = Result<Change, Fault>> + use<>, Fault> {
+        let request = WatchRequest::new(prefix, from);
+        let opening = tokio::time::timeout(self.settings.timeout, self.send("/v3/watch", &request));
+        let response = opening
+            .await
+            .unwrap_or_else(|_| Err(self.advance(Fault::Lost)))?;
+        Ok(watch::changes(response))
+    }
+}
+
+pub(crate) type Response = awc::ClientResponse;
+
+impl Store for Gateway {
+    async fn call(&self, call: Call) -> Result<Reply, Fault> {
+        match call {
+            Call::Range(range) => self.range(&range, Revision(0)).await,
+            Call::Changed { range, after } => self.range(&range, after).await,
+            Call::Txn(txn) => {
+                let request = TxnRequest::from(&txn);
+                let response: TxnResponse = self.post("/v3/kv/txn", &request).await?;
+                Ok(Reply::Txn {
+                    revision: response.header.revision(),
+                    succeeded: response.succeeded,
+                    results: response.results(),
+                })
+            }
+            Call::Grant { ttl_s } => {
+                let request = GrantRequest {
+                    ttl: ttl_s.cast_signed(),
+                };
+                let response: LeaseResponse = self.post("/v3/lease/grant", &request).await?;
+                Ok(Reply::Grant {
+                    lease: Lease(response.id),
+                    ttl_s: response.ttl.max(0) as u64,
+                })
+            }
+            Call::KeepAlive(lease) => {
+                let request = LeaseRequest { id: lease.0 };
+                let response: Streamed<LeaseResponse> =
+                    self.post("/v3/lease/keepalive", &request).await?;
+                Ok(Reply::KeepAlive {
+                    ttl_s: response.result.ttl.max(0) as u64,
+                })
+            }
+            Call::Revoke(lease) => {
+                let request = LeaseRequest { id: lease.0 };
+                let Revoked { .. } = self.post("/v3/lease/revoke", &request).await?;
+                Ok(Reply::Revoke)
+            }
+        }
+    }
+
+    fn watch(&self, prefix: &str, from: Revision) -> impl Stream<Item = Result<Change, Fault>> {
+        let opened = async move { self.open_watch(prefix, from).await };
+        stream::once(opened).flat_map(|opened| match opened {
+            Ok(changes) => changes.left_stream(),
+            Err(fault) => stream::once(ready(Err(fault))).right_stream(),
+        })
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -2,6 +2,10 @@
 //!
 //! [`Store`] is the interface that the control loops use; tests put a fake in its place.
 
+mod gateway;
+mod message;
+mod watch;
+
 use futures_util::Stream;
 use snipeusher::kv::Call;
 use snipeusher::kv::Entry;
@@ -9,6 +13,10 @@
 use snipeusher::kv::Reply;
 use snipeusher::kv::Revision;
 
+pub use self::gateway::Error;
+pub use self::gateway::Gateway;
+pub use self::gateway::Settings;
+
 /// Changes of keys that took effect together.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
