--- a/crates/snipeusher/src/lib.rs
+++ b/crates/snipeusher/src/lib.rs
@@ -5,8 +5,11 @@
 //! outputs on every machine. The design is described in `docs/design.md`.
 
 pub mod board;
+pub mod claim;
+pub mod config;
 pub mod hash;
 pub mod kv;
+pub mod lease;
 pub mod load;
 pub mod machine;
 pub mod name;
