Add TLS and pass a service's own refusals on

Cause: connections had no TLS, and a problem document that a plain service answers for its own reasons was taken for a failed attempt. After a refused chunked body actix-http reads on to its end without a time limit; the connection holds no request meanwhile.

--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -47,6 +47,8 @@
     pub report_lag: Duration,
     /// Whether orders with an old fencing token are rejected.
     pub checks_fencing: bool,
+    /// TLS of its listener; plain where absent.
+    pub tls: Option<rustls::ServerConfig>,
 }
 
 impl Default for Options {
@@ -64,6 +66,7 @@
             output_token: Duration::ZERO,
             report_lag: Duration::ZERO,
             checks_fencing: true,
+            tls: None,
         }
     }
 }
--- a/crates/fakes/src/engine/serve.rs
+++ b/crates/fakes/src/engine/serve.rs
@@ -33,6 +33,7 @@
 const OUTPUT_WORK: u64 = 4;
 
 pub(crate) fn bind(state: Shared, address: SocketAddr) -> io::Result<(SocketAddr, ServerHandle)> {
+    let tls = state.lock().options.tls.clone();
     let data = Data::new(state);
     let server = HttpServer::new(move || {
         App::new()
@@ -48,8 +49,11 @@
     })
     .workers(1)
     .disable_signals()
-    .shutdown_timeout(5)
-    .bind(address)?;
+    .shutdown_timeout(5);
+    let server = match tls {
+        Some(tls) => server.bind_rustls_0_23(address, tls)?,
+        None => server.bind(address)?,
+    };
     let address = server.addrs()[0];
     let server = server.run();
     let handle = server.handle();
--- a/crates/fakes/src/plain.rs
+++ b/crates/fakes/src/plain.rs
@@ -36,6 +36,8 @@
     Delay(Duration),
     /// It is refused with `ran` = `not_run`.
     Refuse,
+    /// It runs and is answered with a 503 of the service's own.
+    Unavailable,
 }
 
 /// A request that ran.
@@ -167,9 +169,15 @@
             Fault::Delay(time) => sleep(*time).await,
             Fault::WrongAttempt(other) => attempt.clone_from(other),
             Fault::DieBeforeAnswer => parts.clear(),
-            Fault::Cut | Fault::Refuse => {}
+            Fault::Cut | Fault::Refuse | Fault::Unavailable => {}
         }
     }
+    if faults.contains(&Fault::Unavailable) {
+        return HttpResponse::ServiceUnavailable()
+            .insert_header(("X-Attempt-Id", attempt))
+            .content_type("application/problem+json")
+            .body(json!({ "title": "the desk is closed", "status": 503 }).to_string());
+    }
     let is_cut = faults.contains(&Fault::Cut);
     let is_broken = is_cut || faults.contains(&Fault::DieBeforeAnswer);
     let end = stream::iter(is_broken.then_some(())).then(move |()| async move {
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use actix_web::http::StatusCode;
 use actix_web::http::header;
 use actix_web::http::header::HeaderMap;
 use awc::Client;
@@ -21,7 +22,6 @@
 use crate::dispatch::Dispatch;
 use crate::dispatch::InFlight;
 use crate::problem;
-use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::socket;
 
@@ -36,11 +36,16 @@
 /// Header with the chat as the router names it.
 pub(crate) const CHAT: &str = "x-chat-id";
 
+/// Statuses with which an upstream may say that it did not run a request.
+const REFUSALS: &[StatusCode] = &[
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
 /// Longest body of a refusal that is looked at.
 const REFUSAL_BYTES: usize = 64 << 10;
 /// Idle connections to upstreams are closed after this time. It is shorter than the 5 s that
 /// common servers keep them, so that requests seldom meet a connection that is being closed.
-pub(crate) const IDLE_MS: u64 = 3_000;
+const IDLE_MS: u64 = 3_000;
 
 /// Clients of one serving thread.
 #[derive(Clone)]
@@ -53,10 +58,10 @@
 }
 
 impl Clients {
-    pub(crate) fn open(settings: &Settings) -> Self {
+    pub(crate) fn open(dial: &Dial) -> Self {
         Self {
-            pooled: client(settings, Duration::from_millis(IDLE_MS)),
-            fresh: client(settings, Duration::ZERO),
+            pooled: client(dial),
+            fresh: client_with(dial, Duration::ZERO),
         }
     }
 
@@ -69,13 +74,23 @@
     }
 }
 
-/// A client that neither follows redirects nor has a time limit of its own.
+/// How connections to upstreams are opened.
+#[derive(Clone, Debug)]
+pub(crate) struct Dial {
+    pub(crate) timeout: Duration,
+    pub(crate) tls: Option<Arc<rustls::ClientConfig>>,
+}
+
+/// A client that keeps connections, neither follows redirects nor has a time limit of its own.
 ///
 /// A followed redirect would send a request a second time.
-pub(crate) fn client(settings: &Settings, idle: Duration) -> Client {
-    let connector = socket::connector(None)
-        .timeout(settings.connect_timeout)
-        .handshake_timeout(settings.connect_timeout)
+pub(crate) fn client(dial: &Dial) -> Client {
+    client_with(dial, Duration::from_millis(IDLE_MS))
+}
+
+fn client_with(dial: &Dial, idle: Duration) -> Client {
+    let connector = socket::connector(dial.tls.clone())
+        .timeout(dial.timeout)
         .conn_keep_alive(idle)
         .limit(0);
     Client::builder()
@@ -117,6 +132,13 @@
     }
 }
 
+/// An answer that belongs to its attempt.
+pub(crate) struct Reply {
+    pub(crate) response: ClientResponse,
+    /// The body, where it had to be read.
+    pub(crate) read: Option<Bytes>,
+}
+
 /// Checks that an answer carries the id of its attempt and whether it is a refusal.
 ///
 /// Only a refusal that says so itself has not run.
@@ -124,28 +146,29 @@
     shared: &Arc<Shared>,
     dispatch: &Dispatch,
     response: ClientResponse,
-) -> Result<ClientResponse, Outcome> {
+) -> Result<Reply, Outcome> {
     let found = text(response.headers(), ATTEMPT);
     if found != Some(dispatch.attempt.to_string().as_str()) {
         mismatch(shared, dispatch, found.unwrap_or(""));
         return Err(Outcome::Broken);
     }
     let is_problem = text(response.headers(), "content-type") == Some(problem::MEDIA_TYPE);
-    if response.status().is_success() || !is_problem {
-        return Ok(response);
+    if !is_problem || !REFUSALS.contains(&response.status()) {
+        let read = None;
+        return Ok(Reply { response, read });
     }
     let retry_after = text(response.headers(), header::RETRY_AFTER.as_str())
         .and_then(|value| value.parse().ok())
         .map(Duration::from_secs);
     let mut response = response;
-    let body = response
-        .body()
-        .limit(REFUSAL_BYTES)
-        .await
-        .unwrap_or_default();
+    let body = response.body().limit(REFUSAL_BYTES).await;
+    let body = body.map_err(|_cut| Outcome::Broken)?;
     match serde_json::from_slice(&body) {
         Ok(Refusal { ran: Ran::NotRun }) => Err(Outcome::Declined { retry_after }),
-        _ => Err(Outcome::Broken),
+        _ => Ok(Reply {
+            response,
+            read: Some(body),
+        }),
     }
 }
 
@@ -188,7 +211,12 @@
     text(response.headers(), CACHED)?.parse().ok()
 }
 
-/// Reads a whole body; a cut one gives `None`, see [`socket`].
-pub(crate) async fn whole(response: &mut ClientResponse, limit: usize) -> Option<Bytes> {
-    response.body().limit(limit).await.ok()
+impl Reply {
+    /// Reads the whole body; a cut one gives `None`, see [`socket`].
+    pub(crate) async fn whole(&mut self, limit: usize) -> Option<Bytes> {
+        match self.read.take() {
+            Some(read) => Some(read),
+            None => self.response.body().limit(limit).await.ok(),
+        }
+    }
 }
--- a/crates/router/src/chat.rs
+++ b/crates/router/src/chat.rs
@@ -7,13 +7,13 @@
 use actix_web::HttpResponseBuilder;
 use actix_web::http::StatusCode;
 use actix_web::web;
-use awc::ClientResponse;
 use bytes::Bytes;
 use serde_json::json;
 use snipeusher::machine::Outcome;
 
 use crate::attempt;
 use crate::attempt::Clients;
+use crate::attempt::Reply;
 use crate::call;
 use crate::call::Call;
 use crate::call::Form;
@@ -113,8 +113,8 @@
     body: Bytes,
     dispatch: &Dispatch,
     clients: &Clients,
-) -> Result<ClientResponse, Outcome> {
-    let url = format!("{}://{}{}", shared.scheme, dispatch.address, call.path);
+) -> Result<Reply, Outcome> {
+    let url = format!("http://{}{}", dispatch.address, call.path);
     let request = clients.of(call.request.idempotent).post(url);
     let mut request = attempt::headers(request, dispatch, call.deadline)
         .insert_header(("content-type", "application/json"));
@@ -123,11 +123,11 @@
     }
     let response = request.send_body(body).await;
     let response = response.map_err(|error| attempt::failure(&error))?;
-    let response = attempt::verify(shared, dispatch, response).await?;
-    if response.status().is_server_error() {
+    let reply = attempt::verify(shared, dispatch, response).await?;
+    if reply.response.status().is_server_error() {
         return Err(Outcome::Broken);
     }
-    Ok(response)
+    Ok(reply)
 }
 
 /// Headers that tell the caller who answered.
@@ -156,9 +156,10 @@
         let shared = Arc::clone(session.shared());
         let work = async {
             let body = call.body.clone();
-            let mut response = send(&shared, &call, body, &dispatch, &clients).await?;
-            let body = attempt::whole(&mut response, ANSWER_BYTES).await;
-            body.map(|body| (response, body)).ok_or(Outcome::Broken)
+            let mut reply = send(&shared, &call, body, &dispatch, &clients).await?;
+            let body = reply.whole(ANSWER_BYTES).await;
+            body.map(|body| (reply.response, body))
+                .ok_or(Outcome::Broken)
         };
         match session.race(work).await {
             Ok(Ok((response, body))) => {
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -123,7 +123,6 @@
     attempts: BTreeMap<Attempt, Id>,
     wake: Option<(Time, SpawnHandle)>,
     client: awc::Client,
-    scheme: &'static str,
     log: Logger,
 }
 
@@ -136,13 +135,7 @@
 }
 
 impl Dispatcher {
-    pub(crate) fn new(
-        machine: Machine,
-        origin: Instant,
-        client: awc::Client,
-        scheme: &'static str,
-        log: Logger,
-    ) -> Self {
+    pub(crate) fn new(machine: Machine, origin: Instant, client: awc::Client, log: Logger) -> Self {
         Self {
             machine,
             origin,
@@ -150,7 +143,6 @@
             attempts: BTreeMap::new(),
             wake: None,
             client,
-            scheme,
             log,
         }
     }
@@ -242,7 +234,7 @@
         else {
             return;
         };
-        let url = format!("{}://{address}/engine/v1/cancel", self.scheme);
+        let url = format!("http://{address}/engine/v1/cancel");
         let body = json!({ "attempt": attempt.to_string() });
         let call = self.client.post(url).send_json(&body);
         let log = self.log.clone();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod log;
 pub mod problem;
 pub mod settings;
+pub mod tls;
 
 mod attempt;
 mod call;
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -19,6 +19,7 @@
 use bytes::Bytes;
 use futures_util::Stream;
 use futures_util::StreamExt as _;
+use futures_util::stream;
 use snipeusher::machine::Outcome;
 use snipeusher::name;
 use snipeusher::policy::Policy;
@@ -28,6 +29,7 @@
 
 use crate::attempt;
 use crate::attempt::Clients;
+use crate::attempt::Reply;
 use crate::attempt::text;
 use crate::call;
 use crate::chat;
@@ -150,7 +152,7 @@
     payload: Rc<RefCell<web::Payload>>,
     left: Rc<Cell<u64>>,
     touched: Rc<Cell<bool>>,
-    too_large: Rc<Cell<bool>>,
+    fault: Rc<Cell<Option<Problem>>>,
 }
 
 impl Parts {
@@ -159,7 +161,7 @@
             payload: Rc::new(RefCell::new(payload)),
             left: Rc::new(Cell::new(limit)),
             touched: Rc::default(),
-            too_large: Rc::default(),
+            fault: Rc::default(),
         }
     }
 }
@@ -173,13 +175,20 @@
         polled.map(|part| match part? {
             Ok(part) => {
                 let Some(left) = self.left.get().checked_sub(part.len() as u64) else {
-                    self.too_large.set(true);
+                    let detail = "the body is longer than the workspace may send";
+                    let problem = Problem::unknown(Kind::BodyTooLarge, detail);
+                    self.fault.set(Some(problem));
                     return Some(Err(io::Error::other("the body is too large")));
                 };
                 self.left.set(left);
                 Some(Ok(part))
             }
-            Err(error) => Some(Err(io::Error::other(error.to_string()))),
+            Err(error) => {
+                let detail = format!("the body broke off: {error}");
+                let problem = Problem::unknown(Kind::MalformedBody, detail);
+                self.fault.set(Some(problem));
+                Some(Err(io::Error::other("the body broke off")))
+            }
         })
     }
 }
@@ -190,13 +199,13 @@
         shared: &Arc<Shared>,
         dispatch: &Dispatch,
         clients: &Clients,
-    ) -> Result<ClientResponse, Outcome> {
+    ) -> Result<Reply, Outcome> {
         let path = self
             .request
             .uri()
             .path_and_query()
             .map_or("/", |path| path.as_str());
-        let url = format!("{}://{}{path}", shared.scheme, dispatch.address);
+        let url = format!("http://{}{path}", dispatch.address);
         let method = self.request.method().clone();
         let mut request = clients.of(self.idempotent).request(method, url);
         for (name, value) in end_to_end(self.request.headers()) {
@@ -224,8 +233,12 @@
         }
     }
 
-    fn too_large(&self) -> bool {
-        matches!(&self.body, Body::Parts(parts, _) if parts.too_large.get())
+    /// What is wrong with the body of the caller, part of which has been sent on.
+    fn fault(&self) -> Option<Problem> {
+        match &self.body {
+            Body::Whole(_) => None,
+            Body::Parts(parts, _) => parts.fault.take(),
+        }
     }
 }
 
@@ -259,13 +272,11 @@
         }
         let work = call.send(&shared, &dispatch, &clients);
         match session.race(work).await {
-            Ok(Ok(response)) => return Ok(answer(session, &dispatch, response)),
-            Ok(Err(_)) if call.too_large() => {
-                let detail = "the body is longer than the workspace may send";
-                let problem = Problem::unknown(Kind::BodyTooLarge, detail);
-                return Err(session.give_up(problem));
-            }
-            Ok(Err(outcome)) => session.finish(outcome),
+            Ok(Ok(reply)) => return Ok(answer(session, &dispatch, reply)),
+            Ok(Err(outcome)) => match call.fault() {
+                Some(problem) => return Err(session.give_up(problem)),
+                None => session.finish(outcome),
+            },
             Err(Stop::Cancelled) => {}
             Err(Stop::Refused(problem)) => return Err(problem),
         }
@@ -273,7 +284,8 @@
 }
 
 /// Sends the head on and the body as it arrives.
-fn answer(session: Session, dispatch: &Dispatch, response: ClientResponse) -> HttpResponse {
+fn answer(session: Session, dispatch: &Dispatch, reply: Reply) -> HttpResponse {
+    let Reply { response, read } = reply;
     let mut head = chat::head(response.status(), dispatch, None);
     for (name, value) in end_to_end(response.headers()) {
         head.append_header((name.clone(), value.clone()));
@@ -284,17 +296,24 @@
         head.no_chunking(length);
     }
     let (sender, body) = relay::channel(session.open());
-    actix_rt::spawn(relay_body(session, response, sender));
+    actix_rt::spawn(relay_body(session, response, read, sender));
     head.streaming(body)
 }
 
-async fn relay_body(mut session: Session, mut response: ClientResponse, sender: Sender) {
+async fn relay_body(
+    mut session: Session,
+    response: ClientResponse,
+    read: Option<Bytes>,
+    sender: Sender,
+) {
+    let read = stream::iter(read.map(Ok));
+    let mut parts = read.chain(response);
     loop {
         let stall = session.shared().settings.stall_timeout;
         let work = async {
             tokio::select! {
                 biased;
-                part = tokio::time::timeout(stall, response.next()) => Some(part),
+                part = tokio::time::timeout(stall, parts.next()) => Some(part),
                 () = sender.closed() => None,
             }
         };
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -30,7 +30,6 @@
     upstreams: Vec<Upstream>,
     interval: Duration,
     client: Client,
-    scheme: &'static str,
     dispatcher: Addr<Dispatcher>,
     log: Logger,
 }
@@ -48,7 +47,6 @@
         upstreams: Vec<Upstream>,
         interval: Duration,
         client: Client,
-        scheme: &'static str,
         dispatcher: Addr<Dispatcher>,
         log: Logger,
     ) -> Self {
@@ -56,7 +54,6 @@
             upstreams,
             interval,
             client,
-            scheme,
             dispatcher,
             log,
         }
@@ -72,7 +69,7 @@
     }
 
     fn ask(&self, upstream: Upstream) {
-        let url = format!("{}://{}/engine/v1/status", self.scheme, upstream.address);
+        let url = format!("http://{}/engine/v1/status", upstream.address);
         let call = self.client.get(url).timeout(self.interval).send();
         let dispatcher = self.dispatcher.clone();
         let log = self.log.clone();
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
@@ -28,6 +29,7 @@
 use tokio::time::timeout;
 
 use crate::attempt;
+use crate::attempt::Dial;
 use crate::count::Counts;
 use crate::directory::Policies;
 use crate::dispatch::Dispatcher;
@@ -39,6 +41,7 @@
 use crate::serve;
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::tls;
 
 /// How often shutdown looks whether requests are still open.
 const DRAIN_POLL_MS: u64 = 10;
@@ -60,6 +63,12 @@
         /// The cause.
         source: io::Error,
     },
+    /// TLS cannot be set up.
+    #[snafu(display("{source}"))]
+    Tls {
+        /// The cause.
+        source: tls::Error,
+    },
     /// The documents cannot be used.
     #[snafu(display("{source}"))]
     Documents {
@@ -70,7 +79,8 @@
 
 /// Checks the files that the settings name, without starting anything.
 pub fn check(settings: &Settings) -> Result<(), Error> {
-    read_documents(settings).map(|_policies| ())
+    read_documents(settings)?;
+    read_tls(settings).map(|_tls| ())
 }
 
 /// A running router; it must be bound within an actix system.
@@ -88,15 +98,19 @@
     /// Starts a router.
     pub fn bind(settings: Settings, log: Logger) -> Result<Self, Error> {
         let policies = read_documents(&settings)?;
+        let (server_tls, client_tls) = read_tls(&settings)?;
+        let dial = Dial {
+            timeout: settings.connect_timeout,
+            tls: client_tls.map(Arc::new),
+        };
         let metrics = Metrics::open(settings.statsd).context(MetricsSnafu)?;
         let origin = Instant::now();
         let first_attempt = first_attempt(&settings);
-        let scheme = "http";
         let control = Arbiter::new();
-        let dispatcher = start_dispatcher(&control, &settings, first_attempt, origin, scheme, &log);
+        let dispatcher = start_dispatcher(&control, &dial, first_attempt, origin, &log);
         let (mut publisher, directory) = Policies::new(dispatcher.clone());
         publisher.put(policies);
-        start_probe(&control, &settings, dispatcher.clone(), scheme, &log);
+        start_probe(&control, &settings, &dial, dispatcher.clone(), &log);
         start_flush(&control, &metrics);
         let listen = settings.listen;
         let shared = Data::new(Shared {
@@ -106,7 +120,7 @@
             counts: Counts::default(),
             metrics,
             origin,
-            scheme,
+            dial,
             log: log.clone(),
             first_attempt,
             next_id: AtomicU64::new(0),
@@ -114,7 +128,8 @@
             leaving: AtomicBool::new(false),
             closed: AtomicBool::new(false),
         });
-        let (address, server) = serve::bind(&shared).context(ListenSnafu { address: listen })?;
+        let (address, server) =
+            serve::bind(&shared, server_tls).context(ListenSnafu { address: listen })?;
         let handle = server.handle();
         actix_rt::spawn(server);
         info!(log, "router: listening"; "address" => %address);
@@ -187,6 +202,16 @@
     read.context(DocumentsSnafu)
 }
 
+/// Configurations of the listener and of connections to upstreams.
+type Tls = (Option<rustls::ServerConfig>, Option<rustls::ClientConfig>);
+
+fn read_tls(settings: &Settings) -> Result<Tls, Error> {
+    let server = settings.tls.as_ref().map(tls::server).transpose();
+    let authority = settings.upstream_authority.as_deref();
+    let client = authority.map(tls::client).transpose();
+    Ok((server.context(TlsSnafu)?, client.context(TlsSnafu)?))
+}
+
 /// Sends what waits in datagrams that are not full.
 fn start_flush(control: &Arbiter, metrics: &Metrics) {
     if !metrics.is_on() {
@@ -213,40 +238,33 @@
 
 fn start_dispatcher(
     control: &Arbiter,
-    settings: &Settings,
+    dial: &Dial,
     first_attempt: u64,
     origin: Instant,
-    scheme: &'static str,
     log: &Logger,
 ) -> Addr<Dispatcher> {
-    let settings = settings.clone();
+    let dial = dial.clone();
     let log = log.clone();
     Dispatcher::start_in_arbiter(&control.handle(), move |_ctx| {
-        let client = attempt::client(&settings, Duration::from_millis(attempt::IDLE_MS));
+        let client = attempt::client(&dial);
         let machine = Machine::new(first_attempt);
-        Dispatcher::new(machine, origin, client, scheme, log)
+        Dispatcher::new(machine, origin, client, log)
     })
 }
 
 fn start_probe(
     control: &Arbiter,
     settings: &Settings,
+    dial: &Dial,
     dispatcher: Addr<Dispatcher>,
-    scheme: &'static str,
     log: &Logger,
 ) {
     let settings = settings.clone();
+    let dial = dial.clone();
     let log = log.clone();
     Probe::start_in_arbiter(&control.handle(), move |_ctx| {
-        let client = attempt::client(&settings, Duration::from_millis(attempt::IDLE_MS));
+        let client = attempt::client(&dial);
         let interval = settings.probe_interval;
-        Probe::new(
-            settings.upstreams,
-            interval,
-            client,
-            scheme,
-            dispatcher,
-            log,
-        )
+        Probe::new(settings.upstreams, interval, client, dispatcher, log)
     });
 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -22,21 +22,27 @@
 use crate::shared::Shared;
 
 /// Opens the listener and builds the server, which the caller must run.
-pub(crate) fn bind(shared: &web::Data<Shared>) -> io::Result<(SocketAddr, Server)> {
+pub(crate) fn bind(
+    shared: &web::Data<Shared>,
+    tls: Option<rustls::ServerConfig>,
+) -> io::Result<(SocketAddr, Server)> {
     let settings = &shared.settings;
     let data = web::Data::clone(shared);
     let server = HttpServer::new(move || {
         App::new()
             .app_data(web::Data::clone(&data))
-            .app_data(web::ThinData(Clients::open(&data.settings)))
+            .app_data(web::ThinData(Clients::open(&data.dial)))
             .configure(routes)
     })
     .workers(settings.workers)
     .keep_alive(settings.keep_alive)
     .h1_allow_half_closed(false)
     .disable_signals()
-    .shutdown_timeout(settings.drain_timeout.as_secs().max(1))
-    .bind(settings.listen)?;
+    .shutdown_timeout(settings.drain_timeout.as_secs().max(1));
+    let server = match tls {
+        Some(tls) => server.bind_rustls_0_23(settings.listen, tls)?,
+        None => server.bind(settings.listen)?,
+    };
     let address = server.addrs()[0];
     Ok((address, server.run()))
 }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -66,6 +66,15 @@
     pub service: Option<name::Service>,
 }
 
+/// Files of the listener's TLS.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tls {
+    /// Certificate chain in PEM.
+    pub certificate: PathBuf,
+    /// Private key in PEM.
+    pub key: PathBuf,
+}
+
 /// Settings of one router process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -99,6 +108,10 @@
     pub header_bytes: usize,
     /// Time between two status reads of an engine.
     pub probe_interval: Duration,
+    /// TLS of the listener; plain where absent.
+    pub tls: Option<Tls>,
+    /// File with the authorities of upstreams' certificates in PEM; plain where absent.
+    pub upstream_authority: Option<PathBuf>,
     /// Upstreams known from the start.
     pub upstreams: Vec<Upstream>,
 }
@@ -146,8 +159,11 @@
         let header_bytes = reader.count("header_bytes", 256..=65_536, 16_384);
         let probe_interval = reader.millis("probe_interval_ms", 10..=60_000, 1_000);
         let zone: Option<name::Zone> = zone.map(|text| text.as_str().into());
+        let tls = reader.table("tls");
+        let upstream_authority = reader.path("upstream_authority");
         let tables = reader.tables("upstreams");
         reader.finish();
+        let tls = tls.map(|table| Tls::read(Reader::new("tls.", table, mistakes)));
         let mut upstreams = Vec::new();
         for (index, table) in tables.into_iter().enumerate() {
             let prefix = format!("upstreams[{index}].");
@@ -171,11 +187,28 @@
             drain_timeout,
             header_bytes,
             probe_interval,
+            tls: match tls {
+                Some(tls) => Some(tls?),
+                None => None,
+            },
+            upstream_authority,
             upstreams: upstreams.into_iter().collect::<Option<_>>()?,
         })
     }
 }
 
+impl Tls {
+    fn read(mut reader: Reader<'_>) -> Option<Self> {
+        let certificate = reader.required_path("certificate");
+        let key = reader.required_path("key");
+        reader.finish();
+        Some(Self {
+            certificate: certificate?,
+            key: key?,
+        })
+    }
+}
+
 impl Upstream {
     fn read(mut reader: Reader<'_>, own_zone: Option<&name::Zone>) -> Option<Self> {
         let name = reader.name("name");
--- a/crates/router/src/settings/reader.rs
+++ b/crates/router/src/settings/reader.rs
@@ -82,6 +82,14 @@
         self.take(key, "a path", |value| value.as_str().map(PathBuf::from))
     }
 
+    /// A path that must be there.
+    pub fn required_path(&mut self, key: &'static str) -> Option<PathBuf> {
+        if !self.table.contains_key(key) {
+            self.missing(key, "a path");
+        }
+        self.path(key)
+    }
+
     /// A socket address with a default.
     pub fn address(&mut self, key: &'static str, default: &str) -> SocketAddr {
         let given = self.optional_address(key);
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -13,6 +13,7 @@
 use snipeusher::time::Time;
 use tokio::sync::watch;
 
+use crate::attempt::Dial;
 use crate::count::Counts;
 use crate::directory::Directory;
 use crate::dispatch::Dispatcher;
@@ -28,7 +29,7 @@
     pub(crate) counts: Counts,
     pub(crate) metrics: Metrics,
     pub(crate) origin: Instant,
-    pub(crate) scheme: &'static str,
+    pub(crate) dial: Dial,
     pub(crate) log: Logger,
     pub(crate) first_attempt: u64,
     pub(crate) next_id: AtomicU64,
--- a/crates/router/src/socket.rs
+++ b/crates/router/src/socket.rs
@@ -1,5 +1,7 @@
 //! Connections to upstreams.
 //!
+//! TLS is part of the connection, so URLs of upstreams are `http` in either case.
+//!
 //! `awc` takes the end of a connection within a body for the end of the body. Here the end of a
 //! connection is an error, so that a cut answer never passes for a whole one. An answer whose
 //! end is told only by the end of the connection is therefore an error too.
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -93,9 +93,9 @@
     dispatch: &Dispatch,
     clients: &Clients,
 ) -> Result<Opened, Outcome> {
-    let response = chat::send(shared, call, body, dispatch, clients).await;
-    let mut response = match response {
-        Ok(response) => response,
+    let reply = chat::send(shared, call, body, dispatch, clients).await;
+    let mut reply = match reply {
+        Ok(reply) => reply,
         Err(Outcome::Broken) => {
             // The engine may have run it and may still hold the whole answer.
             let mut events = resume(shared, dispatch, 0, clients).await?;
@@ -104,16 +104,15 @@
         }
         Err(outcome) => return Err(outcome),
     };
-    let cached = attempt::cached(&response);
-    let kind = attempt::text(response.headers(), "content-type").unwrap_or("");
+    let cached = attempt::cached(&reply.response);
+    let kind = attempt::text(reply.response.headers(), "content-type").unwrap_or("");
     if !kind.starts_with("text/event-stream") {
-        let status = response.status();
-        let mut head = chat::head(status, dispatch, cached);
+        let mut head = chat::head(reply.response.status(), dispatch, cached);
         head.content_type(kind);
-        let body = attempt::whole(&mut response, chat::ANSWER_BYTES).await;
+        let body = reply.whole(chat::ANSWER_BYTES).await;
         return Ok(Opened::Other(head.body(body.ok_or(Outcome::Broken)?)));
     }
-    let mut events = Events::new(shared, dispatch, response, 0);
+    let mut events = Events::new(shared, dispatch, reply.response, 0);
     let mut first = events.next().await;
     if first.is_err() {
         shared.counts.cut.add();
@@ -132,20 +131,17 @@
     clients: &Clients,
 ) -> Result<Events, Outcome> {
     let (address, attempt) = (dispatch.address, dispatch.attempt);
-    let url = format!(
-        "{}://{address}/engine/v1/resume/{attempt}?after={last}",
-        shared.scheme
-    );
+    let url = format!("http://{address}/engine/v1/resume/{attempt}?after={last}");
     let response = clients.pooled.get(url).no_decompress().send().await;
     let response = response.map_err(|_unreachable| Outcome::Broken)?;
-    let response = attempt::verify(shared, dispatch, response)
+    let reply = attempt::verify(shared, dispatch, response)
         .await
         .map_err(|_refused| Outcome::Broken)?;
-    if !response.status().is_success() {
+    if !reply.response.status().is_success() {
         return Err(Outcome::Broken);
     }
     shared.counts.resumed.add();
-    Ok(Events::new(shared, dispatch, response, last))
+    Ok(Events::new(shared, dispatch, reply.response, last))
 }
 
 /// What has gone to the caller.
@@ -354,9 +350,9 @@
             let shared = Arc::clone(self.session.shared());
             let work = chat::send(&shared, &self.call, body, &self.dispatch, &self.clients);
             match self.session.race(work).await {
-                Ok(Ok(response)) if response.status().is_success() => {
+                Ok(Ok(reply)) if reply.response.status().is_success() => {
                     shared.counts.continued.add();
-                    self.events = Events::new(&shared, &self.dispatch, response, 0);
+                    self.events = Events::new(&shared, &self.dispatch, reply.response, 0);
                     return Ok(());
                 }
                 Ok(Ok(_)) => self.session.finish(Outcome::Broken),
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -36,6 +36,8 @@
 
 pub struct Plan {
     pub engines: usize,
+    /// Engines that must be ready before the test begins.
+    pub ready: usize,
     pub options: Options,
     pub settings: Box<dyn Fn(&mut Settings)>,
 }
@@ -44,6 +46,7 @@
     fn default() -> Self {
         Self {
             engines: 2,
+            ready: usize::MAX,
             options: Options::default(),
             settings: Box::new(|_settings| {}),
         }
@@ -81,15 +84,21 @@
             Some("match-desk"),
         ));
         (plan.settings)(&mut settings);
+        let scheme = if settings.tls.is_some() {
+            "https"
+        } else {
+            "http"
+        };
         let router = Router::bind(settings, log::discard()).expect("a router");
-        wait(async || router.ready_engines().await == plan.engines).await;
-        let base = format!("http://{}", router.address());
+        let ready = plan.ready.min(plan.engines);
+        wait(async || router.ready_engines().await == ready).await;
         // A kept connection may be closed by the router in the same moment as it is used.
         let connector = Connector::new().conn_keep_alive(Duration::ZERO);
         let client = Client::builder()
             .connector(connector)
             .timeout(PATIENCE)
             .finish();
+        let base = format!("{scheme}://{}", router.address());
         Self {
             router,
             engines,
--- a/crates/router/tests/plain.rs
+++ b/crates/router/tests/plain.rs
@@ -120,3 +120,32 @@
     }
     assert_eq!(fleet.count("cut").await, 1);
 }
+
+/// Guards against a service's own answer being taken for a refusal or replaced.
+#[actix_rt::test]
+async fn answers_of_the_service_are_passed_on() {
+    let fleet = fleet().await;
+    fleet.plain[0].inject(Fault::Unavailable);
+    let call = fleet.post("/match/pairings").send_body("a pairing");
+    let mut response = call.await.expect("an answer");
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let body: Value = response.json().await.expect("JSON");
+    assert_eq!(body["title"], "the desk is closed");
+    assert_eq!(fleet.plain[0].calls().len(), 1);
+}
+
+/// Guards against a body that turns out too large while it is sent on being blamed on the
+/// service, run by it, or called `not_run`.
+#[actix_rt::test]
+async fn streamed_body_that_is_too_large_ends() {
+    let fleet = fleet().await;
+    let part = Bytes::from(vec![b'x'; 60_000]);
+    let parts = (0..20).map(move |_| Ok::<_, std::io::Error>(part.clone()));
+    let call = fleet.post("/match").send_stream(stream::iter(parts));
+    let mut response = call.await.expect("an answer");
+    assert_eq!(response.status(), StatusCode::PAYLOAD_TOO_LARGE);
+    let problem: Value = response.json().await.expect("JSON");
+    assert_eq!(problem["type"], "urn:snipeusher:problem:body-too-large");
+    assert_eq!(problem["ran"], "unknown");
+    assert!(fleet.plain[0].calls().is_empty());
+}
--- a/crates/router/tests/shutdown.rs
+++ b/crates/router/tests/shutdown.rs
@@ -22,6 +22,7 @@
             ..Options::default()
         },
         settings: Box::new(|settings| settings.balancer_delay = Duration::from_secs(1)),
+        ..Plan::default()
     }
 }
 
