Fuzz claims, leases and configuration against simple oracles

Cause: the state machines hold under lost, late, repeated and reordered calls only by argument. Change: proptest-state-machine tests with a network before the store in memory: calls take effect early, late or twice, replies are lost, routers restart, operators race.

--- /dev/null
+++ b/crates/snipeusher/tests/claim.rs
@@ -0,0 +1,426 @@
+//! Stateful test of claims: several routers, few keys, and a network that loses, delays, repeats
+//! and reorders. It guards against a key that runs twice, a refusal that is not true, an answer
+//! that is not the key's own, and a request without a verdict.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+use snipeusher::claim::Action;
+use snipeusher::claim::Answer;
+use snipeusher::claim::Claims;
+use snipeusher::claim::Event;
+use snipeusher::claim::Fingerprint;
+use snipeusher::claim::Outcome;
+use snipeusher::claim::Verdict;
+use snipeusher::name::Host;
+use snipeusher::name::Incarnation;
+use snipeusher::request::Id;
+
+use self::support::Network;
+use self::support::Way;
+
+const ROUTERS: usize = 3;
+
+#[derive(Clone, Copy, Debug)]
+enum Key {
+    Own(usize),
+    Issued(usize),
+}
+
+#[derive(Clone, Copy, Debug)]
+enum End {
+    NotRun,
+    Unknown,
+    Answered,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Transition {
+    Arrive {
+        router: usize,
+        key: Key,
+        body: u8,
+        patience_ms: u64,
+    },
+    Finish {
+        nth: usize,
+        end: End,
+    },
+    Depart {
+        nth: usize,
+    },
+    Carry {
+        nth: usize,
+        way: Way,
+    },
+    Stray {
+        nth: usize,
+    },
+    Pass {
+        ms: u64,
+    },
+    Tick {
+        router: usize,
+    },
+    Crash {
+        router: usize,
+    },
+    View {
+        router: usize,
+        other: usize,
+        alive: bool,
+    },
+}
+
+#[derive(Debug)]
+struct Reference;
+
+impl ReferenceStateMachine for Reference {
+    type State = ();
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Transition> {
+        let key = prop_oneof![
+            4 => (0..2_usize).prop_map(Key::Own),
+            1 => (0..ROUTERS).prop_map(Key::Issued),
+        ];
+        let way = prop_oneof![
+            4 => Just(Way::Reply),
+            2 => Just(Way::Effect),
+            2 => Just(Way::Lose),
+            1 => Just(Way::NotSent),
+            1 => Just(Way::Refuse),
+        ];
+        let end = prop_oneof![Just(End::NotRun), Just(End::Unknown), Just(End::Answered)];
+        let ms = prop_oneof![4 => 1..20_u64, 2 => 100..3_000_u64, 1 => Just(2_000_000)];
+        let body = prop_oneof![6 => Just(0_u8), 1 => Just(1)];
+        let patience = prop_oneof![1 => Just(2_u64), 4 => Just(5_000)];
+        prop_oneof![
+            6 => (0..ROUTERS, key, body, patience).prop_map(|(router, key, body, patience_ms)| {
+                Transition::Arrive { router, key, body, patience_ms }
+            }),
+            4 => (any::<usize>(), end).prop_map(|(nth, end)| Transition::Finish { nth, end }),
+            1 => any::<usize>().prop_map(|nth| Transition::Depart { nth }),
+            10 => (any::<usize>(), way).prop_map(|(nth, way)| Transition::Carry { nth, way }),
+            3 => any::<usize>().prop_map(|nth| Transition::Stray { nth }),
+            5 => ms.prop_map(|ms| Transition::Pass { ms }),
+            8 => (0..ROUTERS).prop_map(|router| Transition::Tick { router }),
+            1 => (0..ROUTERS).prop_map(|router| Transition::Crash { router }),
+            1 => (0..ROUTERS, 0..ROUTERS, any::<bool>())
+                .prop_map(|(router, other, alive)| Transition::View { router, other, alive }),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Transition) {}
+}
+
+/// What the oracle knows of a request.
+#[derive(Debug)]
+struct Request {
+    router: usize,
+    key: String,
+    body: u8,
+    verdict: Option<Verdict>,
+    /// Whether it is gone: ended, departed or crashed with its router.
+    over: bool,
+}
+
+#[derive(Debug)]
+struct Fleet {
+    network: Network,
+    claims: Vec<Claims>,
+    incarnations: Vec<u64>,
+    issued: Vec<String>,
+    requests: Vec<Request>,
+    /// Requests that may have run, by key.
+    ran: BTreeMap<String, Vec<usize>>,
+    answers: BTreeMap<String, Answer>,
+}
+
+fn host(router: usize) -> Host {
+    format!("router-{router}").into()
+}
+
+fn start(router: usize, incarnation: u64) -> Claims {
+    let seed = incarnation * 100 + router as u64;
+    let mut claims = Claims::new(host(router), Incarnation(incarnation), seed);
+    for other in 0..ROUTERS {
+        let event = Event::Peer(host(other), Incarnation(1));
+        claims.handle(snipeusher::time::Time(0), event);
+    }
+    claims
+}
+
+impl Fleet {
+    fn open() -> Self {
+        let mut claims: Vec<_> = (0..ROUTERS).map(|router| start(router, 1)).collect();
+        let network = Network::default();
+        let issued = claims
+            .iter_mut()
+            .map(|claims| claims.issue(network.now))
+            .collect();
+        Self {
+            network,
+            claims,
+            incarnations: vec![1; ROUTERS],
+            issued,
+            requests: Vec::new(),
+            ran: BTreeMap::new(),
+            answers: BTreeMap::new(),
+        }
+    }
+
+    fn handle(&mut self, router: usize, event: Event) {
+        let now = self.network.now;
+        self.claims[router].handle(now, event);
+        let actions: Vec<_> = self.claims[router].drain().collect();
+        for action in actions {
+            match action {
+                Action::Call { id, call } => self.network.send(router, id, call),
+                Action::Verdict { request, verdict } => self.decide(request.0 as usize, verdict),
+            }
+        }
+    }
+
+    fn arrive(&mut self, router: usize, key: String, body: u8, patience_ms: u64) {
+        let id = Id(self.requests.len() as u64);
+        self.requests.push(Request {
+            router,
+            key: key.clone(),
+            body,
+            verdict: None,
+            over: false,
+        });
+        let event = Event::Arrive {
+            request: id,
+            workspace: "w".into(),
+            key,
+            fingerprint: Fingerprint::of("POST", "/pair", &[body]),
+            deadline: self.network.now + Duration::from_millis(patience_ms),
+        };
+        self.handle(router, event);
+    }
+
+    fn decide(&mut self, nth: usize, verdict: Verdict) {
+        let request = &mut self.requests[nth];
+        assert!(
+            !request.over,
+            "request {nth} was over when it got {verdict:?}"
+        );
+        assert_eq!(
+            request.verdict, None,
+            "request {nth} got a second verdict {verdict:?}"
+        );
+        request.verdict = Some(verdict.clone());
+        let key = request.key.clone();
+        let body = request.body;
+        match verdict {
+            Verdict::Run => {
+                let ran = self.ran.entry(key.clone()).or_default();
+                ran.push(nth);
+                assert_eq!(ran.len(), 1, "key {key:?} runs for requests {ran:?}");
+            }
+            Verdict::Answer(answer) => {
+                request.over = true;
+                assert_eq!(
+                    self.answers.get(&key),
+                    Some(&answer),
+                    "another answer for {key:?}"
+                );
+                let first = self.ran[&key][0];
+                assert_eq!(
+                    self.requests[first].body, body,
+                    "the answer to another request"
+                );
+            }
+            Verdict::Mismatch => {
+                request.over = true;
+                let other = |other: &Request| other.key == key && other.body != body;
+                assert!(
+                    self.requests.iter().any(other),
+                    "no other request has used {key:?}"
+                );
+            }
+            Verdict::Forward(host) => {
+                request.over = true;
+                let to: usize = host.as_str()["router-".len()..].parse().unwrap();
+                self.arrive(to, key, body, 5_000);
+            }
+            Verdict::Refused { .. } | Verdict::Unknown | Verdict::Running | Verdict::Invalid(_) => {
+                request.over = true;
+            }
+        }
+    }
+
+    fn finish(&mut self, nth: usize, end: End) {
+        let key = self.requests[nth].key.clone();
+        self.requests[nth].over = true;
+        let outcome = match end {
+            End::NotRun => {
+                self.ran.remove(&key);
+                Outcome::NotRun
+            }
+            End::Unknown => Outcome::Unknown,
+            End::Answered => {
+                let answer = Answer {
+                    status: 200,
+                    content_type: None,
+                    body: Some(format!("answer {nth}").into_bytes().into()),
+                };
+                self.answers.insert(key, answer.clone());
+                Outcome::Answered(answer)
+            }
+        };
+        let event = Event::End {
+            request: Id(nth as u64),
+            outcome,
+        };
+        self.handle(self.requests[nth].router, event);
+    }
+
+    fn nth_open(&self, nth: usize, running: bool) -> Option<usize> {
+        let open: Vec<_> = self
+            .requests
+            .iter()
+            .enumerate()
+            .filter(|(_, request)| !request.over && request.verdict.is_some() == running)
+            .map(|(nth, _)| nth)
+            .collect();
+        (!open.is_empty()).then(|| open[nth % open.len()])
+    }
+
+    fn crash(&mut self, router: usize) {
+        self.network.forget(router);
+        for request in &mut self.requests {
+            request.over |= request.router == router;
+        }
+        self.incarnations[router] += 1;
+        self.claims[router] = start(router, self.incarnations[router]);
+    }
+
+    fn carry(&mut self, nth: usize, way: Way) {
+        if let Some((router, id, result)) = self.network.carry(nth, way) {
+            self.handle(router, Event::Reply { id, result });
+        }
+    }
+}
+
+struct Test;
+
+impl StateMachineTest for Test {
+    type SystemUnderTest = Fleet;
+    type Reference = Reference;
+
+    fn init_test((): &()) -> Fleet {
+        Fleet::open()
+    }
+
+    fn apply(mut state: Fleet, (): &(), transition: Transition) -> Fleet {
+        match transition {
+            Transition::Arrive {
+                router,
+                key,
+                body,
+                patience_ms,
+            } => {
+                let key = match key {
+                    Key::Own(nth) => format!("key-{nth}"),
+                    Key::Issued(by) => state.issued[by].clone(),
+                };
+                state.arrive(router, key, body, patience_ms);
+            }
+            Transition::Finish { nth, end } => {
+                if let Some(nth) = state.nth_open(nth, true) {
+                    state.finish(nth, end);
+                }
+            }
+            Transition::Depart { nth } => {
+                if let Some(nth) = state.nth_open(nth, false) {
+                    state.requests[nth].over = true;
+                    let outcome = Outcome::NotRun;
+                    let event = Event::End {
+                        request: Id(nth as u64),
+                        outcome,
+                    };
+                    state.handle(state.requests[nth].router, event);
+                }
+            }
+            Transition::Carry { nth, way } => state.carry(nth, way),
+            Transition::Stray { nth } => state.network.stray(nth),
+            Transition::Pass { ms } => {
+                state.network.now = state.network.now + Duration::from_millis(ms);
+            }
+            Transition::Tick { router } => state.handle(router, Event::Tick),
+            Transition::Crash { router } => state.crash(router),
+            Transition::View {
+                router,
+                other,
+                alive,
+            } => {
+                let event = if alive {
+                    Event::Peer(host(other), Incarnation(state.incarnations[other]))
+                } else {
+                    Event::Gone(host(other))
+                };
+                state.handle(router, event);
+            }
+        }
+        state
+    }
+
+    /// Without further faults every request gets its verdict and every outcome is recorded.
+    fn teardown(mut state: Fleet) {
+        for _ in 0..200 {
+            while !state.network.is_quiet() {
+                state.carry(0, Way::Reply);
+            }
+            state.network.now = state.network.now + Duration::from_millis(100);
+            for router in 0..ROUTERS {
+                state.handle(router, Event::Tick);
+            }
+        }
+        assert_eq!(
+            state.nth_open(0, false),
+            None,
+            "a request has no verdict: {state:#?}"
+        );
+        for (key, answer) in state.answers.clone() {
+            if key.starts_with("key-") {
+                let asked = state.requests.len();
+                let body = state.requests[state.ran[&key][0]].body;
+                state.arrive(0, key, body, 5_000);
+                state.network.now = state.network.now + Duration::from_millis(5);
+                state.handle(0, Event::Tick);
+                while !state.network.is_quiet() {
+                    state.carry(0, Way::Reply);
+                }
+                let verdict = state.requests[asked].verdict.clone();
+                // A crash may come between the end of a request and the write of its answer.
+                let crashed = state
+                    .incarnations
+                    .iter()
+                    .any(|incarnation| *incarnation > 1);
+                let kept = verdict == Some(Verdict::Answer(answer));
+                assert!(kept || crashed, "{verdict:?}");
+            }
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(support::config(600))]
+
+    #[test]
+    fn a_key_runs_at_most_once(sequential 1..120 => Test);
+}
--- /dev/null
+++ b/crates/snipeusher/tests/config.rs
@@ -0,0 +1,622 @@
+//! Stateful test of the configuration: racing operators and several routers before a network that
+//! loses, delays, repeats and reorders calls, watch events and messages of peers. It guards
+//! against a document that reverts, an edit whose report is not true, an edit that is applied
+//! twice, a workspace that is stranded, and routers that stay apart once faults end.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+use snipeusher::config::Action;
+use snipeusher::config::Author;
+use snipeusher::config::Change;
+use snipeusher::config::Digest;
+use snipeusher::config::Document;
+use snipeusher::config::Edit;
+use snipeusher::config::EditId;
+use snipeusher::config::Event;
+use snipeusher::config::Name;
+use snipeusher::config::Outcome;
+use snipeusher::config::Replica;
+use snipeusher::config::Step;
+use snipeusher::config::Stored;
+use snipeusher::config::World;
+use snipeusher::kv::Reply;
+use snipeusher::kv::Revision;
+use snipeusher::name::Host;
+use snipeusher::name::Workspace;
+use snipeusher::policy::Policy;
+use snipeusher::time::Time;
+
+use self::support::Delivery;
+use self::support::Network;
+use self::support::Way;
+
+const ROUTERS: usize = 3;
+const PATIENCE: Duration = Duration::from_secs(10);
+
+#[derive(Clone, Copy, Debug)]
+enum Wish {
+    Template {
+        name: usize,
+        parameter: usize,
+        weight: u32,
+    },
+    DeleteTemplate {
+        name: usize,
+    },
+    Binding {
+        name: usize,
+        template: usize,
+        parameter: usize,
+    },
+    DeleteBinding {
+        name: usize,
+    },
+    Set {
+        name: usize,
+        value: i64,
+    },
+    Rollback {
+        name: usize,
+        back: usize,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Transition {
+    Edit(Wish),
+    TickEdit {
+        nth: usize,
+    },
+    TickRouter {
+        router: usize,
+    },
+    Carry {
+        nth: usize,
+        way: Way,
+    },
+    Stray {
+        nth: usize,
+    },
+    Pass {
+        ms: u64,
+    },
+    /// The next watch event, or an earlier one again.
+    Watch {
+        router: usize,
+        again: Option<usize>,
+    },
+    Cut {
+        router: usize,
+    },
+    Digest {
+        from: usize,
+        to: usize,
+    },
+    /// A message of a peer arrives, and stays to arrive again where `keep` is set.
+    Post {
+        nth: usize,
+        keep: bool,
+    },
+    DropPost {
+        nth: usize,
+    },
+    Restart {
+        router: usize,
+    },
+}
+
+#[derive(Debug)]
+struct Reference;
+
+impl ReferenceStateMachine for Reference {
+    type State = ();
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Transition> {
+        let two = 0..2_usize;
+        let wish = prop_oneof![
+            4 => (two.clone(), two.clone(), 1..9_u32).prop_map(|(name, parameter, weight)| {
+                Wish::Template { name, parameter, weight }
+            }),
+            1 => two.clone().prop_map(|name| Wish::DeleteTemplate { name }),
+            4 => (two.clone(), two.clone(), two.clone()).prop_map(|(name, template, parameter)| {
+                Wish::Binding { name, template, parameter }
+            }),
+            1 => two.clone().prop_map(|name| Wish::DeleteBinding { name }),
+            2 => (two.clone(), -1..20_i64).prop_map(|(name, value)| Wish::Set { name, value }),
+            1 => (two, 0..3_usize).prop_map(|(name, back)| Wish::Rollback { name, back }),
+        ];
+        let way = prop_oneof![
+            7 => Just(Way::Reply),
+            2 => Just(Way::Effect),
+            2 => Just(Way::Lose),
+            1 => Just(Way::NotSent),
+            1 => Just(Way::Refuse),
+        ];
+        let ms = prop_oneof![4 => 1..400_u64, 1 => 400..4_000_u64];
+        let router = 0..ROUTERS;
+        prop_oneof![
+            4 => wish.prop_map(Transition::Edit),
+            6 => any::<usize>().prop_map(|nth| Transition::TickEdit { nth }),
+            4 => router.clone().prop_map(|router| Transition::TickRouter { router }),
+            12 => (any::<usize>(), way).prop_map(|(nth, way)| Transition::Carry { nth, way }),
+            2 => any::<usize>().prop_map(|nth| Transition::Stray { nth }),
+            4 => ms.prop_map(|ms| Transition::Pass { ms }),
+            6 => (router.clone(), proptest::option::weighted(0.2, any::<usize>()))
+                .prop_map(|(router, again)| Transition::Watch { router, again }),
+            1 => router.clone().prop_map(|router| Transition::Cut { router }),
+            4 => (router.clone(), router.clone())
+                .prop_map(|(from, to)| Transition::Digest { from, to }),
+            6 => (any::<usize>(), any::<bool>())
+                .prop_map(|(nth, keep)| Transition::Post { nth, keep }),
+            1 => any::<usize>().prop_map(|nth| Transition::DropPost { nth }),
+            1 => router.prop_map(|router| Transition::Restart { router }),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Transition) {}
+}
+
+#[derive(Debug)]
+struct Operator {
+    edit: Edit,
+    id: EditId,
+    outcome: Option<Outcome>,
+}
+
+#[derive(Debug)]
+struct Router {
+    replica: Replica,
+    /// The next revision that its watch delivers.
+    watch: Option<Revision>,
+    /// The highest revision seen of each document, which must never fall.
+    documents: BTreeMap<Arc<str>, Revision>,
+    policies: BTreeMap<Workspace, (Policy, Revision)>,
+}
+
+#[derive(Debug)]
+struct Fleet {
+    network: Network,
+    operators: Vec<Operator>,
+    routers: Vec<Router>,
+    post: Vec<(usize, Event)>,
+}
+
+fn host(router: usize) -> Host {
+    router.to_string().into()
+}
+
+fn template(name: usize) -> Name {
+    Name::Template(format!("t{name}").into())
+}
+
+fn workspace(name: usize) -> Name {
+    Name::Workspace(format!("w{name}").into())
+}
+
+/// What an operator does about a wish; `None` if there is nothing to roll back to.
+fn change(wish: Wish, world: &World) -> Option<Change> {
+    Some(match wish {
+        Wish::Template {
+            name,
+            parameter,
+            weight,
+        } => Change::Put {
+            name: template(name),
+            text: format!(
+                "name = \"t{name}\"\n[parameters]\np{parameter} = {{ default = {weight}, min = 1 }}\n\
+                 [body]\ndefault_class = \"c\"\n[body.classes.c]\nweight = \"$p{parameter}\"\n"
+            ),
+        },
+        Wish::DeleteTemplate { name } => Change::Delete(template(name)),
+        Wish::Binding {
+            name,
+            template,
+            parameter,
+        } => Change::Put {
+            name: workspace(name),
+            text: format!(
+                "workspace = \"w{name}\"\ntemplate = \"t{template}\"\nkeys = [\"{}\"]\n\
+                 [parameters]\np{parameter} = 3\n",
+                name.to_string().repeat(64)
+            ),
+        },
+        Wish::DeleteBinding { name } => Change::Delete(workspace(name)),
+        Wish::Set { name, value } => Change::Set {
+            name: workspace(name),
+            parameter: "p0".to_owned(),
+            value: value.into(),
+        },
+        Wish::Rollback { name, back } => {
+            let name = template(name);
+            let (_, stored) = world.documents.get(&name)?;
+            let to = stored.recent.get(back)?.revision;
+            Change::Rollback { name, to }
+        }
+    })
+}
+
+impl Fleet {
+    fn world(&self) -> World {
+        let entries: Vec<_> = self.network.memory.entries().cloned().collect();
+        World::read(self.network.memory.revision(), &entries)
+    }
+
+    fn open_router(&self, seed: usize) -> Router {
+        Router {
+            replica: Replica::open(self.network.now, seed as u64),
+            watch: None,
+            documents: BTreeMap::new(),
+            policies: BTreeMap::new(),
+        }
+    }
+
+    fn begin(&mut self, wish: Wish) {
+        let Some(change) = change(wish, &self.world()) else {
+            return;
+        };
+        let id = EditId(self.operators.len() as u128 + 1);
+        let author = Author {
+            name: id.to_string(),
+            at_ms: 0,
+        };
+        let now = self.network.now;
+        let edit = Edit::open(change, author, id, None, now, now + PATIENCE);
+        self.operators.push(Operator {
+            edit,
+            id,
+            outcome: None,
+        });
+        self.step(self.operators.len() - 1, None);
+    }
+
+    fn step(&mut self, nth: usize, delivery: Option<Delivery>) {
+        let now = self.network.now;
+        let reply = delivery.map(|(_, id, result)| (id, result));
+        let operator = &mut self.operators[nth];
+        operator.edit.handle(now, reply);
+        let steps: Vec<_> = operator.edit.drain().collect();
+        for step in steps {
+            match step {
+                Step::Call { id, call } => self.network.send(ROUTERS + nth, id, call),
+                Step::Done(outcome) => {
+                    let before = self.operators[nth].outcome.replace(outcome);
+                    assert_eq!(before, None, "a second report");
+                }
+            }
+        }
+    }
+
+    fn handle(&mut self, router: usize, event: Event) {
+        let now = self.network.now;
+        self.routers[router].replica.handle(now, event);
+        let actions: Vec<_> = self.routers[router].replica.drain().collect();
+        for action in actions {
+            match action {
+                Action::Call { id, call } => self.network.send(router, id, call),
+                Action::Watch { from } => self.routers[router].watch = Some(from),
+                Action::Exchange(peer, exchange) => {
+                    let to: usize = peer.as_str().parse().unwrap();
+                    self.post
+                        .push((to, Event::Exchange(host(router), exchange)));
+                }
+                Action::Apply { policy, revision } => {
+                    let workspace = policy.workspace.clone();
+                    let policies = &mut self.routers[router].policies;
+                    let before = policies.insert(workspace, (*policy, revision));
+                    assert!(
+                        before.is_none_or(|(_, before)| before <= revision),
+                        "policy reverted"
+                    );
+                }
+                Action::Forget(workspace) => {
+                    self.routers[router].policies.remove(&workspace);
+                }
+                Action::Problem { .. } | Action::Ready => {}
+            }
+        }
+        self.check_router(router);
+    }
+
+    /// Every document is one that the store once had, and never falls back.
+    fn check_router(&mut self, router: usize) {
+        let memory = &self.network.memory;
+        let router = &mut self.routers[router];
+        for document in router.replica.documents() {
+            let highest = router
+                .documents
+                .entry(Arc::clone(&document.path))
+                .or_default();
+            assert!(
+                document.revision >= *highest,
+                "{} fell from {highest:?}",
+                document.path
+            );
+            *highest = document.revision;
+            let written = memory.log(document.revision).first();
+            let entries = written.map(|write| write.entries.iter().filter_map(Document::read));
+            let known = entries.is_some_and(|mut entries| entries.any(|entry| entry == *document));
+            assert!(known, "the store never had {document:?}");
+        }
+    }
+
+    fn carry(&mut self, nth: usize, way: Way) {
+        let Some(delivery) = self.network.carry(nth, way) else {
+            return;
+        };
+        match delivery.0 {
+            router if router < ROUTERS => {
+                let (_, id, result) = delivery;
+                self.handle(router, Event::Reply { id, result });
+            }
+            operator => self.step(operator - ROUTERS, Some(delivery)),
+        }
+    }
+
+    fn watch(&mut self, router: usize, again: Option<usize>) {
+        let Some(next) = self.routers[router].watch else {
+            return;
+        };
+        let log = self.network.memory.log(Revision(0));
+        let write = match again {
+            Some(nth) if !log.is_empty() => log[nth % log.len()].clone(),
+            Some(_) => return,
+            None => {
+                let Some(write) = self.network.memory.log(next).first().cloned() else {
+                    return;
+                };
+                self.routers[router].watch = Some(Revision(write.revision.0 + 1));
+                write
+            }
+        };
+        let event = Event::Changed {
+            revision: write.revision,
+            entries: write.entries,
+            deleted: write.deleted,
+        };
+        self.handle(router, event);
+    }
+
+    fn cut(&mut self, router: usize) {
+        if self.routers[router].watch.take().is_some() {
+            self.handle(router, Event::WatchLost);
+        }
+    }
+
+    fn tell_digest(&mut self, from: usize, to: usize) {
+        if from != to {
+            let digest = self.routers[from].replica.digest();
+            self.post.push((to, Event::Digest(host(from), digest)));
+        }
+    }
+
+    fn post(&mut self, nth: usize, keep: bool) {
+        if self.post.is_empty() {
+            return;
+        }
+        let nth = nth % self.post.len();
+        let (to, event) = if keep {
+            self.post[nth].clone()
+        } else {
+            self.post.remove(nth)
+        };
+        self.handle(to, event);
+    }
+
+    /// Lets routers talk without the service until nothing is under way.
+    fn gossip(&mut self) {
+        for _ in 0..40 {
+            self.network.now = self.network.now + Duration::from_millis(500);
+            for from in 0..ROUTERS {
+                for to in 0..ROUTERS {
+                    self.tell_digest(from, to);
+                }
+            }
+            while !self.post.is_empty() {
+                self.post(0, false);
+            }
+        }
+    }
+
+    /// Each edit id is in the store as often as was reported.
+    fn check_reports(&self) {
+        let mut written: BTreeMap<EditId, Vec<Revision>> = BTreeMap::new();
+        for write in self.network.memory.log(Revision(0)) {
+            for document in write.entries.iter().filter_map(Document::read) {
+                let stored = Stored::decode(&document.value).unwrap();
+                written.entry(stored.edit).or_default().push(write.revision);
+            }
+        }
+        for operator in &self.operators {
+            let found = written.get(&operator.id).map_or(&[][..], Vec::as_slice);
+            match operator.outcome.as_ref().unwrap() {
+                Outcome::Applied(revision) => assert_eq!(found, [*revision], "{operator:?}"),
+                Outcome::Unresolved(id) => {
+                    assert_eq!(*id, operator.id);
+                    assert!(found.len() <= 1, "{operator:?} was applied at {found:?}");
+                }
+                other => assert!(found.is_empty(), "{other:?}, but applied at {found:?}"),
+            }
+        }
+    }
+}
+
+struct Test;
+
+impl StateMachineTest for Test {
+    type SystemUnderTest = Fleet;
+    type Reference = Reference;
+
+    fn init_test((): &()) -> Fleet {
+        let mut fleet = Fleet {
+            network: Network::default(),
+            operators: Vec::new(),
+            routers: Vec::new(),
+            post: Vec::new(),
+        };
+        fleet.routers = (0..ROUTERS)
+            .map(|router| fleet.open_router(router))
+            .collect();
+        fleet
+    }
+
+    fn apply(mut state: Fleet, (): &(), transition: Transition) -> Fleet {
+        match transition {
+            Transition::Edit(wish) => state.begin(wish),
+            Transition::TickEdit { nth } => {
+                if !state.operators.is_empty() {
+                    state.step(nth % state.operators.len(), None);
+                }
+            }
+            Transition::TickRouter { router } => state.handle(router, Event::Tick),
+            Transition::Carry { nth, way } => state.carry(nth, way),
+            Transition::Stray { nth } => state.network.stray(nth),
+            Transition::Pass { ms } => {
+                state.network.now = state.network.now + Duration::from_millis(ms);
+            }
+            Transition::Watch { router, again } => state.watch(router, again),
+            Transition::Cut { router } => state.cut(router),
+            Transition::Digest { from, to } => state.tell_digest(from, to),
+            Transition::Post { nth, keep } => state.post(nth, keep),
+            Transition::DropPost { nth } => {
+                if !state.post.is_empty() {
+                    state.post.remove(nth % state.post.len());
+                }
+            }
+            Transition::Restart { router } => {
+                state.network.forget(router);
+                state.routers[router] = state.open_router(router);
+            }
+        }
+        state
+    }
+
+    fn check_invariants(state: &Fleet, (): &()) {
+        let world = state.world();
+        for binding in world.bindings() {
+            let template = world.template(&binding.template);
+            let policy = template.map(|template| template.compile(&binding));
+            assert!(
+                matches!(policy, Some(Ok(_))),
+                "{:?} is stranded: {policy:?}",
+                binding.workspace
+            );
+        }
+    }
+
+    fn teardown(mut state: Fleet) {
+        // Without the service, routers come to the same set.
+        state.gossip();
+        let digests: Vec<_> = state
+            .routers
+            .iter()
+            .map(|router| router.replica.digest())
+            .collect();
+        let differs = |digest: &Digest| {
+            (digest.highest, digest.hash) != (digests[0].highest, digests[0].hash)
+        };
+        assert!(
+            !digests.iter().any(differs),
+            "routers stay apart: {digests:?}"
+        );
+
+        // Operators get their reports, also about writes that take effect late.
+        for _ in 0..100 {
+            state.network.stray(0);
+            state.network.now = state.network.now + Duration::from_millis(200);
+            for nth in 0..state.operators.len() {
+                state.step(nth, None);
+            }
+            while !state.network.is_quiet() {
+                state.carry(0, Way::Reply);
+            }
+        }
+        state.check_reports();
+
+        // With the service, every router has what the store has.
+        for router in 0..ROUTERS {
+            state.cut(router);
+        }
+        for _ in 0..20 {
+            state.network.now = state.network.now + Duration::from_millis(500);
+            for router in 0..ROUTERS {
+                state.handle(router, Event::Tick);
+            }
+            while !state.network.is_quiet() {
+                state.carry(0, Way::Reply);
+            }
+        }
+        let entries = state.network.memory.entries();
+        let documents: Vec<_> = entries.filter_map(Document::read).collect();
+        let world = state.world();
+        let expected: BTreeMap<_, _> = world
+            .bindings()
+            .map(|binding| {
+                let template = world.template(&binding.template).unwrap();
+                (
+                    binding.workspace.clone(),
+                    template.compile(&binding).unwrap(),
+                )
+            })
+            .collect();
+        for router in &state.routers {
+            assert!(router.replica.is_ready());
+            let held: Vec<_> = router.replica.documents().cloned().collect();
+            assert_eq!(held, documents);
+            let policies = router.policies.iter();
+            let policies: BTreeMap<_, _> = policies
+                .map(|(name, (policy, _))| (name.clone(), policy.clone()))
+                .collect();
+            assert_eq!(policies, expected);
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(support::config(1_500))]
+
+    #[test]
+    fn configuration_never_reverts(sequential 1..120 => Test);
+}
+
+/// Guards against a router that reports ready with nothing behind it, and against one that never
+/// does although a ready peer has all it needs.
+#[test]
+fn readiness_without_the_service_comes_from_a_ready_peer() {
+    let mut alone = Replica::open(Time(0), 1);
+    let mut other = Replica::open(Time(0), 2);
+    alone.handle(Time(0), Event::Digest(host(1), other.digest()));
+    assert!(!alone.is_ready());
+    other.handle(Time(0), Event::Tick);
+    let id = other.drain().find_map(|action| match action {
+        Action::Call { id, .. } => Some(id),
+        _ => None,
+    });
+    let empty = Reply::Range {
+        revision: Revision(5),
+        entries: Vec::new(),
+    };
+    other.handle(
+        Time(0),
+        Event::Reply {
+            id: id.unwrap(),
+            result: Ok(empty),
+        },
+    );
+    assert!(other.is_ready());
+    alone.handle(Time(0), Event::Digest(host(1), other.digest()));
+    assert!(alone.is_ready());
+}
