Add the operators' command

Cause: operators had no way to write or read the configuration. Change: snipeusher template|workspace put, get, list, diff, history, rollback, delete; param set; check without the service; status of routers.

--- /dev/null
+++ b/crates/cli/src/document.rs
@@ -0,0 +1,166 @@
+//! Documents as operators see them.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use snafu::OptionExt as _;
+use snafu::ResultExt as _;
+use snipeusher::config::History;
+use snipeusher::config::Name;
+use snipeusher::config::PREFIX;
+use snipeusher::config::World;
+use snipeusher::kv::Call;
+use snipeusher::kv::Range;
+use snipeusher::kv::Reply;
+use snipeusher::kv::Revision;
+use snipeusher::template::Binding;
+use snipeusher::template::Template;
+use snipeusher_store::Gateway;
+use snipeusher_store::Store as _;
+
+use crate::error::DocumentSnafu;
+use crate::error::Error;
+use crate::error::InvalidSnafu;
+use crate::error::MissingSnafu;
+use crate::error::ReadSnafu;
+
+/// Which documents a command is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    Template,
+    Workspace,
+}
+
+impl Kind {
+    pub(crate) fn name(self, name: &str) -> Name {
+        match self {
+            Self::Template => Name::Template(name.into()),
+            Self::Workspace => Name::Workspace(name.into()),
+        }
+    }
+
+    pub(crate) const fn holds(self, name: &Name) -> bool {
+        matches!(
+            (self, name),
+            (Self::Template, Name::Template(_)) | (Self::Workspace, Name::Workspace(_))
+        )
+    }
+
+    /// Reads a file and finds the name of its document.
+    pub(crate) fn read(self, path: &Path) -> Result<(Name, String), Error> {
+        let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
+        let name = match self {
+            Self::Template => Template::parse(&text).map(|found| Name::Template(found.name)),
+            Self::Workspace => Binding::parse(&text).map(|found| Name::Workspace(found.workspace)),
+        };
+        Ok((name.context(DocumentSnafu { path })?, text))
+    }
+}
+
+/// Reads all documents.
+pub(crate) async fn world(gateway: &Gateway) -> Result<World, Error> {
+    let range = Range::Prefix(PREFIX.to_owned());
+    match gateway.call(Call::Range(range)).await {
+        Ok(Reply::Range { revision, entries }) => Ok(World::read(revision, &entries)),
+        Ok(_) => unavailable(snipeusher::kv::Fault::Refused),
+        Err(fault) => unavailable(fault),
+    }
+}
+
+/// Reads the earlier versions of a document, newest first.
+pub(crate) async fn history(gateway: &Gateway, name: &Name) -> Result<History, Error> {
+    let range = Range::Key(name.history_key());
+    match gateway.call(Call::Range(range)).await {
+        Ok(Reply::Range { entries, .. }) => {
+            let history = entries.first().map(|entry| History::decode(&entry.value));
+            let history = history.unwrap_or_else(|| Ok(History::default()));
+            history.map_err(|text| Error::Invalid {
+                text: format!("the history of {name} cannot be read: {text}"),
+            })
+        }
+        Ok(_) => unavailable(snipeusher::kv::Fault::Refused),
+        Err(fault) => unavailable(fault),
+    }
+}
+
+fn unavailable<T>(fault: snipeusher::kv::Fault) -> Result<T, Error> {
+    Err(Error::Unavailable { fault })
+}
+
+/// The text of a document, now or at an earlier revision.
+pub(crate) async fn text(
+    gateway: &Gateway,
+    name: &Name,
+    revision: Option<Revision>,
+) -> Result<(Revision, String), Error> {
+    let world = world(gateway).await?;
+    let current = world.documents.get(name);
+    if let Some((at, stored)) = current
+        && revision.is_none_or(|revision| revision == *at)
+    {
+        let text = stored.text.clone();
+        return Ok((
+            *at,
+            text.context(MissingSnafu {
+                name: name.to_string(),
+            })?,
+        ));
+    }
+    let missing = || match revision {
+        Some(revision) => format!("revision {} of {name}", revision.0),
+        None => name.to_string(),
+    };
+    let Some(revision) = revision else {
+        return MissingSnafu { name: missing() }.fail();
+    };
+    let history = history(gateway, name).await?;
+    let found = history
+        .versions
+        .into_iter()
+        .find(|version| version.revision == revision);
+    let text = found.and_then(|version| version.text);
+    Ok((revision, text.context(MissingSnafu { name: missing() })?))
+}
+
+/// The values that differ between two texts, as lines that start with `-` or `+`.
+pub(crate) fn diff(old: &str, new: &str) -> Result<Vec<String>, Error> {
+    let old = values(old)?;
+    let new = values(new)?;
+    let mut lines = Vec::new();
+    for path in old
+        .keys()
+        .chain(new.keys().filter(|path| !old.contains_key(*path)))
+    {
+        let (before, after) = (old.get(path), new.get(path));
+        if before != after {
+            lines.extend(before.map(|value| format!("- {path} = {value}")));
+            lines.extend(after.map(|value| format!("+ {path} = {value}")));
+        }
+    }
+    Ok(lines)
+}
+
+/// All values of a text by their paths.
+fn values(text: &str) -> Result<BTreeMap<String, String>, Error> {
+    let table: toml::Table = text.parse().map_err(|error: toml::de::Error| {
+        let text = error.to_string();
+        InvalidSnafu { text }.build()
+    })?;
+    let mut found = BTreeMap::new();
+    flatten("", &table, &mut found);
+    Ok(found)
+}
+
+fn flatten(prefix: &str, table: &toml::Table, found: &mut BTreeMap<String, String>) {
+    for (key, value) in table {
+        let path = format!("{prefix}{key}");
+        match value {
+            toml::Value::Table(inner) if !inner.is_empty() => {
+                flatten(&format!("{path}."), inner, found);
+            }
+            value => {
+                found.insert(path, value.to_string());
+            }
+        }
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,3 +1,25 @@
 //! The operators' command.
 
-fn main() {}
+mod args;
+mod check;
+mod document;
+mod edit;
+mod error;
+mod output;
+mod routers;
+mod run;
+mod settings;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let args = match args::parse() {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
+    let json = args.json;
+    match actix_rt::System::new().block_on(run::run(args)) {
+        Ok(printed) => output::print(&printed, json),
+        Err(error) => output::print_error(&error, json),
+    }
+}
--- a/crates/fakes/src/kv/server.rs
+++ b/crates/fakes/src/kv/server.rs
@@ -61,6 +61,8 @@
     pub lose_requests: u32,
     /// Number of coming calls whose connection breaks after they took effect.
     pub lose_replies: u32,
+    /// After this number of calls, all further ones fail without effect.
+    pub lose_after: Option<u32>,
     /// Time by which watch events come late.
     pub event_delay: Duration,
     /// Whether each watch event comes twice.
@@ -302,7 +304,11 @@
 
 fn take_effect(shared: &Shared, call: &Call) -> HttpResponse {
     let mut state = shared.state();
-    if state.faults.down || take(&mut state.faults.lose_requests) {
+    let cut_off = match &mut state.faults.lose_after {
+        Some(left) => !take(left),
+        None => false,
+    };
+    if state.faults.down || cut_off || take(&mut state.faults.lose_requests) {
         return failure(UNAVAILABLE, "etcdserver: no leader");
     }
     let now = shared.now(&state);
