Add wire frames and gossip membership

Cause: routers had no way to learn of each other, of leaving upstreams or of each other's load and configuration.

Change: wire::Frame with HMAC proof, replay window and counted refusals; member::Member, which sends digests in rounds and urgent news in waves within a byte budget for every window of one second. Tests run several members over a simulated network; its own account of bytes checks the budget on every frame sent.

--- /dev/null
+++ b/crates/snipeusher/src/member/digest.rs
@@ -0,0 +1,246 @@
+//! What goes into a frame, most important first.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::ops::Bound;
+use std::time::Duration;
+
+use super::Member;
+use super::peers::Distance;
+use super::upstreams::Record;
+use crate::name;
+use crate::upstream::Phase;
+use crate::wire;
+use crate::wire::Draft;
+use crate::wire::OVERHEAD_BYTES;
+
+/// How long a changed upstream goes before the ones that are sent in turn.
+const FRESH: Duration = Duration::from_secs(10);
+/// How long the whole record of a new run goes before the ones that are sent in turn.
+const NEWCOMER: Duration = Duration::from_secs(20);
+/// Length of the phases in a frame up to which widely known ones are repeated too.
+const WIDELY_KNOWN_BYTES: usize = 300;
+/// Most prefixes that wait for room; older ones are of less use.
+const PREFIXES_MAX: usize = 256;
+
+/// Where the lists that are sent in turn go on.
+#[derive(Debug, Default)]
+pub(super) struct Cursor {
+    upstream: Option<name::Upstream>,
+    fresh: Option<name::Upstream>,
+    peer: Option<name::Host>,
+    newcomer: Option<name::Host>,
+    beat: Option<name::Host>,
+    pub(super) prefixes: VecDeque<wire::Prefix>,
+}
+
+impl Cursor {
+    pub(super) fn queue(&mut self, prefixes: Vec<wire::Prefix>) {
+        self.prefixes.extend(prefixes);
+        let excess = self.prefixes.len().saturating_sub(PREFIXES_MAX);
+        self.prefixes.drain(..excess);
+    }
+}
+
+impl Member {
+    /// Starts a frame that costs at most `cost` bytes with its HTTP headers.
+    pub(super) fn draft(&mut self, to: &str, cost: usize) -> Draft {
+        self.heartbeat += 1;
+        let known = self.peers.map().get(to);
+        let head = wire::Head {
+            from: wire::Peer {
+                host: self.settings.host.clone(),
+                address: self.settings.address.clone(),
+                place: 0,
+                incarnation: self.incarnation,
+                heartbeat: self.heartbeat,
+            },
+            place: self.settings.place.clone(),
+            to: to.to_owned(),
+            sent_ms: self.wall_ms(),
+            known: known.map(|peer| (peer.incarnation, peer.heartbeat)),
+            summary: self.summary,
+        };
+        Draft::new(head, cost.saturating_sub(OVERHEAD_BYTES))
+    }
+
+    /// Adds the phases that are still being repeated, the least repeated first.
+    pub(super) fn add_marks(&mut self, draft: &mut Draft, reserve: usize) {
+        let mut active: Vec<_> = self.rumors.iter_mut().collect();
+        active.sort_unstable_by_key(|(_, rumor)| (rumor.widely_known(), rumor.sent));
+        let room = draft.room();
+        for (name, rumor) in active {
+            let Some(record) = self.upstreams.map().get(name) else {
+                continue;
+            };
+            // What is widely known must not make frames with news long.
+            let long = rumor.widely_known() && room - draft.room() > WIDELY_KNOWN_BYTES;
+            if long || draft.room() < reserve || !draft.mark(mark(name, record)) {
+                return;
+            }
+            rumor.sent += 1;
+        }
+    }
+
+    /// Fills a digest for a regular round.
+    pub(super) fn fill(&mut self, draft: &mut Draft, distance: Distance) {
+        let room = draft.room();
+        self.add_marks(draft, room / 2);
+        let room = draft.room();
+        self.add_fresh(draft, room / 2);
+        let room = draft.room();
+        if distance < Distance::Far {
+            self.add_loads(draft, room / 2);
+        }
+        let room = draft.room();
+        self.add_beats(draft, room / 2);
+        let room = draft.room();
+        self.add_peers(draft, room / 3, true);
+        let room = draft.room();
+        self.add_peers(draft, room * 3 / 4, false);
+        self.add_upstreams(draft);
+        while let Some(prefix) = self.cursor.prefixes.front() {
+            if !draft.prefix(prefix.clone()) {
+                break;
+            }
+            self.cursor.prefixes.pop_front();
+        }
+    }
+
+    fn add_fresh(&mut self, draft: &mut Draft, reserve: usize) {
+        let mut last = None;
+        let now = self.now;
+        let records = in_turn(self.upstreams.map(), self.cursor.fresh.as_ref());
+        for (name, record) in records.filter(|(_, record)| now.since(record.changed) < FRESH) {
+            if draft.room() < reserve || !add(draft, name, record) {
+                break;
+            }
+            last = Some(name.clone());
+        }
+        self.cursor.fresh = last.or_else(|| self.cursor.fresh.take());
+    }
+
+    fn add_loads(&self, draft: &mut Draft, reserve: usize) {
+        let mut loads: Vec<_> = self.share.in_flight.iter().collect();
+        loads.sort_unstable_by(|left, right| right.1.cmp(left.1));
+        draft.start_loads();
+        for (upstream, work) in loads {
+            let load = wire::Load {
+                upstream: upstream.clone(),
+                work: *work,
+            };
+            if draft.room() < reserve || !draft.load(load) {
+                return;
+            }
+        }
+    }
+
+    fn add_beats(&mut self, draft: &mut Draft, reserve: usize) {
+        let mut last = None;
+        for (host, peer) in in_turn(self.peers.map(), self.cursor.beat.as_ref()) {
+            // A suspected router's heartbeat has not grown and tells nobody anything.
+            if peer.suspect || peer.incarnation == name::Incarnation::default() {
+                continue;
+            }
+            let beat = wire::Beat {
+                run: peer.run,
+                heartbeat: peer.heartbeat,
+            };
+            if draft.room() < reserve || !draft.beat(beat) {
+                break;
+            }
+            last = Some(host.clone());
+        }
+        self.cursor.beat = last.or_else(|| self.cursor.beat.take());
+    }
+
+    /// Adds whole records of routers: those of new runs, which others know only as a name of the
+    /// host list, or of all in turn.
+    fn add_peers(&mut self, draft: &mut Draft, reserve: usize, new: bool) {
+        let mut last = None;
+        let cursor = if new {
+            &mut self.cursor.newcomer
+        } else {
+            &mut self.cursor.peer
+        };
+        for (host, peer) in in_turn(self.peers.map(), cursor.as_ref()) {
+            let known = peer.incarnation > name::Incarnation::default();
+            let wanted = !new || self.now.since(peer.since) < NEWCOMER;
+            if peer.suspect || !known || !wanted {
+                continue;
+            }
+            let entry = wire::Peer {
+                host: host.clone(),
+                address: peer.address.clone(),
+                place: 0,
+                incarnation: peer.incarnation,
+                heartbeat: peer.heartbeat,
+            };
+            if draft.room() < reserve || !draft.peer(entry, &peer.place) {
+                break;
+            }
+            last = Some(host.clone());
+        }
+        if last.is_some() {
+            *cursor = last;
+        }
+    }
+
+    fn add_upstreams(&mut self, draft: &mut Draft) {
+        let mut last = None;
+        for (name, record) in in_turn(self.upstreams.map(), self.cursor.upstream.as_ref()) {
+            if add(draft, name, record) {
+                last = Some(name.clone());
+                continue;
+            }
+            if last.is_none() {
+                // It gets one wide frame; one that fits into none must not hold up the rest.
+                self.wide = self.oversize.as_ref() != Some(name);
+                self.oversize = Some(name.clone());
+                last = (!self.wide).then(|| name.clone());
+            }
+            break;
+        }
+        self.cursor.upstream = last.or_else(|| self.cursor.upstream.take());
+    }
+}
+
+fn add(draft: &mut Draft, name: &name::Upstream, record: &Record) -> bool {
+    // Of a gone upstream only the phase matters.
+    let Some(fact) = record.fact.as_ref().filter(|_| record.phase < Phase::Gone) else {
+        return draft.mark(mark(name, record));
+    };
+    let entry = wire::Upstream {
+        name: name.clone(),
+        address: fact.address.clone(),
+        place: 0,
+        incarnation: record.incarnation,
+        sequence: fact.sequence,
+        phase: wire::phase_code(record.phase),
+        kind: 0,
+    };
+    draft.upstream(entry, &fact.place, &fact.kind)
+}
+
+fn mark(name: &name::Upstream, record: &Record) -> wire::Mark {
+    wire::Mark {
+        name: name.clone(),
+        incarnation: record.incarnation,
+        phase: wire::phase_code(record.phase),
+    }
+}
+
+/// The entries of a map from the one after `last` on, around once.
+fn in_turn<'a, K: Ord, V>(
+    map: &'a BTreeMap<K, V>,
+    last: Option<&K>,
+) -> impl Iterator<Item = (&'a K, &'a V)> + use<'a, K, V> {
+    let (after, before) = match last {
+        None => (map.range::<K, _>(..), None),
+        Some(last) => {
+            let after = map.range((Bound::Excluded(last), Bound::Unbounded));
+            (after, Some(map.range(..=last)))
+        }
+    };
+    after.chain(before.into_iter().flatten())
+}
