Carry config::Exchange in pieces of frames

Cause: the configuration replica decides itself what routers exchange. Change: frames carry config::Digest and pieces of encoded exchanges, known by the hash of the whole; pieces are kept until a repeated exchange completes them. Conclusion: the replica's protocol passes through the byte budget unchanged.

--- a/crates/snipeusher/src/member.rs
+++ b/crates/snipeusher/src/member.rs
@@ -5,8 +5,8 @@
 
 mod budget;
 mod digest;
-mod documents;
 mod event;
+mod messages;
 mod peers;
 mod receive;
 mod send;
@@ -24,20 +24,20 @@
 
 use self::budget::Budget;
 use self::digest::Cursor;
-use self::documents::Documents;
 pub use self::event::Action;
-pub use self::event::Document;
 pub use self::event::Error;
 pub use self::event::Event;
 pub use self::event::Listing;
 pub use self::event::Role;
 pub use self::event::Settings;
+use self::messages::Messages;
 pub use self::peers::Peer;
 use self::peers::Peers;
 use self::shares::Shares;
 use self::upstreams::Change;
 use self::upstreams::Fact;
 use self::upstreams::Upstreams;
+use crate::config;
 use crate::load;
 use crate::name;
 use crate::time::Time;
@@ -61,10 +61,6 @@
 const WIDELY_KNOWN: usize = 3;
 /// A gap between events that only a pause of this process explains.
 const PAUSE: Duration = Duration::from_secs(2);
-/// How long after an own change the configuration of peers may differ without documents being
-/// offered: most peers learn of a change from the key-value service at the same time.
-const DIFFER_GRACE: Duration = Duration::from_secs(1);
-
 /// News that is repeated for a while.
 #[derive(Debug)]
 struct Rumor {
@@ -97,9 +93,8 @@
     upstreams: Upstreams,
     shares: Shares,
     share: load::Share,
-    summary: wire::Summary,
-    summary_changed: Time,
-    documents: Documents,
+    digest: config::Digest,
+    messages: Messages,
     served: Option<name::Host>,
     cursor: Cursor,
     /// Upstreams whose leaving is repeated.
@@ -161,9 +156,8 @@
             upstreams: Upstreams::default(),
             shares: Shares::default(),
             share: load::Share::default(),
-            summary: wire::Summary::default(),
-            summary_changed: now,
-            documents: Documents::default(),
+            digest: config::Digest::default(),
+            messages: Messages::default(),
             served: None,
             cursor: Cursor::default(),
             rumors: BTreeMap::new(),
@@ -227,14 +221,10 @@
                 self.changed(&upstream, change, false);
             }
             Event::Share(share) => self.share = share,
-            Event::Configuration(summary) => {
-                if summary != self.summary {
-                    self.summary = summary;
-                    self.summary_changed = self.now;
-                }
-            }
-            Event::Offer { to, documents } => {
-                self.documents.offer(&self.settings.host, to, documents);
+            Event::Digest(digest) => self.digest = digest,
+            Event::Exchange(to, exchange) => {
+                let bytes = wire::encode(&exchange);
+                self.messages.queue(&self.settings.host, &to, bytes);
             }
             Event::Prefixes(prefixes) => self.cursor.queue(prefixes),
         }
--- a/crates/snipeusher/src/member/budget.rs
+++ b/crates/snipeusher/src/member/budget.rs
@@ -15,8 +15,8 @@
     Urgent,
     /// Digests of the regular rounds.
     Regular,
-    /// Configuration documents.
-    Document,
+    /// Exchanges of configuration.
+    Message,
 }
 
 /// Bytes spent in the last second.
@@ -34,17 +34,17 @@
         }
     }
 
-    /// Spends `bytes` if they fit. `documents` says whether documents wait, which then get a
+    /// Spends `bytes` if they fit. `messages` says whether exchanges wait, which then get a
     /// part of what rounds use otherwise.
     pub(super) fn spend(
         &mut self,
         now: Time,
         purpose: Purpose,
         bytes: u32,
-        documents: bool,
+        messages: bool,
     ) -> bool {
         self.expire(now);
-        if !self.fits(0, purpose, bytes, documents) {
+        if !self.fits(0, purpose, bytes, messages) {
             return false;
         }
         self.sent.push_back((now, purpose, bytes));
@@ -71,7 +71,7 @@
         }
     }
 
-    fn fits(&self, skip: usize, purpose: Purpose, bytes: u32, documents: bool) -> bool {
+    fn fits(&self, skip: usize, purpose: Purpose, bytes: u32, messages: bool) -> bool {
         let spent = |wanted: Option<Purpose>| -> u64 {
             self.sent
                 .iter()
@@ -86,9 +86,9 @@
         let reserve = (limit / 4).saturating_sub(spent(Some(Purpose::Urgent)));
         let (own, total) = match purpose {
             Purpose::Urgent => (limit * 3 / 4, limit),
-            Purpose::Regular if documents => (limit * 3 / 8, limit - reserve),
+            Purpose::Regular if messages => (limit * 3 / 8, limit - reserve),
             Purpose::Regular => (limit * 3 / 4, limit - reserve),
-            Purpose::Document => (limit * 3 / 8, limit - reserve),
+            Purpose::Message => (limit * 3 / 8, limit - reserve),
         };
         spent(Some(purpose)) + bytes <= own && spent(None) + bytes <= total
     }
--- a/crates/snipeusher/src/member/digest.rs
+++ b/crates/snipeusher/src/member/digest.rs
@@ -59,7 +59,7 @@
             to: to.to_owned(),
             sent_ms: self.wall_ms(),
             known: known.map(|peer| (peer.incarnation, peer.heartbeat)),
-            summary: self.summary,
+            digest: self.digest,
         };
         Draft::new(head, cost.saturating_sub(OVERHEAD_BYTES))
     }
--- a/crates/snipeusher/src/member/event.rs
+++ b/crates/snipeusher/src/member/event.rs
@@ -2,7 +2,7 @@
 
 use snafu::Snafu;
 
-use crate::kv::Revision;
+use crate::config;
 use crate::load;
 use crate::name;
 use crate::upstream;
@@ -74,17 +74,6 @@
     pub since_ms: u64,
 }
 
-/// A configuration document in transit; what it contains is not looked at.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Document {
-    /// Its name.
-    pub name: String,
-    /// Its revision.
-    pub revision: Revision,
-    /// Its content.
-    pub bytes: Vec<u8>,
-}
-
 /// What a member reacts to.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -122,14 +111,9 @@
     /// This router's own work in flight.
     Share(load::Share),
     /// This router's configuration changed.
-    Configuration(wire::Summary),
-    /// Documents for a peer whose configuration differs.
-    Offer {
-        /// The peer.
-        to: name::Host,
-        /// What it may lack.
-        documents: Vec<Document>,
-    },
+    Digest(config::Digest),
+    /// Part of an exchange of configuration for a peer.
+    Exchange(name::Host, config::Exchange),
     /// This router learned that upstreams hold prefixes.
     Prefixes(Vec<wire::Prefix>),
 }
@@ -153,20 +137,10 @@
         /// Its work.
         share: load::Share,
     },
-    /// A peer holds another configuration; [`Event::Offer`] it what it lacks.
-    Differ {
-        /// The peer.
-        host: name::Host,
-        /// Its configuration.
-        summary: wire::Summary,
-    },
-    /// A whole document arrived.
-    Document {
-        /// Who sent it.
-        from: name::Host,
-        /// The document.
-        document: Document,
-    },
+    /// A peer's configuration differs from this router's.
+    Digest(name::Host, config::Digest),
+    /// A peer sent part of an exchange of configuration.
+    Exchange(name::Host, config::Exchange),
     /// Peers know of cached prefixes.
     Prefixes(Vec<wire::Prefix>),
     /// Nobody has heard from a peer for a while.
--- a/crates/snipeusher/src/member/receive.rs
+++ b/crates/snipeusher/src/member/receive.rs
@@ -1,7 +1,6 @@
 //! Frames that arrive.
 
 use super::Action;
-use super::DIFFER_GRACE;
 use super::Member;
 use super::peers::Heard;
 use super::upstreams::Change;
@@ -40,11 +39,16 @@
             let host = from.clone();
             self.actions.push_back(Action::Share { host, share });
         }
-        self.compare(&from, &frame.from.address, frame.summary);
+        if frame.digest != self.digest {
+            let digest = frame.digest;
+            self.actions.push_back(Action::Digest(from.clone(), digest));
+        }
         for part in frame.parts {
-            if let Some(document) = self.documents.take(part) {
-                let from = from.clone();
-                self.actions.push_back(Action::Document { from, document });
+            let message = self.messages.take(part);
+            let exchange = message.and_then(|bytes| rmp_serde::from_slice(&bytes).ok());
+            if let Some(exchange) = exchange {
+                let exchange = Action::Exchange(from.clone(), exchange);
+                self.actions.push_back(exchange);
             }
         }
         if !frame.prefixes.is_empty() {
@@ -151,19 +155,4 @@
         self.actions
             .push_back(Action::Incarnation(self.incarnation));
     }
-
-    fn compare(&mut self, host: &name::Host, address: &str, theirs: wire::Summary) {
-        let settling = self.now.since(self.summary_changed) < DIFFER_GRACE
-            || self.documents.served(self.now, host);
-        if theirs == self.summary || settling {
-            return;
-        }
-        let host = host.clone();
-        if theirs.revision > self.summary.revision {
-            // The answer carries the own summary, so that the peer offers what is missing here.
-            self.answer(address, host.as_str());
-        }
-        let summary = theirs;
-        self.actions.push_back(Action::Differ { host, summary });
-    }
 }
--- a/crates/snipeusher/src/member/send.rs
+++ b/crates/snipeusher/src/member/send.rs
@@ -1,4 +1,4 @@
-//! Frames that go out: regular rounds, urgent news, answers and documents.
+//! Frames that go out: regular rounds, urgent news, answers and messages.
 
 use std::time::Duration;
 
@@ -49,7 +49,7 @@
             self.send_urgent();
         }
         self.send_answers();
-        self.send_documents();
+        self.send_messages();
     }
 
     /// Starts to tell all routers of news, which this router saw itself or was told.
@@ -72,7 +72,7 @@
         self.round += 1;
         self.answers.retain(|_, (_, sent)| !*sent);
         for host in self.peers.review(self.now) {
-            self.documents.forget(&host);
+            self.messages.forget(&host);
             self.actions.push_back(Action::Suspected(host));
         }
         for host in self.shares.expire(self.now) {
@@ -231,25 +231,25 @@
         }
     }
 
-    fn send_documents(&mut self) {
+    fn send_messages(&mut self) {
         // Large frames, since each costs its head and HTTP headers again.
         let cost = self.wide_bytes();
-        while let Some(host) = self.documents.next(self.served.as_ref()) {
+        while let Some(host) = self.messages.next(self.served.as_ref()) {
             let free = self
                 .budget
-                .frees_at(self.now, Purpose::Document, cost as u32);
+                .frees_at(self.now, Purpose::Message, cost as u32);
             if free > self.now {
                 return;
             }
             let Some(peer) = self.peers.map().get(&host) else {
-                self.documents.forget(&host);
+                self.messages.forget(&host);
                 continue;
             };
             let address = peer.address.clone();
             let mut draft = self.draft(host.as_str(), cost);
-            self.documents.fill(self.now, &host, &mut draft);
+            self.messages.fill(&host, &mut draft);
             self.served = Some(host);
-            self.send(address, draft, Purpose::Document);
+            self.send(address, draft, Purpose::Message);
         }
     }
 
@@ -257,8 +257,8 @@
     fn send(&mut self, to: String, draft: Draft, purpose: Purpose) -> Option<u32> {
         let sealed = self.guard.seal(&draft.finish());
         let bytes = (sealed.body.len() + OVERHEAD_BYTES) as u32;
-        let documents = self.documents.waiting();
-        if !self.budget.spend(self.now, purpose, bytes, documents) {
+        let messages = self.messages.waiting();
+        if !self.budget.spend(self.now, purpose, bytes, messages) {
             return None;
         }
         self.actions.push_back(Action::Send { to, sealed });
--- a/crates/snipeusher/src/wire.rs
+++ b/crates/snipeusher/src/wire.rs
@@ -20,8 +20,8 @@
 pub use self::proof::Refusal;
 pub use self::proof::Refusals;
 pub use self::proof::Sealed;
+use crate::config;
 use crate::hash;
-use crate::kv::Revision;
 use crate::load::Work;
 use crate::name;
 use crate::request::Chat;
@@ -139,23 +139,12 @@
     pub work: Work,
 }
 
-/// Summary of a configuration: two routers with equal summaries hold the same documents.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Summary {
-    /// Highest revision of any document.
-    pub revision: Revision,
-    /// Hash of all names with their revisions.
-    pub hash: u64,
-}
-
-/// A piece of a configuration document.
+/// A piece of a message that is longer than a frame.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
-    /// Name of the document.
-    pub name: String,
-    /// Its revision.
-    pub revision: Revision,
-    /// Length of the whole document in bytes.
+    /// Hash of the whole message.
+    pub message: u64,
+    /// Length of the whole message in bytes.
     pub length: u32,
     /// Where this piece starts.
     pub offset: u32,
@@ -189,7 +178,7 @@
     /// Incarnation and heartbeat of the receiver, as the sender knows them.
     pub known: Option<(name::Incarnation, u64)>,
     /// The sender's configuration.
-    pub summary: Summary,
+    pub digest: config::Digest,
     /// Places that peers and upstreams refer to.
     pub places: Vec<Place>,
     /// Kinds that upstreams refer to.
@@ -204,7 +193,7 @@
     pub beats: Vec<Beat>,
     /// Other routers.
     pub peers: Vec<Peer>,
-    /// Pieces of configuration documents.
+    /// Pieces of configuration exchanges.
     pub parts: Vec<Part>,
     /// Cached prefixes.
     pub prefixes: Vec<Prefix>,
--- a/crates/snipeusher/src/wire/draft.rs
+++ b/crates/snipeusher/src/wire/draft.rs
@@ -10,10 +10,10 @@
 use super::Peer;
 use super::Place;
 use super::Prefix;
-use super::Summary;
 use super::Upstream;
 use super::VERSION;
 use super::encode;
+use crate::config;
 use crate::name;
 use crate::upstream;
 
@@ -37,7 +37,7 @@
     /// What the sender knows of the receiver.
     pub known: Option<(name::Incarnation, u64)>,
     /// The sender's configuration.
-    pub summary: Summary,
+    pub digest: config::Digest,
 }
 
 /// Collects entries in order of importance while they fit.
@@ -63,7 +63,7 @@
             to: head.to,
             sent_ms: head.sent_ms,
             known: head.known,
-            summary: head.summary,
+            digest: head.digest,
             places: vec![head.place],
             kinds: Vec::new(),
             marks: Vec::new(),
@@ -155,7 +155,7 @@
         true
     }
 
-    /// Adds a piece of a document.
+    /// Adds a piece of a message.
     pub fn part(&mut self, part: Part) -> bool {
         let fits = self.take(cost(&part));
         if fits {
