--- /dev/null
+++ b/crates/dev/src/lib.rs
@@ -0,0 +1,4 @@
+//! Development command: local fleet, trace replay, reports and measurements.
+
+pub mod replay;
+pub mod trace;
--- /dev/null
+++ b/crates/dev/src/replay/baseline.rs
@@ -0,0 +1,252 @@
+//! Simple ways of routing that the decisions are compared with.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64;
+use serde::Deserialize;
+use serde::Serialize;
+use snipeusher::hash;
+use snipeusher::load::Share;
+use snipeusher::load::Work;
+use snipeusher::machine::Action;
+use snipeusher::machine::Event;
+use snipeusher::machine::Outcome;
+use snipeusher::machine::Reason;
+use snipeusher::name;
+use snipeusher::policy::Policy;
+use snipeusher::request::Attempt;
+use snipeusher::request::Ran;
+use snipeusher::request::Request;
+use snipeusher::request::Target;
+use snipeusher::time::Time;
+use snipeusher::upstream;
+
+use super::engine::Engine;
+use super::router::Router;
+
+/// Attempts of one request, of which all but the last ended before a byte was sent.
+const ATTEMPTS: u32 = 3;
+/// When a refused caller may come back.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// A way of routing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rule {
+    /// Each upstream in turn.
+    RoundRobin,
+    /// The lowest load by the last report.
+    LeastLoaded,
+    /// The lower of two random upstreams by the last report and own work since.
+    TwoChoices,
+    /// Rendezvous hashing of the chat, whatever the load.
+    Hashing,
+    /// The longest cached prefix among the upstreams that are truly within the load bound.
+    FullKnowledge,
+}
+
+#[derive(Clone, Debug)]
+struct Flight {
+    request: Request,
+    upstream: name::Upstream,
+    work: u64,
+    tries: u32,
+}
+
+/// What a router knows of an upstream.
+#[derive(Clone, Debug)]
+struct Known {
+    state: upstream::State,
+    node: u64,
+    reported: u64,
+    own: u64,
+}
+
+/// One router that follows a simple rule. It neither queues nor repeats work.
+#[derive(Debug)]
+pub struct Baseline {
+    rule: Rule,
+    upstreams: BTreeMap<name::Upstream, Known>,
+    policies: BTreeMap<name::Workspace, Policy>,
+    flights: BTreeMap<Attempt, Flight>,
+    actions: VecDeque<Action>,
+    next_attempt: u64,
+    turn: usize,
+    rng: Pcg64,
+}
+
+impl Baseline {
+    /// Starts with nothing known.
+    pub fn new(rule: Rule, first_attempt: u64, seed: u64) -> Self {
+        Self {
+            rule,
+            upstreams: BTreeMap::new(),
+            policies: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            actions: VecDeque::new(),
+            next_attempt: first_attempt,
+            turn: seed as usize,
+            rng: Pcg64::seed_from_u64(seed),
+        }
+    }
+
+    fn place(&mut self, now: Time, request: Request, tries: u32, fleet: &[Engine]) {
+        let Some(upstream) = self.choose(now, &request, fleet) else {
+            self.refuse(&request, Reason::NoUpstream, Ran::NotRun);
+            return;
+        };
+        let priority = self
+            .policies
+            .get(&request.workspace)
+            .and_then(|policy| policy.classes.get(&request.class))
+            .map_or(4, |class| class.priority);
+        let attempt = Attempt(self.next_attempt);
+        self.next_attempt += 1;
+        let work = Work::of(&request, 0).0;
+        if let Some(known) = self.upstreams.get_mut(&upstream) {
+            known.own += work;
+        }
+        self.actions.push_back(Action::Dispatch {
+            request: request.id,
+            attempt,
+            upstream: upstream.clone(),
+            priority,
+        });
+        let flight = Flight {
+            request,
+            upstream,
+            work,
+            tries: tries + 1,
+        };
+        self.flights.insert(attempt, flight);
+    }
+
+    fn choose(&mut self, now: Time, request: &Request, fleet: &[Engine]) -> Option<name::Upstream> {
+        let live: Vec<_> = self
+            .upstreams
+            .values()
+            .filter(|known| known.state.accepts(&request.target))
+            .collect();
+        let last = live.len().checked_sub(1)?;
+        let chosen = match self.rule {
+            Rule::RoundRobin => {
+                self.turn += 1;
+                live.get(self.turn % live.len())
+            }
+            Rule::LeastLoaded => live.iter().min_by_key(|known| known.reported),
+            Rule::TwoChoices => {
+                let pair = [(); 2].map(|()| &live[self.rng.random_range(0..=last)]);
+                pair.into_iter()
+                    .min_by_key(|known| known.reported + known.own)
+            }
+            Rule::Hashing => {
+                let key = request.chat.map_or(request.id.0, |chat| chat.0);
+                live.iter().max_by_key(|known| hash::score(key, known.node))
+            }
+            Rule::FullKnowledge => {
+                let policy = self.policies.get(&request.workspace);
+                let limit = policy.map_or(1.25, |policy| policy.limits.load_limit);
+                return best(now, request, fleet, limit);
+            }
+        };
+        chosen.map(|known| known.state.name.clone())
+    }
+
+    fn end(&mut self, now: Time, attempt: Attempt, outcome: Outcome, fleet: &[Engine]) {
+        let Some(flight) = self.flights.remove(&attempt) else {
+            return;
+        };
+        if let Some(known) = self.upstreams.get_mut(&flight.upstream) {
+            known.own = known.own.saturating_sub(flight.work);
+        }
+        match outcome {
+            Outcome::Complete | Outcome::Cancelled => {}
+            Outcome::Broken => {
+                self.refuse(&flight.request, Reason::AttemptsFailed, Ran::Unknown);
+            }
+            Outcome::Unreachable | Outcome::Declined { .. } if flight.tries < ATTEMPTS => {
+                if outcome == Outcome::Unreachable {
+                    self.upstreams.remove(&flight.upstream);
+                }
+                self.place(now, flight.request, flight.tries, fleet);
+            }
+            Outcome::Unreachable | Outcome::Declined { .. } => {
+                self.refuse(&flight.request, Reason::AttemptsFailed, Ran::NotRun);
+            }
+        }
+    }
+
+    fn refuse(&mut self, request: &Request, reason: Reason, ran: Ran) {
+        self.actions.push_back(Action::Refuse {
+            request: request.id,
+            reason,
+            ran,
+            retry_after: RETRY_AFTER,
+        });
+    }
+}
+
+/// The longest cached prefix among the upstreams that are truly within the bound, and the lowest
+/// load among equals.
+fn best(now: Time, request: &Request, fleet: &[Engine], limit: f64) -> Option<name::Upstream> {
+    let plain = matches!(request.target, Target::Plain(_));
+    let loads: Vec<_> = fleet
+        .iter()
+        .filter(|engine| engine.plain == plain && engine.phase == upstream::Phase::Live)
+        .map(|engine| (engine, engine.load(now)))
+        .collect();
+    let total: f64 = loads.iter().map(|(_, load)| load).sum();
+    let own = Work::of(request, 0).0 as f64;
+    let bound = limit * (total + own) / loads.len().max(1) as f64;
+    let cached = |engine: &Engine| request.chat.map_or(0, |chat| engine.cache.peek(chat));
+    loads
+        .iter()
+        .filter(|(_, load)| *load <= bound)
+        .map(|(engine, load)| (cached(engine), *load, *engine))
+        .max_by(|left, right| left.0.cmp(&right.0).then(right.1.total_cmp(&left.1)))
+        .map(|(_, _, engine)| engine.name.clone())
+}
+
+impl Router for Baseline {
+    fn handle(&mut self, now: Time, event: Event, fleet: &[Engine]) {
+        match event {
+            Event::Arrive(request) => self.place(now, request, 0, fleet),
+            Event::End { attempt, outcome } => self.end(now, attempt, outcome, fleet),
+            Event::Upstream(state) => {
+                let name = state.name.clone();
+                let known = Known {
+                    node: hash::bytes(name.as_str().as_bytes()),
+                    state,
+                    reported: 0,
+                    own: 0,
+                };
+                self.upstreams.insert(name, known);
+            }
+            Event::Report { upstream, report } => {
+                if let Some(known) = self.upstreams.get_mut(&upstream) {
+                    known.reported = report.work.0;
+                }
+            }
+            Event::Policy(policy) => {
+                self.policies.insert(policy.workspace.clone(), policy);
+            }
+            _ => {}
+        }
+    }
+
+    fn take(&mut self) -> Vec<Action> {
+        self.actions.drain(..).collect()
+    }
+
+    fn next_wake(&self) -> Time {
+        Time::NEVER
+    }
+
+    fn share(&self) -> Share {
+        Share::default()
+    }
+}
--- /dev/null
+++ b/crates/dev/src/replay/carry.rs
@@ -0,0 +1,159 @@
+//! Carries attempts to fake upstreams and their answers back.
+
+use snipeusher::load::OUTPUT_TOKEN_WORK;
+use snipeusher::machine::Action;
+use snipeusher::machine::Event;
+use snipeusher::machine::Outcome;
+use snipeusher::name;
+use snipeusher::request::Attempt;
+use snipeusher::time::Time;
+use snipeusher::upstream::Phase;
+
+use super::engine::Engine;
+use super::engine::Job;
+use super::engine::Progress;
+use super::fleet;
+use super::router::Router;
+use super::tally::Final;
+use super::world::CONNECT_TIMEOUT;
+use super::world::Happening;
+use super::world::World;
+use super::world::chat_of;
+
+impl<R: Router> World<'_, R> {
+    pub(super) fn act(&mut self, seat: usize, action: Action) {
+        match action {
+            Action::Dispatch {
+                request,
+                attempt,
+                upstream,
+                priority,
+            } => self.dispatch(seat, request.0 as usize, attempt, &upstream, priority),
+            Action::Refuse {
+                request,
+                reason,
+                ran,
+                ..
+            } => self.finish(request.0 as usize, Final::Refused(reason, ran)),
+            Action::Cancel { attempt, upstream } => {
+                let Some(engine) = self.find(&upstream) else {
+                    return;
+                };
+                let zones = (self.seats[seat].zone, self.engines[engine].zone);
+                if self.reach(zones.0, zones.1) {
+                    let at = self.now + self.latency(zones.0, zones.1);
+                    self.plan(at, Happening::Cancel(engine, attempt));
+                }
+            }
+        }
+    }
+
+    fn dispatch(
+        &mut self,
+        seat: usize,
+        request: usize,
+        attempt: Attempt,
+        upstream: &name::Upstream,
+        priority: u8,
+    ) {
+        let Some(engine) = self.find(upstream) else {
+            self.tally.violate("dispatch to a known upstream");
+            return;
+        };
+        let found = &self.requests[request];
+        let mut job = Job {
+            attempt,
+            router: seat,
+            request,
+            chat: found.chat.as_deref().map(chat_of(&found.workspace)),
+            prompt: found.prompt_tokens,
+            output: found.output_tokens,
+            priority,
+            work: 0,
+        };
+        job.work = fleet::work(&self.engines[engine], &job);
+        self.flights.insert(attempt, request);
+        if let Some(began) = self.departures.get(&engine) {
+            let after = self.now.since(*began).as_millis() as u64;
+            self.tally.leave_ms = self.tally.leave_ms.max(after);
+        }
+        let zones = (self.seats[seat].zone, self.engines[engine].zone);
+        if !self.reach(zones.0, zones.1) {
+            let outcome = Outcome::Unreachable;
+            self.deliver(CONNECT_TIMEOUT, seat, Event::End { attempt, outcome });
+            return;
+        }
+        self.judge(engine, &job);
+        self.engines[engine].transit += job.work;
+        let at = self.now + self.latency(zones.0, zones.1);
+        self.plan(at, Happening::Submit(engine, job));
+    }
+
+    /// Holds a placement against the load bound, as the fleet truly is.
+    fn judge(&mut self, engine: usize, job: &Job) {
+        let now = self.now;
+        let chosen = &self.engines[engine];
+        let same = |other: &&Engine| other.plain == chosen.plain && other.phase == Phase::Live;
+        let kind = self.engines.iter().filter(same);
+        let loads: Vec<f64> = kind.map(|other| other.load(now)).collect();
+        let workspace = &self.requests[job.request].workspace;
+        let header = self.trace.header.load_limit;
+        let limit = self.limits.get(workspace).copied().unwrap_or(header);
+        let most = job.prompt + job.output * OUTPUT_TOKEN_WORK;
+        if !chosen.plain && chosen.phase == Phase::Live {
+            self.tally
+                .place(chosen.load(now), &loads, (job.work, most), limit);
+        }
+    }
+
+    pub(super) fn submit(&mut self, engine: usize, job: Job) {
+        self.advance(engine);
+        let upstream = &mut self.engines[engine];
+        upstream.transit = upstream.transit.saturating_sub(job.work);
+        let (seat, attempt, request) = (job.router, job.attempt, job.request);
+        let back = self.latency(self.seats[seat].zone, self.engines[engine].zone);
+        let outcome = match self.engines[engine].phase {
+            Phase::Gone | Phase::Joining => Some(Outcome::Unreachable),
+            Phase::Leaving => Some(Outcome::Declined { retry_after: None }),
+            Phase::Live => match self.engines[engine].submit(self.now, job) {
+                Ok(()) => None,
+                Err(_) => Some(Outcome::Declined { retry_after: None }),
+            },
+        };
+        if let Some(outcome) = outcome {
+            self.deliver(back, seat, Event::End { attempt, outcome });
+            return;
+        }
+        self.tally.fates[request].taken += 1;
+        self.deliver(back, seat, Event::Sent(attempt));
+        self.wake_upstream(engine);
+    }
+
+    pub(super) fn answer(&mut self, engine: usize, progress: &Progress) {
+        let job = &progress.job;
+        let (seat, attempt) = (job.router, job.attempt);
+        let request = &self.requests[job.request];
+        let arrived = Time::from_millis(request.at_ms);
+        self.tally.progress(progress, arrived, &request.workspace);
+        let zones = (self.seats[seat].zone, self.engines[engine].zone);
+        let lost = progress.ended && self.lose_reply.remove(&request.workspace);
+        if lost || !self.reach(zones.0, zones.1) {
+            if progress.ended {
+                let outcome = Outcome::Broken;
+                self.deliver(CONNECT_TIMEOUT, seat, Event::End { attempt, outcome });
+            }
+            return;
+        }
+        let back = self.latency(zones.0, zones.1);
+        let event = Event::Output {
+            attempt,
+            tokens: if progress.ended { job.output } else { 1 },
+            cached: Some(progress.cached),
+        };
+        self.deliver(back, seat, event);
+        if progress.ended {
+            let outcome = Outcome::Complete;
+            self.deliver(back, seat, Event::End { attempt, outcome });
+        }
+    }
+}
--- /dev/null
+++ b/crates/dev/src/replay/engine.rs
@@ -0,0 +1,301 @@
+//! A small model of an upstream: continuous batching as a service rate shared by weight.
+//!
+//! Work in the prefill phase has a higher weight than work in the decode phase. A virtual clock
+//! advances by the work that a weight of one gets, so each request's first token and end are
+//! fixed points on it and need no update when others come and go.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use snipeusher::load::OUTPUT_TOKEN_WORK;
+use snipeusher::name;
+use snipeusher::request::Attempt;
+use snipeusher::request::Chat;
+use snipeusher::time::Time;
+use snipeusher::upstream::Phase;
+
+use super::cache::Cache;
+
+/// Weight of a request in its prefill against one that decodes.
+pub const PREFILL_WEIGHT: f64 = 16.0;
+/// Work per second of one decoding request at most: 50 tokens a second.
+pub const DECODE_WORK_PER_S: f64 = 200.0;
+/// Requests that wait at most; the engine declines more.
+const QUEUE_LIMIT: usize = 256;
+
+/// An attempt at an upstream.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Its identity, unique in the fleet.
+    pub attempt: Attempt,
+    /// The router that sent it.
+    pub router: usize,
+    /// Index of its request in the trace.
+    pub request: usize,
+    /// The chat, if any.
+    pub chat: Option<Chat>,
+    /// Length of the prompt.
+    pub prompt: u64,
+    /// Length of the answer.
+    pub output: u64,
+    /// Higher goes first.
+    pub priority: u8,
+    /// Work that is counted while the attempt is on its way.
+    pub work: u64,
+}
+
+/// What an engine did for an attempt.
+#[derive(Clone, Debug)]
+pub struct Progress {
+    /// When.
+    pub at: Time,
+    /// The attempt.
+    pub job: Job,
+    /// Prompt tokens that were found cached.
+    pub cached: u64,
+    /// Whether it is the end and not the first token.
+    pub ended: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    job: Job,
+    cached: u64,
+    first: f64,
+    end: f64,
+    decoding: bool,
+}
+
+/// An upstream.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    /// Its name.
+    pub name: name::Upstream,
+    /// Index of its zone.
+    pub zone: usize,
+    /// Whether it is an instance of the plain service.
+    pub plain: bool,
+    /// Where it stands.
+    pub phase: Phase,
+    /// Which run it is.
+    pub incarnation: u64,
+    /// Work on its way to it.
+    pub transit: u64,
+    /// Cached prefixes.
+    pub cache: Cache,
+    rate: f64,
+    slots: usize,
+    clock: f64,
+    updated: Time,
+    weight: f64,
+    // Outstanding work is `constant - clock * weight + queued`.
+    constant: f64,
+    queued: u64,
+    marks: BTreeSet<(u64, Attempt)>,
+    running: BTreeMap<Attempt, Running>,
+    queue: BTreeMap<(u8, u64), Job>,
+    sequence: u64,
+}
+
+impl Engine {
+    /// An idle upstream.
+    pub fn new(name: name::Upstream, zone: usize, plain: bool, setup: (f64, usize, u64)) -> Self {
+        let (rate, slots, cache) = setup;
+        Self {
+            name,
+            zone,
+            plain,
+            phase: Phase::Live,
+            incarnation: 1,
+            transit: 0,
+            cache: Cache::new(cache),
+            rate,
+            slots,
+            clock: 0.0,
+            updated: Time(0),
+            weight: 0.0,
+            constant: 0.0,
+            queued: 0,
+            marks: BTreeSet::new(),
+            running: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+        }
+    }
+
+    /// Work outstanding at `now`, queued and running.
+    pub fn outstanding(&self, now: Time) -> f64 {
+        let clock = self.clock + self.speed() * now.since(self.updated).as_secs_f64();
+        (self.constant - clock * self.weight).max(0.0) + self.queued as f64
+    }
+
+    /// Work outstanding and on its way.
+    pub fn load(&self, now: Time) -> f64 {
+        self.outstanding(now) + self.transit as f64
+    }
+
+    /// Requests running and queued.
+    pub fn counts(&self) -> (u32, u32) {
+        (self.running.len() as u32, self.queue.len() as u32)
+    }
+
+    /// Whether it holds no work.
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.queue.is_empty()
+    }
+
+    /// Work of the largest request that it holds.
+    pub fn largest(&self) -> u64 {
+        let queued = self.queue.values().map(|job| work(job, 0));
+        let running = self.running.values().map(|run| work(&run.job, run.cached));
+        queued.chain(running).max().unwrap_or_default()
+    }
+
+    /// When [`Self::advance`] has something to report next.
+    pub fn next_wake(&self) -> Option<Time> {
+        let (bits, _) = self.marks.first()?;
+        let seconds = (f64::from_bits(*bits) - self.clock).max(0.0) / self.speed();
+        Some(Time(self.updated.0 + (seconds * 1e6).ceil() as u64))
+    }
+
+    /// Takes a request, or gives it back if its queue is full.
+    pub fn submit(&mut self, now: Time, job: Job) -> Result<(), Job> {
+        if self.queue.len() >= QUEUE_LIMIT {
+            return Err(job);
+        }
+        self.queued += work(&job, 0);
+        self.sequence += 1;
+        self.queue
+            .insert((u8::MAX - job.priority, self.sequence), job);
+        self.start(now);
+        Ok(())
+    }
+
+    /// Does the work up to `now` and tells first tokens and ends in order.
+    pub fn advance(&mut self, now: Time) -> Vec<Progress> {
+        let mut done = Vec::new();
+        while let Some(at) = self.next_wake().filter(|at| *at <= now) {
+            let Some((bits, attempt)) = self.marks.pop_first() else {
+                break;
+            };
+            self.clock = f64::from_bits(bits);
+            self.updated = at;
+            done.extend(self.pass(at, attempt));
+            self.start(at);
+        }
+        self.clock += self.speed() * now.since(self.updated).as_secs_f64();
+        self.updated = self.updated.max(now);
+        done
+    }
+
+    /// Stops an attempt; returns whether it was there.
+    pub fn cancel(&mut self, now: Time, attempt: Attempt) -> bool {
+        if let Some(run) = self.running.get(&attempt).cloned() {
+            self.drop_running(&run);
+            self.start(now);
+            return true;
+        }
+        let found = self
+            .queue
+            .iter()
+            .find(|(_, job)| job.attempt == attempt)
+            .map(|(key, _)| *key);
+        let Some(job) = found.and_then(|key| self.queue.remove(&key)) else {
+            return false;
+        };
+        self.queued -= work(&job, 0);
+        true
+    }
+
+    /// Dies and starts again with nothing; returns the attempts that it held.
+    pub fn reset(&mut self, now: Time, phase: Phase) -> Vec<Job> {
+        let running = std::mem::take(&mut self.running);
+        let queue = std::mem::take(&mut self.queue);
+        self.cache = self.cache.emptied();
+        self.marks.clear();
+        self.clock = 0.0;
+        self.weight = 0.0;
+        self.constant = 0.0;
+        self.queued = 0;
+        self.updated = now;
+        self.phase = phase;
+        let running = running.into_values().map(|run| run.job);
+        running.chain(queue.into_values()).collect()
+    }
+
+    fn speed(&self) -> f64 {
+        (self.rate / self.weight.max(1.0)).min(DECODE_WORK_PER_S)
+    }
+
+    fn start(&mut self, now: Time) {
+        self.updated = self.updated.max(now);
+        while self.running.len() < self.slots {
+            let Some((_, job)) = self.queue.pop_first() else {
+                break;
+            };
+            self.queued -= work(&job, 0);
+            let held = job.chat.map_or(0, |chat| self.cache.peek(chat));
+            let cached = held.min(job.prompt);
+            let prefill = (job.prompt - cached) as f64 / PREFILL_WEIGHT;
+            let output = (job.output * OUTPUT_TOKEN_WORK) as f64;
+            let first = self.clock + prefill;
+            let run = Running {
+                cached,
+                first,
+                end: first + output,
+                decoding: false,
+                job,
+            };
+            self.weight += PREFILL_WEIGHT;
+            self.constant += first * PREFILL_WEIGHT + output;
+            self.marks.insert((first.to_bits(), run.job.attempt));
+            self.running.insert(run.job.attempt, run);
+        }
+    }
+
+    fn pass(&mut self, at: Time, attempt: Attempt) -> Option<Progress> {
+        let mut run = self.running.get(&attempt)?.clone();
+        if let Some(chat) = run.job.chat {
+            let output = if run.decoding { run.job.output } else { 0 };
+            self.cache.store(chat, run.job.prompt + output);
+        }
+        let progress = Progress {
+            at,
+            job: run.job.clone(),
+            cached: run.cached,
+            ended: run.decoding,
+        };
+        self.drop_running(&run);
+        if !run.decoding {
+            run.decoding = true;
+            self.weight += 1.0;
+            self.constant += run.end;
+            self.marks.insert((run.end.to_bits(), attempt));
+            self.running.insert(attempt, run);
+        }
+        Some(progress)
+    }
+
+    fn drop_running(&mut self, run: &Running) {
+        self.running.remove(&run.job.attempt);
+        if run.decoding {
+            self.marks.remove(&(run.end.to_bits(), run.job.attempt));
+            self.weight -= 1.0;
+            self.constant -= run.end;
+        } else {
+            self.marks.remove(&(run.first.to_bits(), run.job.attempt));
+            self.weight -= PREFILL_WEIGHT;
+            self.constant -= run.first * PREFILL_WEIGHT + (run.end - run.first);
+        }
+        if self.running.is_empty() {
+            // Rounding errors must not add up over a long trace.
+            self.weight = 0.0;
+            self.constant = 0.0;
+        }
+    }
+}
+
+fn work(job: &Job, cached: u64) -> u64 {
+    let prefill = job.prompt.saturating_sub(cached);
+    prefill + job.output * OUTPUT_TOKEN_WORK
+}
--- /dev/null
+++ b/crates/dev/src/replay/router.rs
@@ -0,0 +1,47 @@
+//! What the replay drives: the decisions of the project, or a baseline.
+
+use snipeusher::load::Share;
+use snipeusher::machine::Action;
+use snipeusher::machine::Event;
+use snipeusher::machine::Machine;
+use snipeusher::time::Time;
+
+use super::engine::Engine;
+
+/// Decisions of one router, driven by events.
+pub trait Router {
+    /// Takes one event. `fleet` is the true state, which only the reference may read.
+    fn handle(&mut self, now: Time, event: Event, fleet: &[Engine]);
+
+    /// Takes the actions that are due.
+    fn take(&mut self) -> Vec<Action>;
+
+    /// When the router must be woken at the latest.
+    fn next_wake(&self) -> Time;
+
+    /// Work in flight, as told to peers.
+    fn share(&self) -> Share;
+}
+
+impl Router for Machine {
+    fn handle(&mut self, now: Time, event: Event, _fleet: &[Engine]) {
+        Self::handle(self, now, event);
+    }
+
+    fn take(&mut self) -> Vec<Action> {
+        self.drain().collect()
+    }
+
+    fn next_wake(&self) -> Time {
+        Self::next_wake(self)
+    }
+
+    fn share(&self) -> Share {
+        let mut share = Share::default();
+        for flight in self.board().attempts.values() {
+            let upstream = flight.upstream.clone();
+            share.in_flight.entry(upstream).or_default().0 += flight.work.0;
+        }
+        share
+    }
+}
--- /dev/null
+++ b/crates/dev/src/replay/tally.rs
@@ -0,0 +1,300 @@
+//! What a replay counts, and the figures made of it.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use snipeusher::machine::Reason;
+use snipeusher::name;
+use snipeusher::request::Chat;
+use snipeusher::request::Ran;
+use snipeusher::time::Time;
+
+use super::engine::DECODE_WORK_PER_S;
+use super::engine::PREFILL_WEIGHT;
+use super::engine::Progress;
+
+/// Interval between two samples of the engines' loads.
+pub const SAMPLE_EVERY_MS: u64 = 100;
+/// Samples with a mean below this many requests' work an engine don't count for the skew: with
+/// one or two requests an engine the ratio says how few there are, not how they are spread.
+pub const LOW_LOAD_REQUESTS: f64 = 2.0;
+
+/// Longest time that the histograms hold.
+const HOUR_US: u64 = 3_600_000_000;
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Final {
+    /// The whole answer came.
+    Complete(Time),
+    /// It was refused.
+    Refused(Reason, Ran),
+}
+
+/// What became of one request.
+#[derive(Clone, Debug, Default)]
+pub struct Fate {
+    /// Attempts whose upstream took it.
+    pub taken: u32,
+    /// When the first token came.
+    pub first: Option<Time>,
+    /// Its end.
+    pub ended: Option<Final>,
+}
+
+/// One sample of the fleet.
+#[derive(Clone, Debug, Serialize)]
+pub struct Sample {
+    /// When.
+    pub at_ms: u64,
+    /// Work outstanding by engine; absent while an engine is not live.
+    pub loads: Vec<Option<u64>>,
+    /// Tokens that returning chats could have found cached since the last sample.
+    pub reusable: u64,
+    /// Tokens that they found.
+    pub reused: u64,
+}
+
+/// The figures of a replay.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Figures {
+    /// Requests.
+    pub requests: u64,
+    /// Requests answered completely.
+    pub complete: u64,
+    /// Answered after their deadline.
+    pub late: u64,
+    /// Refused, by reason.
+    pub refused: BTreeMap<String, u64>,
+    /// Refused without knowing whether they ran.
+    pub unknown: u64,
+    /// Rules that must always hold and did not, with the number of cases.
+    pub violations: BTreeMap<String, u64>,
+    /// Tokens found cached as a fraction of those that earlier turns left.
+    pub cache_reuse: f64,
+    /// Mean over samples of the highest load over the mean.
+    pub skew_mean: f64,
+    /// p99 over samples of the highest load over the mean.
+    pub skew_p99: f64,
+    /// Samples that count for the skew, as a fraction of all.
+    pub skew_samples: f64,
+    /// Fraction of placements on an engine that was beyond the bound.
+    pub beyond: f64,
+    /// Largest load beyond the bound at a placement, in multiples of the mean.
+    pub beyond_worst: f64,
+    /// Fraction of samples with an engine beyond the bound plus one request's work.
+    pub excess: f64,
+    /// p99 of the time to the first token beyond the prefill, by workspace.
+    pub queue_p99_ms: BTreeMap<name::Workspace, f64>,
+    /// p95 of the time to the first token.
+    pub first_token_p95_ms: f64,
+    /// Bytes that a router spends on coordination and probes in a second.
+    pub control_bytes: f64,
+    /// Latest new work at a leaving upstream after its departure began.
+    pub leave_ms: u64,
+}
+
+/// Counts of a replay.
+#[derive(Debug)]
+pub struct Tally {
+    /// What became of each request, in the order of the trace.
+    pub fates: Vec<Fate>,
+    /// Samples in order.
+    pub samples: Vec<Sample>,
+    /// Rules broken.
+    pub violations: BTreeMap<String, u64>,
+    /// Bytes of control traffic of all routers.
+    pub control: u64,
+    /// Latest new work at a leaving upstream.
+    pub leave_ms: u64,
+    late: u64,
+    left: BTreeMap<Chat, u64>,
+    reusable: u64,
+    reused: u64,
+    totals: (u64, u64),
+    waits: BTreeMap<name::Workspace, Histogram<u64>>,
+    first: Histogram<u64>,
+    skews: Vec<f64>,
+    placements: u64,
+    placed_work: u64,
+    beyond: u64,
+    beyond_worst: f64,
+    excess: u64,
+}
+
+impl Tally {
+    /// Nothing counted yet.
+    pub fn new(requests: usize) -> Self {
+        Self {
+            fates: vec![Fate::default(); requests],
+            samples: Vec::new(),
+            violations: BTreeMap::new(),
+            control: 0,
+            leave_ms: 0,
+            late: 0,
+            left: BTreeMap::new(),
+            reusable: 0,
+            reused: 0,
+            totals: (0, 0),
+            waits: BTreeMap::new(),
+            first: histogram(),
+            skews: Vec::new(),
+            placements: 0,
+            placed_work: 0,
+            beyond: 0,
+            beyond_worst: 0.0,
+            excess: 0,
+        }
+    }
+
+    /// Counts a broken rule.
+    pub fn violate(&mut self, rule: &str) {
+        *self.violations.entry(rule.to_owned()).or_default() += 1;
+    }
+
+    /// Counts a placement on an engine with `load` before it, out of loads `loads`. `most` is the
+    /// request's work if nothing of it is cached, which the bound takes to be placed already.
+    pub fn place(&mut self, load: f64, loads: &[f64], (work, most): (u64, u64), limit: f64) {
+        self.placements += 1;
+        self.placed_work += work;
+        let count = loads.len().max(1) as f64;
+        let mean = (loads.iter().sum::<f64>() + most as f64) / count;
+        // A relative allowance for rounding in the virtual clock.
+        if load > limit * mean * (1.0 + 1e-9) {
+            self.beyond += 1;
+            if mean >= self.low_load() {
+                let beyond = load / mean - limit;
+                self.beyond_worst = self.beyond_worst.max(beyond);
+            }
+        }
+    }
+
+    /// Counts a first token or an end at an engine.
+    pub fn progress(&mut self, progress: &Progress, arrived: Time, workspace: &name::Workspace) {
+        let job = &progress.job;
+        if let Some(chat) = job.chat {
+            let left = self.left.entry(chat).or_default();
+            if progress.ended {
+                *left = (*left).max(job.prompt + job.output);
+            } else {
+                self.reusable += (*left).min(job.prompt);
+                self.reused += progress.cached.min(*left);
+                *left = (*left).max(job.prompt);
+            }
+        }
+        let fate = &mut self.fates[job.request];
+        if progress.ended || fate.first.is_some() {
+            return;
+        }
+        fate.first = Some(progress.at);
+        let taken = progress.at.since(arrived);
+        let uncached = (job.prompt - progress.cached) as f64;
+        let prefill = uncached / (PREFILL_WEIGHT * DECODE_WORK_PER_S);
+        let wait = (taken.as_secs_f64() - prefill).max(0.0);
+        let waits = self
+            .waits
+            .entry(workspace.clone())
+            .or_insert_with(histogram);
+        waits.saturating_record((wait * 1e6) as u64);
+        self.first.saturating_record(taken.as_micros() as u64);
+    }
+
+    /// Takes the caller's final answer; a second one is a broken rule.
+    pub fn finish(&mut self, request: usize, ended: Final, deadline: Time, idempotent: bool) {
+        if self.fates[request].ended.is_some() {
+            self.violate("one final answer");
+            return;
+        }
+        let fate = &mut self.fates[request];
+        fate.ended = Some(ended);
+        let taken = fate.taken;
+        match ended {
+            Final::Complete(at) if at > deadline => self.late += 1,
+            Final::Refused(_, Ran::NotRun) if taken > 0 => self.violate("not_run is true"),
+            _ => {}
+        }
+        if taken > 1 && !idempotent {
+            self.violate("non-idempotent runs at most once");
+        }
+    }
+
+    /// Counts a sample. `largest` holds the work of the largest request at each live engine.
+    pub fn sample(&mut self, at_ms: u64, loads: Vec<Option<u64>>, largest: &[u64], limit: f64) {
+        let live: Vec<f64> = loads.iter().flatten().map(|load| *load as f64).collect();
+        let mean = live.iter().sum::<f64>() / live.len().max(1) as f64;
+        let highest = live.iter().copied().fold(0.0, f64::max);
+        if mean > 0.0 && mean >= self.low_load() {
+            self.skews.push(highest / mean);
+        }
+        let beyond = |(load, one): (&f64, &u64)| load - *one as f64 > limit * mean;
+        self.excess += u64::from(live.iter().zip(largest).any(beyond));
+        self.samples.push(Sample {
+            at_ms,
+            loads,
+            reusable: self.reusable,
+            reused: self.reused,
+        });
+        self.totals.0 += std::mem::take(&mut self.reusable);
+        self.totals.1 += std::mem::take(&mut self.reused);
+    }
+
+    /// Makes the figures; `seconds` is the length of the trace.
+    pub fn figures(&self, routers: usize, seconds: f64) -> Figures {
+        let mut figures = Figures {
+            requests: self.fates.len() as u64,
+            late: self.late,
+            violations: self.violations.clone(),
+            cache_reuse: ratio(self.totals.1 + self.reused, self.totals.0 + self.reusable),
+            beyond: ratio(self.beyond, self.placements),
+            beyond_worst: self.beyond_worst,
+            excess: ratio(self.excess, self.samples.len() as u64),
+            skew_samples: ratio(self.skews.len() as u64, self.samples.len() as u64),
+            first_token_p95_ms: self.first.value_at_quantile(0.95) as f64 / 1e3,
+            control_bytes: self.control as f64 / routers.max(1) as f64 / seconds,
+            leave_ms: self.leave_ms,
+            ..Figures::default()
+        };
+        for fate in &self.fates {
+            match fate.ended {
+                Some(Final::Complete(_)) => figures.complete += 1,
+                Some(Final::Refused(reason, ran)) => {
+                    let reason = format!("{reason:?}");
+                    *figures.refused.entry(reason).or_default() += 1;
+                    figures.unknown += u64::from(ran == Ran::Unknown);
+                }
+                None => {
+                    let rule = "one final answer".to_owned();
+                    *figures.violations.entry(rule).or_default() += 1;
+                }
+            }
+        }
+        let mut skews = self.skews.clone();
+        skews.sort_by(f64::total_cmp);
+        if let Some(last) = skews.len().checked_sub(1) {
+            figures.skew_mean = skews.iter().sum::<f64>() / skews.len() as f64;
+            figures.skew_p99 = skews[(last as f64 * 0.99) as usize];
+        }
+        for (workspace, waits) in &self.waits {
+            let p99 = waits.value_at_quantile(0.99) as f64 / 1e3;
+            figures.queue_p99_ms.insert(workspace.clone(), p99);
+        }
+        figures
+    }
+
+    fn low_load(&self) -> f64 {
+        LOW_LOAD_REQUESTS * ratio(self.placed_work, self.placements)
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, HOUR_US, 3).expect("the bounds are within the histogram's range")
+}
+
+fn ratio(part: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        0.0
+    } else {
+        part as f64 / whole as f64
+    }
+}
--- /dev/null
+++ b/crates/dev/src/replay/verdict.rs
@@ -0,0 +1,105 @@
+//! Holds a replay against the outcomes that its trace states.
+
+use serde::Serialize;
+
+use super::Replay;
+use super::Subject;
+use super::baseline::Rule;
+use super::run;
+use super::tally::Figures;
+use crate::trace::Trace;
+use crate::trace::expect::Expect;
+use crate::trace::expect::Figure;
+use crate::trace::expect::Versus;
+
+/// One outcome with what was seen.
+#[derive(Clone, Debug, Serialize)]
+pub struct Check {
+    /// What had to hold.
+    pub expect: Expect,
+    /// The figure, or its ratio to what it is compared with.
+    pub seen: f64,
+    /// Whether it held.
+    pub held: bool,
+}
+
+/// What a replay of one trace showed.
+#[derive(Clone, Debug, Serialize)]
+pub struct Verdict {
+    /// The trace.
+    pub trace: String,
+    /// Its seed.
+    pub seed: u64,
+    /// Whether all outcomes and all rules held.
+    pub held: bool,
+    /// The outcomes.
+    pub checks: Vec<Check>,
+    /// The figures.
+    pub figures: Figures,
+}
+
+/// Replays a trace with the project's decisions and checks its outcomes.
+pub fn judge(trace: &Trace) -> Verdict {
+    let replay = run(trace, Subject::Fleet);
+    let uses = |versus| trace.expects.iter().any(|expect| expect.versus == versus);
+    let reference = uses(Versus::FullKnowledge)
+        .then(|| run(trace, Subject::Baseline(Rule::FullKnowledge)).figures);
+    let calm =
+        uses(Versus::WithoutSurge).then(|| run(&trace.without_surge(), Subject::Fleet).figures);
+    let check = |expect: &Expect| {
+        let other = match expect.versus {
+            Versus::Absolute => None,
+            Versus::FullKnowledge => reference.as_ref(),
+            Versus::WithoutSurge => calm.as_ref(),
+        };
+        check(expect, &replay, other)
+    };
+    let checks: Vec<_> = trace.expects.iter().map(check).collect();
+    let figures = replay.figures.clone();
+    Verdict {
+        trace: trace.name.clone(),
+        seed: trace.header.seed,
+        held: figures.violations.is_empty() && checks.iter().all(|check| check.held),
+        checks,
+        figures,
+    }
+}
+
+fn check(expect: &Expect, replay: &Replay, other: Option<&Figures>) -> Check {
+    let mut seen = read(expect, &replay.figures);
+    if let Some(other) = other {
+        let base = read(expect, other);
+        // Two figures of zero are equal.
+        seen = if (base - seen).abs() < f64::EPSILON {
+            1.0
+        } else {
+            seen / base
+        };
+    }
+    let low = expect.at_least.is_none_or(|least| seen >= least);
+    let high = expect.at_most.is_none_or(|most| seen <= most);
+    Check {
+        expect: expect.clone(),
+        seen,
+        held: low && high,
+    }
+}
+
+fn read(expect: &Expect, figures: &Figures) -> f64 {
+    match expect.figure {
+        Figure::CacheReuse => figures.cache_reuse,
+        Figure::SkewP99 => figures.skew_p99,
+        Figure::Beyond => figures.beyond,
+        Figure::Excess => figures.excess,
+        Figure::Late => figures.late as f64,
+        Figure::Refused => figures.refused.values().sum::<u64>() as f64,
+        Figure::Unknown => figures.unknown as f64,
+        Figure::Complete => figures.complete as f64,
+        Figure::ControlBytes => figures.control_bytes,
+        Figure::LeaveMs => figures.leave_ms as f64,
+        Figure::QueueP99Ms => match &expect.workspace {
+            Some(workspace) => figures.queue_p99_ms.get(workspace).copied().unwrap_or(0.0),
+            None => figures.queue_p99_ms.values().copied().fold(0.0, f64::max),
+        },
+    }
+}
--- /dev/null
+++ b/crates/dev/src/trace/expand.rs
@@ -0,0 +1,103 @@
+//! Draws the requests that a trace describes by rate and range.
+
+use std::collections::BTreeMap;
+
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64;
+
+use super::Arrivals;
+use super::Request;
+use super::Trace;
+
+/// A chat between two of its turns.
+#[derive(Clone, Copy, Debug, Default)]
+struct Thread {
+    generation: u64,
+    turns: u64,
+    tokens: u64,
+}
+
+/// All requests of a trace in the order of their arrival, each with its router.
+///
+/// Each `arrivals` line draws from a generator of its own, so that the others' requests stay the
+/// same when one line is left out.
+pub fn expand(trace: &Trace) -> Vec<Request> {
+    let mut requests = trace.requests.clone();
+    let mut router = Pcg64::seed_from_u64(trace.header.seed);
+    for request in &mut requests {
+        let drawn = router.random_range(0..trace.header.routers.max(1));
+        request.router.get_or_insert(drawn);
+    }
+    for (index, arrivals) in trace.arrivals.iter().enumerate() {
+        let salt = (index as u64 + 1).rotate_left(32);
+        let mut rng = Pcg64::seed_from_u64(trace.header.seed ^ salt);
+        draw(
+            arrivals,
+            index,
+            trace.header.routers,
+            &mut rng,
+            &mut requests,
+        );
+    }
+    requests.sort_by_key(|request| request.at_ms);
+    requests
+}
+
+/// Draws arrivals at uniform times, which approximates a Poisson process without logarithms;
+/// those may differ in the last bit between machines.
+fn draw(
+    arrivals: &Arrivals,
+    index: usize,
+    routers: usize,
+    rng: &mut Pcg64,
+    requests: &mut Vec<Request>,
+) {
+    let span_ms = arrivals.to_ms.saturating_sub(arrivals.from_ms);
+    let count = (arrivals.per_s * span_ms as f64 / 1_000.0) as usize;
+    let mut times: Vec<u64> = (0..count)
+        .map(|_| rng.random_range(arrivals.from_ms..arrivals.to_ms))
+        .collect();
+    times.sort_unstable();
+    let mut threads: BTreeMap<u64, Thread> = BTreeMap::new();
+    for at_ms in times {
+        let output = between(rng, arrivals.output);
+        let (chat, prompt) = if arrivals.chats == 0 {
+            (None, between(rng, arrivals.prompt))
+        } else {
+            let number = rng.random_range(0..arrivals.chats);
+            let thread = threads.entry(number).or_default();
+            thread.tokens += if thread.turns == 0 {
+                between(rng, arrivals.prompt)
+            } else {
+                between(rng, arrivals.turn)
+            };
+            let name = format!("{index}-{number}-{}", thread.generation);
+            let prompt = thread.tokens;
+            thread.tokens += output;
+            thread.turns += 1;
+            if thread.turns >= arrivals.turns {
+                *thread = Thread {
+                    generation: thread.generation + 1,
+                    ..Thread::default()
+                };
+            }
+            (Some(name), prompt)
+        };
+        requests.push(Request {
+            at_ms,
+            router: Some(rng.random_range(0..routers.max(1))),
+            workspace: arrivals.workspace.clone(),
+            class: arrivals.class.clone(),
+            plain: arrivals.plain,
+            chat,
+            prompt_tokens: prompt,
+            output_tokens: output,
+            idempotent: arrivals.idempotent,
+        });
+    }
+}
+
+fn between(rng: &mut Pcg64, [low, high]: [u64; 2]) -> u64 {
+    rng.random_range(low..=high.max(low))
+}
--- /dev/null
+++ b/crates/dev/tests/replay.rs
@@ -0,0 +1,192 @@
+//! Replays the committed traces, and guards the replay itself against passing what it should not.
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use rstest::rstest;
+use snipeusher::load::Share;
+use snipeusher::machine::Action;
+use snipeusher::machine::Event;
+use snipeusher::machine::Machine;
+use snipeusher::request::Attempt;
+use snipeusher::request::Chat;
+use snipeusher::time::Time;
+use snipeusher_dev::replay;
+use snipeusher_dev::replay::Subject;
+use snipeusher_dev::replay::baseline::Rule;
+use snipeusher_dev::replay::cache::Cache;
+use snipeusher_dev::replay::engine::Engine;
+use snipeusher_dev::replay::engine::Job;
+use snipeusher_dev::replay::router::Router;
+use snipeusher_dev::replay::verdict;
+use snipeusher_dev::replay::world::World;
+use snipeusher_dev::trace;
+use snipeusher_dev::trace::Trace;
+
+fn folder() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../traces")
+}
+
+fn read(name: &str) -> Trace {
+    Trace::read(&folder().join(name)).unwrap()
+}
+
+/// Guards against decisions that no longer meet a recorded outcome.
+#[rstest]
+fn recorded_outcomes_hold() {
+    let paths = trace::list(&folder()).unwrap();
+    assert!(!paths.is_empty(), "no traces in {}", folder().display());
+    let traces = paths.iter().map(|path| Trace::read(path).unwrap());
+    let verdicts: Vec<_> = traces.map(|trace| verdict::judge(&trace)).collect();
+    let held = verdicts.iter().all(|verdict| verdict.held);
+    assert!(held, "{}", replay::table::verdicts(&verdicts));
+}
+
+/// Guards against a trace that only the subcommand would find to be malformed.
+#[rstest]
+fn compared_traces_are_well_formed() {
+    for path in trace::list(&folder().join("compare")).unwrap() {
+        let trace = Trace::read(&path).unwrap();
+        assert!(
+            trace.expects.is_empty(),
+            "outcomes belong into the parent folder"
+        );
+        assert!(!trace::expand(&trace).is_empty());
+    }
+}
+
+/// Guards against hidden inputs such as the clock or the order of a hash map.
+#[rstest]
+#[case(Subject::Fleet)]
+#[case(Subject::Baseline(Rule::TwoChoices))]
+fn same_seed_gives_same_bytes(#[case] subject: Subject) {
+    let trace = read("compare/deployment-churn.jsonl");
+    let run = || {
+        let replay = replay::run(&trace, subject);
+        serde_json::to_string(&(replay.figures, replay.samples)).unwrap()
+    };
+    assert_eq!(run(), run());
+}
+
+/// Guards against requests that change when another line of the trace is left out.
+#[rstest]
+fn surge_leaves_other_requests_alone() {
+    let trace = read("compare/deployment-surge.jsonl");
+    let calm = trace::expand(&trace.without_surge());
+    let mut all = trace::expand(&trace).into_iter();
+    assert!(all.len() > calm.len());
+    for request in calm {
+        let same = |other: &trace::Request| format!("{other:?}") == format!("{request:?}");
+        assert!(all.any(|other| same(&other)), "{request:?} is missing");
+    }
+}
+
+/// Breaks one rule on purpose.
+#[derive(Debug)]
+struct Broken {
+    machine: Machine,
+    breakage: Breakage,
+    next: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Breakage {
+    /// Sends each request twice.
+    Twice,
+    /// Gives no refusal.
+    Silent,
+}
+
+impl Router for Broken {
+    fn handle(&mut self, now: Time, event: Event, _fleet: &[Engine]) {
+        self.machine.handle(now, event);
+    }
+
+    fn take(&mut self) -> Vec<Action> {
+        let mut actions: Vec<_> = self.machine.drain().collect();
+        if self.breakage == Breakage::Silent {
+            actions.retain(|action| !matches!(action, Action::Refuse { .. }));
+            return actions;
+        }
+        let mut again = actions.clone();
+        for action in &mut again {
+            if let Action::Dispatch { attempt, .. } = action {
+                self.next += 1;
+                *attempt = Attempt(self.next);
+            }
+        }
+        actions.extend(again);
+        actions
+    }
+
+    fn next_wake(&self) -> Time {
+        self.machine.next_wake()
+    }
+
+    fn share(&self) -> Share {
+        Share::default()
+    }
+}
+
+/// Guards against a replay that passes decisions which break a rule.
+#[rstest]
+#[case(Breakage::Twice, "non-idempotent runs at most once")]
+#[case(Breakage::Silent, "one final answer")]
+fn broken_rules_are_found(#[case] breakage: Breakage, #[case] rule: &str) {
+    let text = r#"
+        {"header":{"routers":1,"duration_ms":2000,"engines":1}}
+        {"workspace":{"name":"w"}}
+        {"request":{"at_ms":1,"workspace":"w","prompt_tokens":9,"output_tokens":9,"idempotent":false}}
+        {"request":{"at_ms":2,"workspace":"unknown","prompt_tokens":9,"output_tokens":9}}
+    "#;
+    let trace = Trace::parse(Path::new("broken.jsonl"), text).unwrap();
+    let requests = trace::expand(&trace);
+    let make = |_| Broken {
+        machine: Machine::new(0),
+        breakage,
+        next: 1 << 40,
+    };
+    let tally = World::new(&trace, &requests, 1, true, make).run();
+    let figures = tally.figures(1, 2.0);
+    assert!(figures.violations.contains_key(rule), "{figures:?}");
+}
+
+/// Guards against a cache that forgets a chat in use or holds more than its limit.
+#[rstest]
+fn cache_evicts_least_recently_used() {
+    let mut cache = Cache::new(100);
+    cache.store(Chat(1), 40);
+    cache.store(Chat(2), 40);
+    cache.store(Chat(1), 50);
+    cache.store(Chat(3), 20);
+    let held = [1, 2, 3].map(|chat| cache.peek(Chat(chat)));
+    assert_eq!(held, [50, 0, 20]);
+}
+
+/// Guards against an engine that does more than its rate, or whose outstanding work drifts.
+#[rstest]
+fn engine_keeps_its_rate() {
+    let mut engine = Engine::new("engine".into(), 0, false, (1_000.0, 8, 0));
+    for number in 0..20 {
+        let job = Job {
+            attempt: Attempt(number),
+            router: 0,
+            request: 0,
+            chat: None,
+            prompt: 100,
+            output: 100,
+            priority: 4,
+            work: 0,
+        };
+        engine.submit(Time(0), job).unwrap();
+    }
+    // 20 requests of 500 work each take ten seconds at least.
+    let early = Time::from_millis(5_000);
+    engine.advance(early);
+    let left = engine.outstanding(early);
+    assert!((4_999.0..=5_500.0).contains(&left), "{left}");
+    let ended = engine.advance(Time::from_millis(60_000));
+    assert!(ended.last().unwrap().at >= Time::from_millis(10_000));
+    assert!(engine.is_idle());
+    assert!(engine.outstanding(Time::from_millis(60_000)) < 1e-6);
+}
