--- a/crates/dev/src/cli.rs
+++ b/crates/dev/src/cli.rs
@@ -1,39 +1,41 @@
-//! The command line.
+//! Command line.
 
-use std::path::PathBuf;
+use std::fmt::Display;
+use std::process::ExitCode;
 
 use argh::FromArgs;
+use snipeusher_dev::replay::command as replay;
 
-/// Development command of the project.
+use crate::local;
+
+/// Development command of snipeusher.
 #[derive(Debug, FromArgs)]
 pub struct Cli {
-    /// what to do
     #[argh(subcommand)]
-    pub command: Command,
+    command: Command,
 }
 
-/// What to do.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
-pub enum Command {
-    /// Replay traces.
-    Replay(Replay),
+enum Command {
+    Local(local::Local),
+    Replay(replay::Replay),
 }
 
-/// Replay recorded traces against their stated outcomes.
-#[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "replay")]
-pub struct Replay {
-    /// traces to replay; all of the folder traces/ if none is named
-    #[argh(positional)]
-    pub traces: Vec<PathBuf>,
-    /// print JSON
-    #[argh(switch)]
-    pub json: bool,
-    /// compare with the baselines
-    #[argh(switch)]
-    pub compare: bool,
-    /// print the requests of the trace as recorded lines instead of replaying it
-    #[argh(switch)]
-    pub expand: bool,
+/// Runs the command that the line names.
+pub fn run(cli: &Cli) -> ExitCode {
+    match &cli.command {
+        Command::Local(local) => report(local::run(local)),
+        Command::Replay(options) => report(replay::run(options)),
+    }
+}
+
+fn report<E: Display>(result: Result<(), E>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
 }
