--- a/crates/dev/src/cli.rs
+++ b/crates/dev/src/cli.rs
@@ -4,7 +4,9 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use snipeusher_dev::measure;
 use snipeusher_dev::replay::command as replay;
+use snipeusher_dev::report as page;
 
 use crate::local;
 
@@ -20,6 +22,8 @@
 enum Command {
     Local(local::Local),
     Replay(replay::Replay),
+    Report(page::Report),
+    Measure(measure::Measure),
 }
 
 /// Runs the command that the line names.
@@ -27,6 +31,8 @@
     match &cli.command {
         Command::Local(local) => report(local::run(local)),
         Command::Replay(options) => report(replay::run(options)),
+        Command::Report(options) => report(page::run(options)),
+        Command::Measure(options) => report(measure::run(options)),
     }
 }
 
--- a/crates/dev/src/lib.rs
+++ b/crates/dev/src/lib.rs
@@ -1,4 +1,6 @@
 //! Development command: local fleet, trace replay, reports and measurements.
 
+pub mod measure;
 pub mod replay;
+pub mod report;
 pub mod trace;
--- /dev/null
+++ b/crates/dev/src/measure/mod.rs
@@ -0,0 +1,328 @@
+//! Slopes of state and time, from which `docs/CAPACITY.md` derives the target's needs.
+//!
+//! State is read as the growth of the resident set while everything built stays alive, so the
+//! figures include what the allocator adds. Times are means over many events on one core.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fs;
+use std::hint::black_box;
+use std::io;
+use std::time::Duration;
+use std::time::Instant;
+
+use argh::FromArgs;
+use serde::Serialize;
+use snafu::OptionExt as _;
+use snafu::ResultExt as _;
+use snafu::Snafu;
+use snipeusher::load::Share;
+use snipeusher::load::Work;
+use snipeusher::machine::Action;
+use snipeusher::machine::Event;
+use snipeusher::machine::Machine;
+use snipeusher::machine::Outcome;
+use snipeusher::name;
+use snipeusher::policy::Policy;
+use snipeusher::request::Chat;
+use snipeusher::request::Id;
+use snipeusher::request::Request;
+use snipeusher::request::Target;
+use snipeusher::request::Variant;
+use snipeusher::time::Time;
+use snipeusher::upstream;
+
+/// Events over which a time is taken.
+const EVENTS: u64 = 20_000;
+/// Upstreams that a peer tells work of, as at the target.
+const SHARE_ENTRIES: u64 = 100;
+
+/// Print the slopes of state and time per chat, engine, workspace and peer.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "measure")]
+pub struct Measure {
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Why there are no figures.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The size of the process can't be read.
+    #[snafu(display("cannot read /proc/self/status: {source}"))]
+    Status {
+        /// The cause.
+        source: io::Error,
+    },
+    /// The size of the process is not stated.
+    #[snafu(display("/proc/self/status has no VmRSS"))]
+    NoSize,
+}
+
+/// One slope between two counts.
+#[derive(Clone, Debug, Serialize)]
+struct Slope {
+    per: &'static str,
+    from: u64,
+    to: u64,
+    bytes_each: f64,
+    event: &'static str,
+    ns_at_from: f64,
+    ns_at_to: f64,
+    ns_each: f64,
+}
+
+/// Measures and prints.
+pub fn run(options: &Measure) -> Result<(), Error> {
+    let mut kept = Vec::new();
+    let slopes = [
+        slope(
+            &mut kept,
+            "engine",
+            (60, 6_000),
+            "placement and its end",
+            engines,
+        )?,
+        slope(
+            &mut kept,
+            "workspace",
+            (100, 50_000),
+            "placement and its end",
+            workspaces,
+        )?,
+        slope(
+            &mut kept,
+            "peer",
+            (8, 370),
+            "a peer's share of 100 entries",
+            peers,
+        )?,
+        slope(
+            &mut kept,
+            "chat",
+            (1_000, 400_000),
+            "placement, output and end",
+            chats,
+        )?,
+        slope(
+            &mut kept,
+            "request in flight",
+            (100, 50_000),
+            "arrival",
+            flights,
+        )?,
+    ];
+    black_box(&kept);
+    if options.json {
+        println!("{}", serde_json::json!(slopes));
+        return Ok(());
+    }
+    println!("| per | from | to | bytes each | event | ns at from | ns at to | ns each |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for slope in slopes {
+        println!(
+            "| {} | {} | {} | {:.0} | {} | {:.0} | {:.0} | {:.3} |",
+            slope.per,
+            slope.from,
+            slope.to,
+            slope.bytes_each,
+            slope.event,
+            slope.ns_at_from,
+            slope.ns_at_to,
+            slope.ns_each,
+        );
+    }
+    Ok(())
+}
+
+/// Builds a machine of each count, keeps both alive, and compares.
+fn slope(
+    kept: &mut Vec<Machine>,
+    per: &'static str,
+    (from, to): (u64, u64),
+    event: &'static str,
+    build: impl Fn(u64) -> (Machine, Duration),
+) -> Result<Slope, Error> {
+    let mut take = |count| {
+        let before = resident()?;
+        let (machine, time) = build(count);
+        kept.push(machine);
+        Ok((resident()?.saturating_sub(before), time.as_nanos() as f64))
+    };
+    let (low, ns_at_from) = take(from)?;
+    let (high, ns_at_to) = take(to)?;
+    let steps = (to - from) as f64;
+    Ok(Slope {
+        per,
+        from,
+        to,
+        bytes_each: high.saturating_sub(low) as f64 / steps,
+        event,
+        ns_at_from,
+        ns_at_to,
+        ns_each: (ns_at_to - ns_at_from) / steps,
+    })
+}
+
+fn resident() -> Result<u64, Error> {
+    let status = fs::read_to_string("/proc/self/status").context(StatusSnafu)?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1));
+    let kib: Option<u64> = kib.and_then(|kib| kib.parse().ok());
+    Ok(kib.context(NoSizeSnafu)? * 1_024)
+}
+
+fn engines(count: u64) -> (Machine, Duration) {
+    let mut machine = fleet(count, 1);
+    let time = place(&mut machine, 1_000);
+    (machine, time)
+}
+
+fn workspaces(count: u64) -> (Machine, Duration) {
+    let mut machine = fleet(600, count);
+    let time = place(&mut machine, 1_000);
+    (machine, time)
+}
+
+fn chats(count: u64) -> (Machine, Duration) {
+    let mut machine = fleet(60, 1);
+    let mut time = Duration::ZERO;
+    for number in 0..count {
+        time = one(&mut machine, number, number);
+    }
+    black_box(time);
+    let time = place(&mut machine, count);
+    (machine, time)
+}
+
+fn flights(count: u64) -> (Machine, Duration) {
+    let mut machine = fleet(60, 1);
+    let begin = Instant::now();
+    for number in 0..count {
+        let now = Time::from_millis(number);
+        machine.handle(now, Event::Arrive(request(number, number)));
+        black_box(machine.drain().count());
+    }
+    let each = begin.elapsed() / u32::try_from(count).unwrap_or(u32::MAX);
+    (machine, each)
+}
+
+fn peers(count: u64) -> (Machine, Duration) {
+    let mut machine = fleet(600, 1);
+    let mut spent = Duration::ZERO;
+    let events = EVENTS.max(count) / count * count;
+    for number in 0..events {
+        let first = number % 500;
+        let entry = |at| (upstream_name(first + at), Work(1_000));
+        let in_flight = (0..SHARE_ENTRIES).map(entry).collect();
+        let event = Event::Peer {
+            host: name::Host::from(format!("router-{:04}", number % count)),
+            share: Share { in_flight },
+        };
+        let now = Time::from_millis(number * 500 / count);
+        let begin = Instant::now();
+        machine.handle(now, event);
+        spent += begin.elapsed();
+        black_box(machine.drain().count());
+    }
+    (machine, spent / u32::try_from(events).unwrap_or(u32::MAX))
+}
+
+/// Mean time of placements among `chats` chats, each with its end.
+fn place(machine: &mut Machine, chats: u64) -> Duration {
+    let begin = Instant::now();
+    for number in 0..EVENTS {
+        one(machine, 1 << 40 | number, number % chats);
+    }
+    begin.elapsed() / EVENTS as u32
+}
+
+fn one(machine: &mut Machine, number: u64, chat: u64) -> Duration {
+    let begin = Instant::now();
+    let now = Time::from_millis(number & 0xffff_ffff);
+    machine.handle(now, Event::Arrive(request(number, chat)));
+    let actions: Vec<_> = machine.drain().collect();
+    for action in actions {
+        let Action::Dispatch { attempt, .. } = action else {
+            continue;
+        };
+        machine.handle(now, Event::Sent(attempt));
+        let event = Event::Output {
+            attempt,
+            tokens: 100,
+            cached: Some(500),
+        };
+        machine.handle(now, event);
+        let outcome = Outcome::Complete;
+        machine.handle(now, Event::End { attempt, outcome });
+    }
+    black_box(machine.drain().count());
+    begin.elapsed()
+}
+
+fn request(number: u64, chat: u64) -> Request {
+    Request {
+        id: Id(number),
+        workspace: workspace_name(0),
+        class: "chat".into(),
+        target: Target::Model(variant()),
+        chat: Some(Chat(chat.wrapping_mul(0x9e37_79b9_7f4a_7c15))),
+        prompt_tokens: 1_000,
+        output_tokens: 200,
+        bytes: 4_000,
+        deadline: Time::NEVER,
+        idempotent: true,
+    }
+}
+
+fn fleet(engines: u64, workspaces: u64) -> Machine {
+    let mut machine = Machine::new(0);
+    for number in 0..workspaces {
+        machine.handle(Time(0), Event::Policy(policy(number)));
+    }
+    for number in 0..engines {
+        machine.handle(Time(0), Event::Upstream(state(number)));
+    }
+    machine
+}
+
+fn policy(number: u64) -> Policy {
+    let class = name::Class::from("chat");
+    Policy {
+        workspace: workspace_name(number),
+        keys: Vec::new(),
+        models: BTreeMap::new(),
+        classes: BTreeMap::from([(class.clone(), snipeusher::policy::Class::default())]),
+        default_class: class,
+        services: BTreeMap::new(),
+        limits: snipeusher::policy::Limits::default(),
+    }
+}
+
+fn state(number: u64) -> upstream::State {
+    upstream::State {
+        name: upstream_name(number),
+        address: format!("10.0.{}.{}:8000", number / 250, number % 250),
+        zone: name::Zone::from(["a", "b", "c"][number as usize % 3]),
+        incarnation: name::Incarnation(1),
+        phase: upstream::Phase::Live,
+        kind: upstream::Kind::Engine(BTreeSet::from([variant()])),
+    }
+}
+
+fn variant() -> Variant {
+    Variant {
+        model: "quill-llm".into(),
+        adapter: None,
+        version: "1".into(),
+    }
+}
+
+fn upstream_name(number: u64) -> name::Upstream {
+    name::Upstream::from(format!("engine-{number:04}"))
+}
+
+fn workspace_name(number: u64) -> name::Workspace {
+    name::Workspace::from(format!("workspace-{number:04}"))
+}
