--- a/crates/router/src/chat.rs
+++ b/crates/router/src/chat.rs
@@ -19,9 +19,9 @@
 use crate::call::Form;
 use crate::claims;
 use crate::claims::Guard;
+use crate::dispatch::Dispatch;
 use crate::problem::Kind;
 use crate::problem::Problem;
-use crate::session::Dispatch;
 use crate::session::Session;
 use crate::session::Stop;
 use crate::shared::Open;
@@ -97,7 +97,8 @@
     };
     let own = clients.clone();
     let work = async {
-        let session = Session::submit(&shared, open, call.request.clone(), deadline);
+        let request = call.request.clone();
+        let session = Session::submit(&shared, open, request, caller.arrived, deadline);
         if call.streamed {
             stream::open(session, call, own).await
         } else {
@@ -181,6 +182,7 @@
         match session.race(work).await {
             Ok(Ok((response, body))) => {
                 let cached = attempt::cached(&response);
+                session.progress();
                 session.output(call.request.output_tokens, cached);
                 session.finish(Outcome::Complete);
                 let mut head = head(response.status(), &dispatch, cached);
--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -104,6 +104,11 @@
 #[rtype(result = "String")]
 pub(crate) struct Issue;
 
+/// Asks whether outcomes wait to be recorded.
+#[derive(Debug, Message)]
+#[rtype(result = "bool")]
+pub(crate) struct Recording;
+
 /// A router was heard from.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -256,6 +261,14 @@
     }
 }
 
+impl Handler<Recording> for Claimer {
+    type Result = bool;
+
+    fn handle(&mut self, _msg: Recording, _ctx: &mut Self::Context) -> bool {
+        self.claims.is_recording()
+    }
+}
+
 impl Handler<Peer> for Claimer {
     type Result = ();
 
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -33,11 +33,11 @@
 use crate::chat;
 use crate::claims;
 use crate::claims::Guard;
+use crate::dispatch::Dispatch;
 use crate::problem::Kind;
 use crate::problem::Problem;
 use crate::relay;
 use crate::relay::Sender;
-use crate::session::Dispatch;
 use crate::session::Session;
 use crate::session::Stop;
 use crate::shared::Open;
@@ -127,7 +127,7 @@
         idempotent,
     };
     let work = async {
-        let session = Session::submit(&shared, open, record, deadline);
+        let session = Session::submit(&shared, open, record, caller.arrived, deadline);
         forward(session, call, clients.0.clone()).await
     };
     let Some((key, body)) = guarded else {
@@ -348,6 +348,7 @@
             }
             Ok(None) | Err(_) => return,
         };
+        session.progress();
         match session.race(sender.send(part)).await {
             Ok(true) => {}
             Ok(false) | Err(_) => return,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -26,18 +26,22 @@
 use snipeusher::hash;
 use snipeusher::machine::Machine;
 use snipeusher::name;
+use snipeusher::policy::Policy;
 use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::attempt;
 use crate::claims::Claimer;
+use crate::claims::Recording;
 use crate::configuration::Configuration;
 use crate::count::Counts;
 use crate::directory::Policies;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::ReadyEngines;
 use crate::documents;
+use crate::metric::FLUSH_INTERVAL;
+use crate::metric::Metrics;
 use crate::probe::Probe;
 use crate::serve;
 use crate::settings::Settings;
@@ -46,6 +50,9 @@
 /// How often shutdown looks whether requests are still open.
 const DRAIN_POLL_MS: u64 = 10;
 
+/// Longest wait for the record of outcomes at shutdown; a key without one is answered as unknown.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Why a router does not start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -63,6 +70,12 @@
         /// The cause.
         source: snipeusher_store::Error,
     },
+    /// Metrics cannot be sent.
+    #[snafu(display("cannot open a socket for metrics: {source}"))]
+    Metrics {
+        /// The cause.
+        source: io::Error,
+    },
     /// The documents cannot be used.
     #[snafu(display("{source}"))]
     Documents {
@@ -71,6 +84,11 @@
     },
 }
 
+/// Checks the files that the settings name, without starting anything.
+pub fn check(settings: &Settings) -> Result<(), Error> {
+    read_documents(settings).map(|_policies| ())
+}
+
 /// A running router; it must be bound within an actix system.
 #[derive(Debug)]
 pub struct Router {
@@ -87,10 +105,8 @@
 impl Router {
     /// Starts a router.
     pub fn bind(settings: Settings, log: Logger) -> Result<Self, Error> {
-        let policies = match &settings.documents {
-            Some(folder) => documents::read(folder).context(DocumentsSnafu)?,
-            None => Vec::new(),
-        };
+        let policies = read_documents(&settings)?;
+        let metrics = Metrics::open(settings.statsd).context(MetricsSnafu)?;
         let origin = Instant::now();
         let first_attempt = first_attempt(&settings);
         let scheme = "http";
@@ -117,6 +133,7 @@
             status = Some(receiver);
         }
         start_probe(&control, &settings, dispatcher.clone(), scheme, &log);
+        start_flush(&control, &metrics);
         let listen = settings.listen;
         let shared = Data::new(Shared {
             settings,
@@ -125,6 +142,7 @@
             configuration: status,
             directory,
             counts: Counts::default(),
+            metrics,
             origin,
             scheme,
             log: log.clone(),
@@ -195,6 +213,13 @@
             warn!(self.log, "router: requests did not end in time"; "open" => self.open());
         }
         self.server.stop(drained).await;
+        if timeout(RECORD_TIMEOUT, self.recorded()).await.is_err() {
+            warn!(
+                self.log,
+                "router: outcomes of idempotency keys are not recorded"
+            );
+        }
+        self.shared.metrics.flush();
         self.control.stop();
         info!(self.log, "router: stopped");
         drained
@@ -204,6 +229,12 @@
         self.shared.open.load(Ordering::SeqCst)
     }
 
+    async fn recorded(&self) {
+        while self.shared.claimer.send(Recording).await == Ok(true) {
+            sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
+        }
+    }
+
     async fn drained(&self) {
         while self.open() > 0 {
             sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
@@ -211,6 +242,26 @@
     }
 }
 
+fn read_documents(settings: &Settings) -> Result<Vec<Policy>, Error> {
+    let folder = settings.documents.as_ref();
+    let read = folder.map_or(Ok(Vec::new()), |folder| documents::read(folder));
+    read.context(DocumentsSnafu)
+}
+
+/// Sends what waits in datagrams that are not full.
+fn start_flush(control: &Arbiter, metrics: &Metrics) {
+    if !metrics.is_on() {
+        return;
+    }
+    let metrics = metrics.clone();
+    control.spawn(async move {
+        loop {
+            sleep(FLUSH_INTERVAL).await;
+            metrics.flush();
+        }
+    });
+}
+
 /// The first attempt id of this run; hosts and runs start far apart.
 ///
 /// The top bit stays free, so that ids do not wrap around within the life of a process.
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -18,6 +18,7 @@
 use crate::count::Counts;
 use crate::directory::Directory;
 use crate::dispatch::Dispatcher;
+use crate::metric::Metrics;
 use crate::settings::Settings;
 
 /// Shared by reference among the serving threads.
@@ -30,6 +31,7 @@
     pub(crate) configuration: Option<watch::Receiver<Arc<Status>>>,
     pub(crate) directory: watch::Receiver<Arc<Directory>>,
     pub(crate) counts: Counts,
+    pub(crate) metrics: Metrics,
     pub(crate) origin: Instant,
     pub(crate) scheme: &'static str,
     pub(crate) log: Logger,
--- a/crates/router/tests/claims.rs
+++ b/crates/router/tests/claims.rs
@@ -126,6 +126,10 @@
     assert_eq!(runs(&fleet), 2);
     // One claim and one record for each, and one resend.
     wait(async || server.counts().txn == 5).await;
+    // An outcome that waits for its record is not lost by a shutdown.
+    assert_eq!(pair(&fleet, "pair-3", "ed+flo").await.status, 200);
+    assert!(fleet.router.stop().await);
+    assert_eq!(server.counts().txn, 7);
 }
 
 /// Guards against a key that stays taken although nothing ran, and against an answer that was
--- a/crates/snipeusher/src/claim/claims.rs
+++ b/crates/snipeusher/src/claim/claims.rs
@@ -149,6 +149,12 @@
         self.retry_at.is_some()
     }
 
+    /// Whether outcomes wait to be recorded; a process that stops should wait for them.
+    pub fn is_recording(&self) -> bool {
+        let mut states = self.entries.values().map(|entry| &entry.state);
+        states.any(|state| matches!(state, State::Writing(_)))
+    }
+
     /// Takes the actions that are due, in order.
     pub fn drain(&mut self) -> impl Iterator<Item = Action> + '_ {
         self.actions.drain(..)
