--- a/crates/dev/src/trace/mod.rs
+++ b/crates/dev/src/trace/mod.rs
@@ -11,6 +11,8 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+pub use expand::expand;
+use expect::Expect;
 use serde::Deserialize;
 use serde::Serialize;
 use snafu::OptionExt as _;
@@ -19,10 +21,6 @@
 use snipeusher::name;
 use snipeusher::policy;
 
-pub use expand::expand;
-
-use expect::Expect;
-
 /// Why a trace can't be read.
 #[derive(Debug, Snafu)]
 pub enum Error {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -22,14 +22,20 @@
 use slog::warn;
 use snafu::ResultExt as _;
 use snafu::Snafu;
+use snipeusher::claim::Claims;
 use snipeusher::hash;
 use snipeusher::machine::Machine;
+use snipeusher::name;
 use snipeusher::policy::Policy;
+use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::attempt;
 use crate::attempt::Dial;
+use crate::claims::Claimer;
+use crate::claims::Recording;
+use crate::configuration::Configuration;
 use crate::count::Counts;
 use crate::directory::Policies;
 use crate::dispatch::Dispatcher;
@@ -46,6 +52,9 @@
 /// How often shutdown looks whether requests are still open.
 const DRAIN_POLL_MS: u64 = 10;
 
+/// Longest wait for the record of outcomes at shutdown; a key without one is answered as unknown.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Why a router does not start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -57,6 +66,12 @@
         /// The cause.
         source: io::Error,
     },
+    /// The key-value service cannot be used.
+    #[snafu(display("{source}"))]
+    Service {
+        /// The cause.
+        source: snipeusher_store::Error,
+    },
     /// Metrics cannot be sent.
     #[snafu(display("cannot open a socket for metrics: {source}"))]
     Metrics {
@@ -88,7 +103,9 @@
 pub struct Router {
     address: SocketAddr,
     shared: Data<Shared>,
-    policies: Policies,
+    /// Absent where the configuration loop owns them.
+    policies: Option<Policies>,
+    configuration: Option<Addr<Configuration>>,
     server: ServerHandle,
     control: Arbiter,
     log: Logger,
@@ -110,12 +127,32 @@
         let dispatcher = start_dispatcher(&control, &dial, first_attempt, origin, &log);
         let (mut publisher, directory) = Policies::new(dispatcher.clone());
         publisher.put(policies);
+        let incarnation = incarnation();
+        let claimer = start_claimer(&control, &settings, incarnation, origin)?;
+        let mut publisher = Some(publisher);
+        let mut configuration = None;
+        let mut status = None;
+        if !settings.key_value_endpoints.is_empty()
+            && let Some(policies) = publisher.take()
+        {
+            let gateway = gateway(&settings)?;
+            let (sender, receiver) = watch::channel(Arc::default());
+            let seed = first_attempt;
+            let log = log.clone();
+            let address = Configuration::start_in_arbiter(&control.handle(), move |_ctx| {
+                Configuration::new(gateway.open(), origin, seed, policies, sender, log)
+            });
+            configuration = Some(address);
+            status = Some(receiver);
+        }
         start_probe(&control, &settings, &dial, dispatcher.clone(), &log);
         start_flush(&control, &metrics);
         let listen = settings.listen;
         let shared = Data::new(Shared {
             settings,
             dispatcher,
+            claimer,
+            configuration: status,
             directory,
             counts: Counts::default(),
             metrics,
@@ -137,6 +174,7 @@
             address,
             shared,
             policies: publisher,
+            configuration,
             server: handle,
             control,
             log,
@@ -148,9 +186,19 @@
         self.address
     }
 
-    /// The policies in force; the configuration loop changes them.
-    pub const fn policies(&mut self) -> &mut Policies {
-        &mut self.policies
+    /// The policies in force, unless the configuration loop owns them.
+    pub const fn policies(&mut self) -> Option<&mut Policies> {
+        self.policies.as_mut()
+    }
+
+    /// The configuration loop, where the settings name a key-value service.
+    pub const fn configuration(&self) -> Option<&Addr<Configuration>> {
+        self.configuration.as_ref()
+    }
+
+    /// The actor that owns the claims; the gossip loop tells it about peers.
+    pub fn claimer(&self) -> &Addr<Claimer> {
+        &self.shared.claimer
     }
 
     /// The actor that owns the decisions; the control loops tell it what they learn.
@@ -179,6 +227,12 @@
             warn!(self.log, "router: requests did not end in time"; "open" => self.open());
         }
         self.server.stop(drained).await;
+        if timeout(RECORD_TIMEOUT, self.recorded()).await.is_err() {
+            warn!(
+                self.log,
+                "router: outcomes of idempotency keys are not recorded"
+            );
+        }
         self.shared.metrics.flush();
         self.control.stop();
         info!(self.log, "router: stopped");
@@ -189,6 +243,12 @@
         self.shared.open.load(Ordering::SeqCst)
     }
 
+    async fn recorded(&self) {
+        while self.shared.claimer.send(Recording).await == Ok(true) {
+            sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
+        }
+    }
+
     async fn drained(&self) {
         while self.open() > 0 {
             sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
@@ -236,6 +296,41 @@
     hash::mix(host, started) >> 1
 }
 
+/// The start time of this run in milliseconds since the Unix epoch.
+fn incarnation() -> name::Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    name::Incarnation(since_epoch.unwrap_or_default().as_millis() as u64)
+}
+
+fn start_claimer(
+    control: &Arbiter,
+    settings: &Settings,
+    incarnation: name::Incarnation,
+    origin: Instant,
+) -> Result<Addr<Claimer>, Error> {
+    let gateway = if settings.key_value_endpoints.is_empty() {
+        None
+    } else {
+        Some(gateway(settings)?)
+    };
+    let seed = hash::mix(
+        hash::bytes(settings.host.as_str().as_bytes()),
+        incarnation.0,
+    );
+    let claims = Claims::new(settings.host.clone(), incarnation, seed);
+    Ok(Claimer::start_in_arbiter(&control.handle(), move |_ctx| {
+        Claimer::new(claims, gateway.map(snipeusher_store::Checked::open), origin)
+    }))
+}
+
+fn gateway(settings: &Settings) -> Result<snipeusher_store::Checked, Error> {
+    let settings = snipeusher_store::Settings {
+        endpoints: settings.key_value_endpoints.clone(),
+        timeout: settings.key_value_timeout,
+    };
+    settings.check().context(ServiceSnafu)
+}
+
 fn start_dispatcher(
     control: &Arbiter,
     dial: &Dial,
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -112,6 +112,11 @@
     pub tls: Option<Tls>,
     /// File with the authorities of upstreams' certificates in PEM; plain where absent.
     pub upstream_authority: Option<PathBuf>,
+    /// Base addresses of the key-value service, such as `http://10.0.0.1:2379`; none where the
+    /// router runs without it.
+    pub key_value_endpoints: Vec<String>,
+    /// Longest time of one call of the key-value service.
+    pub key_value_timeout: Duration,
     /// Upstreams known from the start.
     pub upstreams: Vec<Upstream>,
 }
@@ -158,6 +163,8 @@
         let drain_timeout = reader.millis("drain_timeout_ms", 1..=3_600_000, 60_000);
         let header_bytes = reader.count("header_bytes", 256..=65_536, 16_384);
         let probe_interval = reader.millis("probe_interval_ms", 10..=60_000, 1_000);
+        let key_value_endpoints = reader.texts("key_value_endpoints");
+        let key_value_timeout = reader.millis("key_value_timeout_ms", 10..=60_000, 1_000);
         let zone: Option<name::Zone> = zone.map(|text| text.as_str().into());
         let tls = reader.table("tls");
         let upstream_authority = reader.path("upstream_authority");
@@ -192,6 +199,8 @@
                 None => None,
             },
             upstream_authority,
+            key_value_endpoints,
+            key_value_timeout,
             upstreams: upstreams.into_iter().collect::<Option<_>>()?,
         })
     }
--- a/crates/snipeusher/src/lease.rs
+++ b/crates/snipeusher/src/lease.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use snafu::Snafu;
 
+pub use self::holder::Holder;
 use crate::kv::Call;
 use crate::kv::CallId;
 use crate::kv::Entry;
@@ -20,8 +21,6 @@
 use crate::kv::Revision;
 use crate::name;
 
-pub use self::holder::Holder;
-
 /// Why settings of a lease cannot work.
 #[derive(Debug, Snafu)]
 pub enum Error {
