--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -31,11 +31,11 @@
 use crate::attempt::text;
 use crate::call;
 use crate::chat;
+use crate::dispatch::Dispatch;
 use crate::problem::Kind;
 use crate::problem::Problem;
 use crate::relay;
 use crate::relay::Sender;
-use crate::session::Dispatch;
 use crate::session::Session;
 use crate::session::Stop;
 use crate::shared::Open;
@@ -108,7 +108,7 @@
         idempotent: class.idempotent && repeatable && is_small,
     };
     let idempotent = record.idempotent;
-    let session = Session::submit(&shared, open, record, deadline);
+    let session = Session::submit(&shared, open, record, caller.arrived, deadline);
     let call = Call {
         request,
         body,
@@ -312,6 +312,7 @@
             }
             Ok(None) | Err(_) => return,
         };
+        session.progress();
         match session.race(sender.send(part)).await {
             Ok(true) => {}
             Ok(false) | Err(_) => return,
