Replay configuration, claims and leases with a key-value service in memory

Cause: the stories about outages, repeated keys and paused lease holders need the parts that use the key-value service.

Change: in traces that use them, each router runs config::Replica, claim::Claims and lease::Holder against the store of snipeusher-fakes, with outages, lost replies, pauses and operators' edits.

--- a/crates/dev/src/replay/carry.rs
+++ b/crates/dev/src/replay/carry.rs
@@ -14,11 +14,11 @@
 use super::engine::Progress;
 use super::fleet;
 use super::router::Router;
+use super::seat::chat_of;
 use super::tally::Final;
 use super::world::CONNECT_TIMEOUT;
 use super::world::Happening;
 use super::world::World;
-use super::world::chat_of;
 
 impl<R: Router> World<'_, R> {
     pub(super) fn act(&mut self, seat: usize, action: Action) {
@@ -124,7 +124,7 @@
             self.deliver(back, seat, Event::End { attempt, outcome });
             return;
         }
-        self.tally.fates[request].taken += 1;
+        self.tally.take(request, &self.requests[request]);
         self.deliver(back, seat, Event::Sent(attempt));
         self.wake_upstream(engine);
     }
--- a/crates/dev/src/replay/control.rs
+++ b/crates/dev/src/replay/control.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use snipeusher::claim;
+use snipeusher::config;
 use snipeusher::load::Report;
 use snipeusher::load::Work;
 use snipeusher::machine::Event;
@@ -10,6 +12,8 @@
 use snipeusher::upstream::Phase;
 
 use super::engine::Engine;
+use super::platform::PartEvent;
+use super::platform::host;
 use super::router::Router;
 use super::tally::SAMPLE_EVERY_MS;
 use super::world::Happening;
@@ -67,10 +71,11 @@
         for step in 0..header.gossip_peers.min(count - 1) {
             let peer = (seat + 1 + (start + step) % (count - 1)) % count;
             self.tally.control += FRAME_OVERHEAD_BYTES + body;
+            self.gossip_parts(seat, peer);
             let zones = (self.seats[seat].zone, self.seats[peer].zone);
             if self.reach(zones.0, zones.1) {
                 let event = Event::Peer {
-                    host: name::Host::from(format!("router-{seat:03}")),
+                    host: host(seat),
                     share: share.clone(),
                 };
                 self.deliver(self.latency(zones.0, zones.1), peer, event);
@@ -78,10 +83,27 @@
         }
     }
 
+    fn gossip_parts(&mut self, seat: usize, peer: usize) {
+        let Some(parts) = &self.seats[seat].parts else {
+            return;
+        };
+        let digest = parts.replica.digest();
+        let body = rmp_serde::to_vec(&digest).map_or(0, |body| body.len() as u64);
+        self.tally.control += body;
+        let event = config::Event::Digest(host(seat), digest);
+        self.send_part(seat, peer, PartEvent::Config(event));
+        let event = claim::Event::Peer(host(seat), name::Incarnation(1));
+        self.send_part(seat, peer, PartEvent::Claim(event));
+    }
+
     pub(super) fn sample(&mut self) {
         if self.now >= Time::from_millis(self.trace.header.duration_ms) {
             return;
         }
+        if self.trace.uses_platform() {
+            self.push();
+            self.check_holders();
+        }
         let now = self.now;
         self.plan(
             now + Duration::from_millis(SAMPLE_EVERY_MS),
--- a/crates/dev/src/replay/occur.rs
+++ b/crates/dev/src/replay/occur.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use snipeusher::config;
 use snipeusher::machine::Event;
 use snipeusher::machine::Outcome;
 use snipeusher::name;
@@ -12,6 +13,9 @@
 use super::world::World;
 use crate::trace::What;
 
+/// Time until an operator's command gives up.
+const EDIT_TIMEOUT: Duration = Duration::from_secs(5);
+
 impl<R: Router> World<'_, R> {
     /// Begins an event of the trace.
     pub(super) fn begin(&mut self, number: usize) {
@@ -27,6 +31,48 @@
             What::CutZone(zone) => {
                 let found = self.trace.header.zones.iter().position(|own| own == zone);
                 self.cut.extend(found);
+                self.lose_watches();
+            }
+            What::Edit { document, text } => {
+                let Some(name) = config::Name::parse(document) else {
+                    self.tally.violate("edits name a document");
+                    return;
+                };
+                let text = text.clone();
+                let change = config::Change::Put { name, text };
+                let author = config::Author {
+                    name: "operator".to_owned(),
+                    at_ms: self.now.0 / 1_000,
+                };
+                let id = config::EditId(number as u128 + 1);
+                let deadline = self.now + EDIT_TIMEOUT;
+                let edit = config::Edit::open(change, author, id, None, self.now, deadline);
+                self.platform.edits.insert(number, edit);
+                self.edit(number, None);
+            }
+            What::StoreOutage => {
+                self.platform.out = true;
+                self.lose_watches();
+            }
+            What::LoseStoreReplies => self.platform.lose_replies = true,
+            What::Pause(routers) => {
+                for seat in routers {
+                    self.pause(*seat);
+                }
+            }
+            What::PauseHolder(zone) => {
+                let found = self.trace.header.zones.iter().position(|own| own == zone);
+                let now = self.now;
+                let acts = |seat: &usize| {
+                    let parts = self.seats[*seat].parts.as_ref();
+                    let fence = parts.and_then(|parts| parts.holder.fence(now));
+                    Some(self.seats[*seat].zone) == found && fence.is_some()
+                };
+                let holder = (0..self.seats.len()).find(acts);
+                match holder {
+                    Some(seat) => self.pause(seat),
+                    None => self.tally.violate("a zone has a holder to pause"),
+                }
             }
             What::Configure(workspace) => {
                 let policy = fleet::policy(&self.trace.header, workspace);
@@ -64,10 +110,17 @@
                 self.cut.retain(|cut| Some(*cut) != found);
                 let all: Vec<_> = self.engines.iter().map(|e| e.name.clone()).collect();
                 for seat in 0..self.seats.len() {
+                    if Some(self.seats[seat].zone) == found {
+                        self.seats[seat].reachable_since = self.now;
+                    }
                     self.refresh(seat, &all);
                 }
             }
-            What::Leave(_)
+            What::StoreOutage => self.platform.out = false,
+            What::LoseStoreReplies => self.platform.lose_replies = false,
+            What::Pause(_) | What::PauseHolder(_) => self.resume(),
+            What::Edit { .. }
+            | What::Leave(_)
             | What::Fail(_)
             | What::Join(_)
             | What::Configure(_)
@@ -121,6 +174,23 @@
         }
     }
 
+    fn pause(&mut self, seat: usize) {
+        let seat = seat % self.seats.len();
+        self.seats[seat].held.get_or_insert_with(Vec::new);
+    }
+
+    fn resume(&mut self) {
+        for seat in 0..self.seats.len() {
+            let Some(held) = self.seats[seat].held.take() else {
+                continue;
+            };
+            self.seats[seat].reachable_since = self.now;
+            for happening in held {
+                self.plan(self.now, happening);
+            }
+        }
+    }
+
     fn advance_quietly(&mut self, engine: usize) {
         // Ends that are due now count before the phase changes.
         if self.engines[engine].phase == Phase::Live {
--- a/crates/dev/src/replay/tally.rs
+++ b/crates/dev/src/replay/tally.rs
@@ -1,6 +1,7 @@
 //! What a replay counts, and the figures made of it.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -13,6 +14,7 @@
 use super::engine::DECODE_WORK_PER_S;
 use super::engine::PREFILL_WEIGHT;
 use super::engine::Progress;
+use crate::trace::Request;
 
 /// Interval between two samples of the engines' loads.
 pub const SAMPLE_EVERY_MS: u64 = 100;
@@ -87,6 +89,16 @@
     pub excess: f64,
     /// p99 of the time to the first token beyond the prefill, by workspace.
     pub queue_p99_ms: BTreeMap<name::Workspace, f64>,
+    /// p99 of the same over all workspaces without a surge.
+    pub others_queue_p99_ms: f64,
+    /// Longest time until an accepted configuration was in force at a router.
+    pub config_ms: u64,
+    /// Edits that were not applied.
+    pub edits_failed: u64,
+    /// Requests with a key answered as the first time.
+    pub repeated: u64,
+    /// Most routers that held one zone's lease after another.
+    pub holders: u64,
     /// p95 of the time to the first token.
     pub first_token_p95_ms: f64,
     /// Bytes that a router spends on coordination and probes in a second.
@@ -108,6 +120,17 @@
     pub control: u64,
     /// Latest new work at a leaving upstream.
     pub leave_ms: u64,
+    /// Longest time until an accepted configuration was in force at a router.
+    pub config_ms: u64,
+    /// Edits that were not applied.
+    pub edits_failed: u64,
+    /// Requests with a key answered as the first time.
+    pub repeated: u64,
+    /// Most routers that held one zone's lease after another.
+    pub holders: u64,
+    surging: BTreeSet<name::Workspace>,
+    others: Histogram<u64>,
+    taken: BTreeMap<(name::Workspace, String), u32>,
     late: u64,
     left: BTreeMap<Chat, u64>,
     reusable: u64,
@@ -124,14 +147,21 @@
 }
 
 impl Tally {
-    /// Nothing counted yet.
-    pub fn new(requests: usize) -> Self {
+    /// Nothing counted yet. `surging` are the workspaces that send a surge.
+    pub fn new(requests: usize, surging: BTreeSet<name::Workspace>) -> Self {
         Self {
             fates: vec![Fate::default(); requests],
             samples: Vec::new(),
             violations: BTreeMap::new(),
             control: 0,
             leave_ms: 0,
+            config_ms: 0,
+            edits_failed: 0,
+            repeated: 0,
+            holders: 0,
+            surging,
+            others: histogram(),
+            taken: BTreeMap::new(),
             late: 0,
             left: BTreeMap::new(),
             reusable: 0,
@@ -197,9 +227,26 @@
             .entry(workspace.clone())
             .or_insert_with(histogram);
         waits.saturating_record((wait * 1e6) as u64);
+        if !self.surging.contains(workspace) {
+            self.others.saturating_record((wait * 1e6) as u64);
+        }
         self.first.saturating_record(taken.as_micros() as u64);
     }
 
+    /// Counts that an upstream took an attempt.
+    pub fn take(&mut self, number: usize, request: &Request) {
+        self.fates[number].taken += 1;
+        let Some(key) = &request.key else {
+            return;
+        };
+        let taken = self.taken.entry((request.workspace.clone(), key.clone()));
+        let taken = taken.or_default();
+        *taken += 1;
+        if *taken > 1 {
+            self.violate("a key runs at most once");
+        }
+    }
+
     /// Takes the caller's final answer; a second one is a broken rule.
     pub fn finish(&mut self, request: usize, ended: Final, deadline: Time, idempotent: bool) {
         if self.fates[request].ended.is_some() {
@@ -253,6 +300,11 @@
             first_token_p95_ms: self.first.value_at_quantile(0.95) as f64 / 1e3,
             control_bytes: self.control as f64 / routers.max(1) as f64 / seconds,
             leave_ms: self.leave_ms,
+            others_queue_p99_ms: self.others.value_at_quantile(0.99) as f64 / 1e3,
+            config_ms: self.config_ms,
+            edits_failed: self.edits_failed,
+            repeated: self.repeated,
+            holders: self.holders,
             ..Figures::default()
         };
         for fate in &self.fates {
--- a/crates/dev/src/replay/verdict.rs
+++ b/crates/dev/src/replay/verdict.rs
@@ -96,6 +96,11 @@
         Figure::Unknown => figures.unknown as f64,
         Figure::Complete => figures.complete as f64,
         Figure::ControlBytes => figures.control_bytes,
+        Figure::OthersQueueP99Ms => figures.others_queue_p99_ms,
+        Figure::ConfigMs => figures.config_ms as f64,
+        Figure::EditsFailed => figures.edits_failed as f64,
+        Figure::Repeated => figures.repeated as f64,
+        Figure::Holders => figures.holders as f64,
         Figure::LeaveMs => figures.leave_ms as f64,
         Figure::QueueP99Ms => match &expect.workspace {
             Some(workspace) => figures.queue_p99_ms.get(workspace).copied().unwrap_or(0.0),
--- a/crates/dev/src/replay/world.rs
+++ b/crates/dev/src/replay/world.rs
@@ -7,22 +7,26 @@
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64;
-use snipeusher::hash;
+use snipeusher::kv::Call;
+use snipeusher::kv::CallId;
+use snipeusher::kv::Fault;
+use snipeusher::kv::Reply;
 use snipeusher::machine::Event;
-use snipeusher::machine::Outcome;
 use snipeusher::name;
-use snipeusher::request;
 use snipeusher::request::Attempt;
-use snipeusher::request::Chat;
-use snipeusher::request::Id;
 use snipeusher::time::Time;
 use snipeusher::upstream::Phase;
+use snipeusher_fakes::kv::Write;
 
 use super::engine::Engine;
 use super::engine::Job;
 use super::fleet;
+use super::platform::Caller;
+use super::platform::PartEvent;
+use super::platform::Parts;
+use super::platform::Platform;
 use super::router::Router;
-use super::tally::Final;
+use super::seat::Seat;
 use super::tally::Tally;
 use crate::trace;
 use crate::trace::Trace;
@@ -51,6 +55,14 @@
     Probe(usize, usize),
     /// A router tells its peers.
     Gossip(usize),
+    /// An event reaches a part of a router.
+    Part(usize, Box<PartEvent>),
+    /// A call reaches the key-value service.
+    Call(Caller, CallId, Box<Call>),
+    /// The key-value service shows a write to a router's watch.
+    Show(usize, Box<Write>),
+    /// An operator's edit goes on, perhaps with a reply.
+    Edit(usize, Option<Box<(CallId, Result<Reply, Fault>)>>),
     /// Loads are sampled.
     Sample,
     /// An event of the trace begins.
@@ -59,20 +71,6 @@
     End(usize),
 }
 
-/// A router with what the replay knows of it.
-#[derive(Debug)]
-pub struct Seat<R> {
-    /// Its decisions.
-    pub router: R,
-    /// Index of its zone.
-    pub zone: usize,
-    /// Upstreams that its list lacks.
-    pub hidden: BTreeSet<name::Upstream>,
-    wake: Time,
-    /// Load reports read so far.
-    pub reports: u64,
-}
-
 /// The replay of one trace.
 #[derive(Debug)]
 pub struct World<'a, R> {
@@ -86,6 +84,8 @@
     pub engines: Vec<Engine>,
     /// Counts.
     pub tally: Tally,
+    /// The key-value service.
+    pub platform: Platform,
     /// Zones that are cut off.
     pub cut: BTreeSet<usize>,
     /// Workspaces whose next reply is lost.
@@ -108,7 +108,8 @@
     index: BTreeMap<name::Upstream, usize>,
     queue: BTreeMap<(Time, u64), Happening>,
     sequence: u64,
-    open: usize,
+    /// Requests without a final answer.
+    pub open: usize,
     probes: bool,
 }
 
@@ -123,15 +124,11 @@
         make: impl Fn(usize) -> R,
     ) -> Self {
         let zones = trace.header.zones.len().max(1);
-        let seat = |number| Seat {
-            router: make(number),
-            zone: number % zones,
-            hidden: BTreeSet::new(),
-            wake: Time::NEVER,
-            reports: 0,
-        };
+        let seat = |number| Seat::new(make(number), number % zones);
         let engines = fleet::engines(&trace.header);
         let named = engines.iter().enumerate();
+        let surges = trace.arrivals.iter().filter(|arrivals| arrivals.surge);
+        let surging = surges.map(|arrivals| arrivals.workspace.clone()).collect();
         let wakes = vec![Time::NEVER; engines.len()];
         let mut world = Self {
             trace,
@@ -139,7 +136,8 @@
             seats: (0..routers.max(1)).map(seat).collect(),
             index: named.map(|(at, e)| (e.name.clone(), at)).collect(),
             engines,
-            tally: Tally::new(requests.len()),
+            tally: Tally::new(requests.len(), surging),
+            platform: Platform::default(),
             cut: BTreeSet::new(),
             lose_reply: BTreeSet::new(),
             lose_reports: BTreeSet::new(),
@@ -167,8 +165,12 @@
                 break;
             }
             self.now = now;
+            if self.is_over() && self.trace.uses_platform() {
+                break;
+            }
             self.happen(happening);
         }
+        self.check_configuration();
         self.tally
     }
 
@@ -214,6 +216,12 @@
     fn introduce(&mut self) {
         let header = &self.trace.header;
         for seat in 0..self.seats.len() {
+            if self.trace.uses_platform() {
+                let zone = &header.zones[self.seats[seat].zone];
+                self.seats[seat].parts = Parts::open(seat, zone, header.seed).ok();
+                self.plan(Time(0), Happening::Wake(seat));
+                self.seats[seat].wake = Time(0);
+            }
             for workspace in &self.trace.workspaces {
                 let policy = fleet::policy(header, workspace);
                 self.limits
@@ -246,6 +254,9 @@
     }
 
     fn happen(&mut self, happening: Happening) {
+        let Some(happening) = self.hold(happening) else {
+            return;
+        };
         match happening {
             Happening::Arrive(number) => self.arrive(number),
             Happening::Deliver(seat, event) => self.handle(seat, *event),
@@ -265,8 +276,13 @@
                 if self.seats[seat].wake <= self.now {
                     self.seats[seat].wake = Time::NEVER;
                     self.handle(seat, Event::Tick);
+                    self.tick_parts(seat);
                 }
             }
+            Happening::Part(seat, event) => self.tend(seat, *event),
+            Happening::Call(caller, id, call) => self.serve(caller, id, &call),
+            Happening::Show(seat, write) => self.show(seat, *write),
+            Happening::Edit(number, reply) => self.edit(number, reply.map(|reply| *reply)),
             Happening::Probe(seat, engine) => self.probe(seat, engine),
             Happening::Gossip(seat) => self.gossip(seat),
             Happening::Sample => self.sample(),
@@ -279,56 +295,6 @@
         self.open == 0 && self.now >= Time::from_millis(self.trace.header.duration_ms)
     }
 
-    fn arrive(&mut self, number: usize) {
-        let found = &self.requests[number];
-        let request = request::Request {
-            id: Id(number as u64),
-            workspace: found.workspace.clone(),
-            class: found.class.clone(),
-            target: fleet::target(found.plain),
-            chat: found.chat.as_deref().map(chat_of(&found.workspace)),
-            prompt_tokens: found.prompt_tokens,
-            output_tokens: found.output_tokens,
-            bytes: found.prompt_tokens * 4,
-            deadline: self.now + fleet::deadline(self.trace, found),
-            idempotent: found.idempotent,
-        };
-        let seat = found.router.unwrap_or(0) % self.seats.len();
-        self.handle(seat, Event::Arrive(request));
-    }
-
-    fn handle(&mut self, seat: usize, event: Event) {
-        if let Event::Upstream(state) = &event
-            && self.seats[seat].hidden.contains(&state.name)
-        {
-            return;
-        }
-        self.tell(seat, event);
-    }
-
-    /// Gives an event to a router and carries out what it asks for.
-    pub fn tell(&mut self, seat: usize, event: Event) {
-        if let Event::End { attempt, outcome } = &event {
-            let request = self.flights.remove(attempt);
-            let complete = *outcome == Outcome::Complete;
-            // A router that has given its final answer ignores a later reply.
-            let open = |request: &usize| self.tally.fates[*request].ended.is_none();
-            if let Some(request) = request.filter(|request| complete && open(request)) {
-                self.finish(request, Final::Complete(self.now));
-            }
-        }
-        let (now, fleet) = (self.now, &self.engines);
-        self.seats[seat].router.handle(now, event, fleet);
-        for action in self.seats[seat].router.take() {
-            self.act(seat, action);
-        }
-        let wake = self.seats[seat].router.next_wake();
-        if wake < self.seats[seat].wake {
-            self.seats[seat].wake = wake;
-            self.plan(wake, Happening::Wake(seat));
-        }
-    }
-
     pub(super) fn wake_upstream(&mut self, engine: usize) {
         let Some(at) = self.engines[engine].next_wake() else {
             return;
@@ -350,18 +316,4 @@
             self.change_phase(engine, Phase::Gone);
         }
     }
-
-    pub(super) fn finish(&mut self, request: usize, ended: Final) {
-        let found = &self.requests[request];
-        let arrived = Time::from_millis(found.at_ms);
-        let deadline = arrived + fleet::deadline(self.trace, found);
-        self.open -= usize::from(self.tally.fates[request].ended.is_none());
-        self.tally
-            .finish(request, ended, deadline, found.idempotent);
-    }
-}
-
-/// The identity of a chat of a workspace.
-pub(super) fn chat_of(workspace: &name::Workspace) -> impl Fn(&str) -> Chat + '_ {
-    move |text| Chat(hash::bytes(format!("{workspace}/{text}").as_bytes()))
 }
--- a/crates/dev/src/trace/expand.rs
+++ b/crates/dev/src/trace/expand.rs
@@ -94,6 +94,7 @@
             prompt_tokens: prompt,
             output_tokens: output,
             idempotent: arrivals.idempotent,
+            key: None,
         });
     }
 }
--- a/crates/dev/src/trace/expect.rs
+++ b/crates/dev/src/trace/expect.rs
@@ -26,6 +26,17 @@
     Complete,
     /// p99 of the time to the first token beyond the prefill, in milliseconds.
     QueueP99Ms,
+    /// p99 of the same over all workspaces without a surge, in milliseconds.
+    OthersQueueP99Ms,
+    /// Longest time from the acceptance of a configuration, or from when the router could be
+    /// reached again, until it was in force, in milliseconds.
+    ConfigMs,
+    /// Operators' edits that were not applied.
+    EditsFailed,
+    /// Requests with a key that were answered as the first time.
+    Repeated,
+    /// Most routers that held one zone's lease after another.
+    Holders,
     /// Bytes that a router spends on coordination and probes in a second.
     ControlBytes,
     /// Latest new work at a leaving upstream after its departure began, in milliseconds.
--- a/crates/dev/src/trace/mod.rs
+++ b/crates/dev/src/trace/mod.rs
@@ -216,6 +216,9 @@
     /// Whether it may run more than once.
     #[serde(default = "yes")]
     pub idempotent: bool,
+    /// Its `Idempotency-Key`, which is claimed in the key-value service.
+    #[serde(default)]
+    pub key: Option<String>,
 }
 
 /// Something that happens to the fleet.
@@ -256,6 +259,21 @@
     CutZone(name::Zone),
     /// A workspace's policy changes.
     Configure(Workspace),
+    /// An operator writes a document.
+    Edit {
+        /// The document, such as `template/letters`.
+        document: String,
+        /// Its TOML.
+        text: String,
+    },
+    /// The key-value service does not answer.
+    StoreOutage,
+    /// Replies of the key-value service to transactions are lost after these took effect.
+    LoseStoreReplies,
+    /// Routers stand still; what reaches them waits.
+    Pause(Vec<usize>),
+    /// The router that holds the lease on a zone's orders stands still.
+    PauseHolder(name::Zone),
     /// The next reply to the workspace is lost after its upstream did the work.
     LoseReply(name::Workspace),
 }
@@ -329,6 +347,22 @@
         Ok(trace)
     }
 
+    /// Whether the key-value service takes part.
+    pub fn uses_platform(&self) -> bool {
+        let uses = |event: &Event| {
+            matches!(
+                event.what,
+                What::Edit { .. }
+                    | What::StoreOutage
+                    | What::LoseStoreReplies
+                    | What::Pause(_)
+                    | What::PauseHolder(_)
+            )
+        };
+        let keyed = self.requests.iter().any(|request| request.key.is_some());
+        keyed || self.events.iter().any(uses)
+    }
+
     /// The same trace without the requests of a surge.
     #[must_use]
     pub fn without_surge(&self) -> Self {
