Extend the interface of the decisions

Cause: the router, the replay and gossip need events and actions that the first machine lacks.

Change: events for cache changes, leaving and unknown upstreams, peers that leave, the routers of the zone, slots and transfers; actions for transfers, slots and `Close`, so that every request ends in exactly one `Refuse` or `Close`; `Machine::share` for gossip, `Machine::faults` for bad input, and `Machine<S: load::Strategy>` with four ways to judge load. `Share` also carries running and waiting work by workspace, `policy::Class` gets `never_dropped`.

--- a/crates/snipeusher/src/lib.rs
+++ b/crates/snipeusher/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod name;
 pub mod placement;
 pub mod policy;
+pub mod prefix;
 pub mod request;
 pub mod template;
 pub mod time;
--- a/crates/snipeusher/src/load.rs
+++ b/crates/snipeusher/src/load/mod.rs
@@ -2,6 +2,15 @@
 //!
 //! See `docs/design.md#load-and-its-bound`.
 
+mod strategy;
+
+pub use strategy::Admission;
+pub use strategy::Headroom;
+pub use strategy::Peers;
+pub use strategy::Reports;
+pub use strategy::Strategy;
+pub use strategy::View;
+
 use std::collections::BTreeMap;
 
 use serde::Deserialize;
@@ -55,4 +64,10 @@
 pub struct Share {
     /// Work in flight for each upstream.
     pub in_flight: BTreeMap<name::Upstream, Work>,
+    /// Work in flight for each workspace, over all upstreams.
+    #[serde(default)]
+    pub running: BTreeMap<name::Workspace, Work>,
+    /// Work that waits in the queues of each workspace.
+    #[serde(default)]
+    pub waiting: BTreeMap<name::Workspace, Work>,
 }
--- a/crates/snipeusher/src/machine.rs
+++ b/crates/snipeusher/src/machine/mod.rs
@@ -4,6 +4,19 @@
 //! no socket and reads no clock, so that tests and benches can drive it step by step. See
 //! `docs/design.md#the-state-machine-shape`.
 
+mod action;
+mod event;
+mod fault;
+mod settings;
+
+pub use action::Action;
+pub use action::Reason;
+pub use event::Event;
+pub use event::Outcome;
+pub use event::Ticket;
+pub use fault::Fault;
+pub use settings::Settings;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -13,151 +26,61 @@
 use crate::load::Work;
 use crate::name;
 use crate::placement;
-use crate::policy::Policy;
 use crate::request::Attempt;
 use crate::request::Id;
 use crate::request::Ran;
 use crate::request::Request;
 use crate::time::Time;
-use crate::upstream;
-
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// The whole answer arrived.
-    Complete,
-    /// No byte of the request reached the upstream.
-    Unreachable,
-    /// The upstream said that it did not run the request; it may say when to come back.
-    Declined {
-        /// When the upstream expects to take work again.
-        retry_after: Option<Duration>,
-    },
-    /// It failed after bytes were sent: cut, crossed, malformed or late.
-    Broken,
-    /// The router cancelled it.
-    Cancelled,
-}
-
-/// What the decisions react to.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// A caller's request arrived.
-    Arrive(Request),
-    /// The caller is gone; nobody waits for the answer.
-    Depart(Id),
-    /// A byte of the attempt may have reached its upstream.
-    Sent(Attempt),
-    /// The attempt produced output.
-    Output {
-        /// The attempt.
-        attempt: Attempt,
-        /// Tokens so far.
-        tokens: u64,
-        /// Prompt tokens that the upstream found cached, where it says so.
-        cached: Option<u64>,
-    },
-    /// The attempt ended.
-    End {
-        /// The attempt.
-        attempt: Attempt,
-        /// How.
-        outcome: Outcome,
-    },
-    /// An upstream is known, or changed.
-    Upstream(upstream::State),
-    /// An upstream reports its load.
-    Report {
-        /// Which.
-        upstream: name::Upstream,
-        /// What it says.
-        report: load::Report,
-    },
-    /// A peer tells its work in flight.
-    Peer {
-        /// Which router.
-        host: name::Host,
-        /// Its work.
-        share: load::Share,
-    },
-    /// A workspace's policy is in force.
-    Policy(Policy),
-    /// A workspace is gone.
-    Forget(name::Workspace),
-    /// Time passed.
-    Tick,
-}
-
-/// Why a request is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reason {
-    /// No upstream serves the target now.
-    NoUpstream,
-    /// The queue of its workspace and class is full.
-    QueueFull,
-    /// It could not start before its deadline.
-    TooLate,
-    /// All attempts failed and no retry is allowed.
-    AttemptsFailed,
-    /// The workspace has no policy.
-    UnknownWorkspace,
-}
-
-/// What the embedding process must do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Send the request to an upstream.
-    Dispatch {
-        /// The request.
-        request: Id,
-        /// The identity of this try.
-        attempt: Attempt,
-        /// Where to.
-        upstream: name::Upstream,
-        /// Priority for the engine.
-        priority: u8,
-    },
-    /// Give the caller its final refusal.
-    Refuse {
-        /// The request.
-        request: Id,
-        /// Why.
-        reason: Reason,
-        /// Whether it may have run.
-        ran: Ran,
-        /// When the caller may come back.
-        retry_after: Duration,
-    },
-    /// Cancel an attempt at its upstream.
-    Cancel {
-        /// The attempt.
-        attempt: Attempt,
-        /// Where it runs.
-        upstream: name::Upstream,
-    },
-}
+use crate::upstream::Phase;
 
 /// When a caller may come back if nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// The decisions of one router.
+/// Most faults kept until [`Machine::faults`] takes them; the oldest go first.
+const FAULTS_MAX: usize = 64;
+
+/// The decisions of one router, which judges load by the strategy `S`.
 #[derive(Debug, Default)]
-pub struct Machine {
+pub struct Machine<S = load::Peers> {
     board: Board,
     actions: VecDeque<Action>,
+    faults: VecDeque<Fault>,
     next_attempt: u64,
+    settings: Settings,
+    strategy: S,
 }
 
 impl Machine {
-    /// Starts with nothing known. `first_attempt` must differ between runs of a process, so that
+    /// Starts with nothing known and default settings. `first_attempt` must differ between runs of a process, so that
     /// a late answer to an earlier run is told apart.
     pub fn new(first_attempt: u64) -> Self {
+        Self::with(Settings {
+            first_attempt,
+            ..Settings::default()
+        })
+    }
+}
+
+impl<S: load::Strategy> Machine<S> {
+    /// Starts with nothing known.
+    pub fn with(settings: Settings) -> Self {
         Self {
-            next_attempt: first_attempt,
+            next_attempt: settings.first_attempt,
+            settings,
             ..Self::default()
         }
     }
 
+    /// The settings that it started with.
+    pub const fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// The way it judges load.
+    pub const fn strategy(&self) -> &S {
+        &self.strategy
+    }
+
     /// The shared state, for status pages and tests.
     pub const fn board(&self) -> &Board {
         &self.board
@@ -183,7 +106,26 @@
             Event::Forget(workspace) => {
                 self.board.policies.remove(&workspace);
             }
-            Event::Output { .. } | Event::Report { .. } | Event::Peer { .. } | Event::Tick => {}
+            Event::Leaving { upstream, .. } => self.set_phase(&upstream, Phase::Leaving),
+            Event::Unknown(upstream) => self.set_phase(&upstream, Phase::Gone),
+            Event::SlotAsked { from, ticket, .. } => {
+                self.actions.push_back(Action::AnswerSlot {
+                    to: from,
+                    ticket,
+                    granted: true,
+                });
+            }
+            Event::Output { .. }
+            | Event::Report { .. }
+            | Event::Cache { .. }
+            | Event::Peer { .. }
+            | Event::PeerGone(_)
+            | Event::Routers(_)
+            | Event::SlotReleased { .. }
+            | Event::SlotAnswered { .. }
+            | Event::SlotUnreachable(_)
+            | Event::Transferred { .. }
+            | Event::Tick => {}
         }
     }
 
@@ -192,11 +134,43 @@
         self.actions.drain(..)
     }
 
+    /// Takes the faults met since the last call, in order; at most 64 are kept.
+    pub fn faults(&mut self) -> impl Iterator<Item = Fault> + '_ {
+        self.faults.drain(..)
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        if self.faults.len() == FAULTS_MAX {
+            self.faults.pop_front();
+        }
+        self.faults.push_back(fault);
+    }
+
     /// When [`Event::Tick`] must come at the latest.
     pub const fn next_wake(&self) -> Time {
         Time::NEVER
     }
 
+    /// The own work in flight, to be told to the peers.
+    pub fn share(&self) -> load::Share {
+        let mut share = load::Share {
+            in_flight: self.board.loads.clone(),
+            ..load::Share::default()
+        };
+        share.in_flight.retain(|_, work| work.0 > 0);
+        for flight in self.board.attempts.values() {
+            let workspace = flight.request.workspace.clone();
+            share.running.entry(workspace).or_default().0 += flight.work.0;
+        }
+        share
+    }
+
+    fn set_phase(&mut self, upstream: &name::Upstream, phase: Phase) {
+        if let Some(state) = self.board.upstreams.get_mut(upstream) {
+            state.phase = state.phase.max(phase);
+        }
+    }
+
     fn arrive(&mut self, request: Request) {
         let Some(policy) = self.board.policies.get(&request.workspace) else {
             self.refuse(request.id, Reason::UnknownWorkspace, Ran::NotRun);
@@ -240,15 +214,20 @@
                 attempt,
                 upstream: flight.upstream,
             });
+            self.actions.push_back(Action::Close(id));
         }
     }
 
     fn end(&mut self, attempt: Attempt, outcome: Outcome) {
         let Some(flight) = self.release(attempt) else {
+            self.fault(Fault::UnknownAttempt { attempt });
             return;
         };
         let ran = match outcome {
-            Outcome::Complete | Outcome::Cancelled => return,
+            Outcome::Complete | Outcome::Cancelled => {
+                self.actions.push_back(Action::Close(flight.request.id));
+                return;
+            }
             Outcome::Unreachable | Outcome::Declined { .. } => Ran::NotRun,
             Outcome::Broken => Ran::Unknown,
         };
--- a/crates/snipeusher/src/policy.rs
+++ b/crates/snipeusher/src/policy.rs
@@ -61,6 +61,8 @@
     pub queue_bytes: u64,
     /// Whether it starts at once, past all queues.
     pub immediate: bool,
+    /// Whether a queued request stays past its deadline until it starts, as long reviews do.
+    pub never_dropped: bool,
     /// Whether its requests may run more than once.
     pub idempotent: bool,
     /// Longest answer in tokens, where the caller names none.
@@ -76,6 +78,7 @@
             queue_entries: 256,
             queue_bytes: 16 << 20,
             immediate: false,
+            never_dropped: false,
             idempotent: true,
             output_tokens: 512,
         }
