--- a/crates/dev/src/measure/mod.rs
+++ b/crates/dev/src/measure/mod.rs
@@ -218,7 +218,10 @@
         let in_flight = (0..SHARE_ENTRIES).map(entry).collect();
         let event = Event::Peer {
             host: name::Host::from(format!("router-{:04}", number % count)),
-            share: Share { in_flight },
+            share: Share {
+                in_flight,
+                ..Share::default()
+            },
         };
         let now = Time::from_millis(number * 500 / count);
         let begin = Instant::now();
--- a/crates/dev/src/replay/carry.rs
+++ b/crates/dev/src/replay/carry.rs
@@ -1,11 +1,14 @@
 //! Carries attempts to fake upstreams and their answers back.
 
+use std::time::Duration;
+
 use snipeusher::load::OUTPUT_TOKEN_WORK;
 use snipeusher::machine::Action;
 use snipeusher::machine::Event;
 use snipeusher::machine::Outcome;
 use snipeusher::name;
 use snipeusher::request::Attempt;
+use snipeusher::request::Chat;
 use snipeusher::time::Time;
 use snipeusher::upstream::Phase;
 
@@ -13,6 +16,8 @@
 use super::engine::Job;
 use super::engine::Progress;
 use super::fleet;
+use super::platform::host;
+use super::platform::number_of;
 use super::router::Router;
 use super::seat::chat_of;
 use super::tally::Final;
@@ -20,6 +25,13 @@
 use super::world::Happening;
 use super::world::World;
 
+/// Bytes of a message about a slot with its headers.
+const SLOT_BYTES: u64 = 350;
+/// Tokens of cache that move between two engines in a second.
+const TRANSFER_TOKENS_PER_S: u64 = 50_000;
+/// Time until a transfer begins.
+const TRANSFER_START: Duration = Duration::from_millis(5);
+
 impl<R: Router> World<'_, R> {
     pub(super) fn act(&mut self, seat: usize, action: Action) {
         match action {
@@ -35,6 +47,42 @@
                 ran,
                 ..
             } => self.finish(request.0 as usize, Final::Refused(reason, ran)),
+            Action::Close(_) => {}
+            Action::Transfer {
+                chat,
+                from,
+                to,
+                tokens,
+            } => self.transfer(seat, chat, (&from, &to), tokens),
+            Action::AskSlot {
+                to,
+                ticket,
+                upstream,
+                work,
+                load_limit,
+            } => {
+                let event = Event::SlotAsked {
+                    from: host(seat),
+                    ticket,
+                    upstream,
+                    work,
+                    load_limit,
+                };
+                if !self.pass(seat, &to, event) {
+                    self.deliver(CONNECT_TIMEOUT, seat, Event::SlotUnreachable(ticket));
+                }
+            }
+            Action::AnswerSlot {
+                to,
+                ticket,
+                granted,
+            } => {
+                let _reached = self.pass(seat, &to, Event::SlotAnswered { ticket, granted });
+            }
+            Action::ReleaseSlot { to, ticket } => {
+                let from = host(seat);
+                let _reached = self.pass(seat, &to, Event::SlotReleased { from, ticket });
+            }
             Action::Cancel { attempt, upstream } => {
                 let Some(engine) = self.find(&upstream) else {
                     return;
@@ -48,6 +96,39 @@
         }
     }
 
+    /// Carries a message about a slot; returns whether the peer can be reached.
+    fn pass(&mut self, seat: usize, to: &name::Host, event: Event) -> bool {
+        let Some(peer) = number_of(to).filter(|peer| *peer < self.seats.len()) else {
+            return false;
+        };
+        let zones = (self.seats[seat].zone, self.seats[peer].zone);
+        self.tally.spend("slots", SLOT_BYTES);
+        let reached = self.reach(zones.0, zones.1);
+        if reached {
+            self.deliver(self.latency(zones.0, zones.1), peer, event);
+        }
+        reached
+    }
+
+    fn transfer(
+        &mut self,
+        seat: usize,
+        chat: Chat,
+        (from, to): (&name::Upstream, &name::Upstream),
+        tokens: u64,
+    ) {
+        let (Some(from), Some(to)) = (self.find(from), self.find(to)) else {
+            return;
+        };
+        let zones = (self.engines[from].zone, self.engines[to].zone);
+        let reached = self.reach(zones.0, zones.1);
+        let held = self.engines[from].cache.peek(chat).min(tokens);
+        let tokens = if reached { held } else { 0 };
+        let taken = Duration::from_micros(tokens * 1_000_000 / TRANSFER_TOKENS_PER_S);
+        let at = self.now + TRANSFER_START + taken;
+        self.plan(at, Happening::Transfer(seat, chat, tokens, to));
+    }
+
     fn dispatch(
         &mut self,
         seat: usize,
--- a/crates/dev/src/replay/engine.rs
+++ b/crates/dev/src/replay/engine.rs
@@ -9,6 +9,7 @@
 
 use snipeusher::load::OUTPUT_TOKEN_WORK;
 use snipeusher::name;
+use snipeusher::prefix;
 use snipeusher::request::Attempt;
 use snipeusher::request::Chat;
 use snipeusher::time::Time;
@@ -83,6 +84,8 @@
     pub transit: u64,
     /// Cached prefixes.
     pub cache: Cache,
+    /// Changes of the cache in this run, as published.
+    pub cache_log: Vec<prefix::Change>,
     rate: f64,
     slots: usize,
     clock: f64,
@@ -109,6 +112,7 @@
             incarnation: 1,
             transit: 0,
             cache: Cache::new(cache),
+            cache_log: Vec::new(),
             rate,
             slots,
             clock: 0.0,
@@ -139,6 +143,16 @@
         (self.running.len() as u32, self.queue.len() as u32)
     }
 
+    /// Tokens that each decoding attempt has produced by `now`, with its router.
+    pub fn streams(&self, now: Time) -> impl Iterator<Item = (usize, Attempt, u64)> + '_ {
+        let clock = self.clock + self.speed() * now.since(self.updated).as_secs_f64();
+        let decoding = self.running.values().filter(|run| run.decoding);
+        decoding.map(move |run| {
+            let tokens = (clock - run.first).max(0.0) as u64 / OUTPUT_TOKEN_WORK;
+            (run.job.router, run.job.attempt, tokens)
+        })
+    }
+
     /// Whether it holds no work.
     pub fn is_idle(&self) -> bool {
         self.running.is_empty() && self.queue.is_empty()
@@ -212,6 +226,7 @@
         let running = std::mem::take(&mut self.running);
         let queue = std::mem::take(&mut self.queue);
         self.cache = self.cache.emptied();
+        self.cache_log.clear();
         self.marks.clear();
         self.clock = 0.0;
         self.weight = 0.0;
@@ -223,6 +238,18 @@
         running.chain(queue.into_values()).collect()
     }
 
+    /// Stores a prefix, as after a prefill or an import, and publishes what changed.
+    pub fn store(&mut self, chat: Chat, tokens: u64) {
+        self.cache.store(chat, tokens);
+        for change in self.cache.take_changes() {
+            let (chat, tokens) = (change.chat, change.tokens);
+            self.cache_log.push(match tokens {
+                0 => prefix::Change::Evicted(chat),
+                _ => prefix::Change::Stored { chat, tokens },
+            });
+        }
+    }
+
     fn speed(&self) -> f64 {
         (self.rate / self.weight.max(1.0)).min(DECODE_WORK_PER_S)
     }
@@ -257,7 +284,7 @@
         let mut run = self.running.get(&attempt)?.clone();
         if let Some(chat) = run.job.chat {
             let output = if run.decoding { run.job.output } else { 0 };
-            self.cache.store(chat, run.job.prompt + output);
+            self.store(chat, run.job.prompt + output);
         }
         let progress = Progress {
             at,
--- a/crates/dev/src/replay/occur.rs
+++ b/crates/dev/src/replay/occur.rs
@@ -156,7 +156,7 @@
         for seat in 0..self.seats.len() {
             if self.reach(self.seats[seat].zone, self.engines[engine].zone) {
                 let lag = self.draw_lag(self.trace.header.list_lag_ms);
-                self.deliver(lag, seat, Event::Upstream(state.clone()));
+                self.inform(seat, self.now + lag, state.clone());
             }
         }
     }
@@ -205,9 +205,7 @@
                 let Some(engine) = self.find(name) else {
                     continue;
                 };
-                let mut state = fleet::state(&self.trace.header, &self.engines[engine]);
-                state.phase = Phase::Gone;
-                self.tell(seat, Event::Upstream(state));
+                self.tell(seat, Event::Unknown(self.engines[engine].name.clone()));
             }
             self.seats[seat].hidden.extend(upstreams.iter().cloned());
         }
--- a/crates/dev/src/replay/platform.rs
+++ b/crates/dev/src/replay/platform.rs
@@ -21,6 +21,7 @@
 use snipeusher_fakes::kv::Memory;
 use snipeusher_fakes::kv::Write;
 
+use super::membership::STARTED_MS;
 use super::router::Router;
 use super::world::CONNECT_TIMEOUT;
 use super::world::Happening;
@@ -68,6 +69,8 @@
     pub claims: Claims,
     /// Its part in the zone's lease.
     pub holder: Holder,
+    /// The digest that its part in the fleet was told last.
+    pub(super) told: config::Digest,
     /// Revision in force by workspace.
     pub(super) applied: BTreeMap<name::Workspace, Revision>,
 }
@@ -76,7 +79,7 @@
     /// Starts the parts of a router.
     pub fn open(number: usize, zone: &name::Zone, seed: u64) -> Result<Self, lease::Error> {
         let seed = seed.rotate_left(7) + number as u64;
-        let incarnation = name::Incarnation(1);
+        let incarnation = name::Incarnation(STARTED_MS);
         let owner = lease::Owner {
             host: host(number),
             incarnation,
@@ -91,6 +94,7 @@
             replica: Replica::open(Time(0), seed),
             claims: Claims::new(host(number), incarnation, seed),
             holder: Holder::open(settings, Time(0), seed)?,
+            told: config::Digest::default(),
             applied: BTreeMap::new(),
         })
     }
--- a/crates/dev/src/replay/seat.rs
+++ b/crates/dev/src/replay/seat.rs
@@ -1,5 +1,6 @@
 //! A router in the replay: what reaches it and what it asks for.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use snipeusher::hash;
 use snipeusher::machine::Event;
 use snipeusher::machine::Outcome;
+use snipeusher::member::Member;
 use snipeusher::name;
 use snipeusher::request;
 use snipeusher::request::Chat;
@@ -34,6 +36,10 @@
     pub wake: Time,
     /// What uses the key-value service, where the trace does.
     pub parts: Option<Parts>,
+    /// Its part in the fleet; baselines have none.
+    pub member: Option<Member>,
+    /// Changes read of each engine's cache.
+    pub cache_read: BTreeMap<usize, usize>,
     /// What waits for the router while it stands still.
     pub held: Option<Vec<Happening>>,
     /// Since when it was neither cut off nor standing still.
@@ -51,6 +57,8 @@
             hidden: BTreeSet::new(),
             wake: Time::NEVER,
             parts: None,
+            member: None,
+            cache_read: BTreeMap::new(),
             held: None,
             reachable_since: Time(0),
             reports: 0,
@@ -138,7 +146,9 @@
         let parts = found.parts.as_ref().map_or(Time::NEVER, Parts::next_wake);
         // A tick never comes at the same instant again, so that the clock goes on.
         let soon = self.now + Duration::from_micros(1);
-        let wake = found.router.next_wake().min(parts).max(soon);
+        let member = found.member.as_ref();
+        let member = member.map_or(Time::NEVER, Member::next_wake);
+        let wake = found.router.next_wake().min(parts).min(member).max(soon);
         if wake < found.wake {
             found.wake = wake;
             self.plan(wake, Happening::Wake(seat));
@@ -150,6 +160,7 @@
         let seat = match &happening {
             Happening::Deliver(seat, _)
             | Happening::Part(seat, _)
+            | Happening::Member(seat, _)
             | Happening::Wake(seat)
             | Happening::Probe(seat, _)
             | Happening::Gossip(seat) => *seat,
@@ -170,7 +181,7 @@
         let deadline = arrived + fleet::deadline(self.trace, found);
         self.open -= usize::from(self.tally.fates[request].ended.is_none());
         self.tally
-            .finish(request, ended, deadline, found.idempotent);
+            .finish(request, ended, deadline, found);
         self.settle(request, ended);
     }
 }
--- a/crates/dev/src/replay/world.rs
+++ b/crates/dev/src/replay/world.rs
@@ -12,8 +12,10 @@
 use snipeusher::kv::Fault;
 use snipeusher::kv::Reply;
 use snipeusher::machine::Event;
+use snipeusher::member;
 use snipeusher::name;
 use snipeusher::request::Attempt;
+use snipeusher::request::Chat;
 use snipeusher::time::Time;
 use snipeusher::upstream::Phase;
 use snipeusher_fakes::kv::Write;
@@ -25,6 +27,7 @@
 use super::platform::PartEvent;
 use super::platform::Parts;
 use super::platform::Platform;
+use super::platform::host;
 use super::router::Router;
 use super::seat::Seat;
 use super::tally::Tally;
@@ -55,6 +58,10 @@
     Probe(usize, usize),
     /// A router tells its peers.
     Gossip(usize),
+    /// An event reaches a router's part in the fleet.
+    Member(usize, Box<member::Event>),
+    /// A transfer of a chat's cache ends: the router, the chat, its tokens and the engine.
+    Transfer(usize, Chat, u64, usize),
     /// An event reaches a part of a router.
     Part(usize, Box<PartEvent>),
     /// A call reaches the key-value service.
@@ -63,6 +70,8 @@
     Show(usize, Box<Write>),
     /// An operator's edit goes on, perhaps with a reply.
     Edit(usize, Option<Box<(CallId, Result<Reply, Fault>)>>),
+    /// Routers note what their streams have produced.
+    Stream,
     /// Loads are sampled.
     Sample,
     /// An event of the trace begins.
@@ -111,16 +120,17 @@
     /// Requests without a final answer.
     pub open: usize,
     probes: bool,
+    gossips: bool,
 }
 
 impl<'a, R: Router> World<'a, R> {
-    /// Sets up the fleet. `make` starts a router; `probes` says whether routers read loads and
-    /// tell their peers.
+    /// Sets up the fleet. `make` starts a router; `traffic` says whether routers read
+    /// loads, and whether they gossip.
     pub fn new(
         trace: &'a Trace,
         requests: &'a [trace::Request],
         routers: usize,
-        probes: bool,
+        traffic: (bool, bool),
         make: impl Fn(usize) -> R,
     ) -> Self {
         let zones = trace.header.zones.len().max(1);
@@ -151,7 +161,8 @@
             queue: BTreeMap::new(),
             sequence: 0,
             open: requests.len(),
-            probes,
+            probes: traffic.0,
+            gossips: traffic.1,
         };
         world.introduce();
         world
@@ -165,7 +176,7 @@
                 break;
             }
             self.now = now;
-            if self.is_over() && self.trace.uses_platform() {
+            if self.is_over() {
                 break;
             }
             self.happen(happening);
@@ -228,15 +239,24 @@
                     .insert(workspace.name.clone(), policy.limits.load_limit);
                 self.deliver(Duration::ZERO, seat, Event::Policy(policy));
             }
+            if self.gossips {
+                self.join(seat);
+                let zone = self.seats[seat].zone;
+                let same = |other: &usize| self.seats[*other].zone == zone;
+                let zone = (0..self.seats.len()).filter(same).map(host).collect();
+                self.deliver(Duration::ZERO, seat, Event::Routers(zone));
+            }
             for engine in 0..self.engines.len() {
-                let state = fleet::state(header, &self.engines[engine]);
-                self.deliver(Duration::ZERO, seat, Event::Upstream(state));
+                if !self.gossips {
+                    let state = fleet::state(header, &self.engines[engine]);
+                    self.deliver(Duration::ZERO, seat, Event::Upstream(state));
+                }
                 if self.probes {
                     let first = self.draw_lag(header.report_every_ms);
                     self.plan(Time(0) + first, Happening::Probe(seat, engine));
                 }
             }
-            if self.probes && self.seats.len() > 1 {
+            if self.gossips {
                 let first = self.draw_lag(header.gossip_every_ms);
                 self.plan(Time(0) + first, Happening::Gossip(seat));
             }
@@ -251,6 +271,9 @@
             self.plan(Time::from_millis(request.at_ms), Happening::Arrive(number));
         }
         self.plan(Time(0), Happening::Sample);
+        if self.gossips {
+            self.plan(Time(0), Happening::Stream);
+        }
     }
 
     fn happen(&mut self, happening: Happening) {
@@ -277,14 +300,22 @@
                     self.seats[seat].wake = Time::NEVER;
                     self.handle(seat, Event::Tick);
                     self.tick_parts(seat);
+                    self.meet(seat, member::Event::Tick);
                 }
             }
+            Happening::Member(seat, event) => self.meet(seat, *event),
             Happening::Part(seat, event) => self.tend(seat, *event),
             Happening::Call(caller, id, call) => self.serve(caller, id, &call),
             Happening::Show(seat, write) => self.show(seat, *write),
             Happening::Edit(number, reply) => self.edit(number, reply.map(|reply| *reply)),
+            Happening::Transfer(seat, chat, tokens, engine) => {
+                self.engines[engine].store(chat, tokens);
+                let to = self.engines[engine].name.clone();
+                self.handle(seat, Event::Transferred { chat, to, tokens });
+            }
             Happening::Probe(seat, engine) => self.probe(seat, engine),
             Happening::Gossip(seat) => self.gossip(seat),
+            Happening::Stream => self.stream(),
             Happening::Sample => self.sample(),
             Happening::Begin(event) => self.begin(event),
             Happening::End(event) => self.cease(event),
--- a/crates/dev/src/trace/mod.rs
+++ b/crates/dev/src/trace/mod.rs
@@ -100,10 +100,12 @@
     pub report_every_ms: u64,
     /// Age of a load report when it arrives.
     pub report_lag_ms: u64,
-    /// Interval between two rounds of gossip.
+    /// Interval at which a router's share is handed to gossip.
     pub gossip_every_ms: u64,
-    /// Peers that a router tells its share in one round.
-    pub gossip_peers: usize,
+    /// Bytes of gossip that a router may send in a second.
+    pub budget_bytes: u32,
+    /// Whether routers read the changes of caches with each load report.
+    pub cache_events: bool,
     /// Latest time at which a router learns of a change of the list of upstreams.
     pub list_lag_ms: u64,
     /// One-way latency between hosts of one zone.
@@ -129,7 +131,8 @@
             report_every_ms: 2_000,
             report_lag_ms: 200,
             gossip_every_ms: 500,
-            gossip_peers: 3,
+            budget_bytes: 4_000,
+            cache_events: true,
             list_lag_ms: 1_000,
             zone_latency_us: 300,
             cross_latency_us: 1_500,
