--- a/crates/dev/src/measure/mod.rs
+++ b/crates/dev/src/measure/mod.rs
@@ -187,11 +187,9 @@
 
 fn chats(count: u64) -> (Machine, Duration) {
     let mut machine = fleet(60, 1);
-    let mut time = Duration::ZERO;
     for number in 0..count {
-        time = one(&mut machine, number, number);
+        black_box(one(&mut machine, number, number));
     }
-    black_box(time);
     let time = place(&mut machine, count);
     (machine, time)
 }
@@ -232,19 +230,19 @@
     (machine, spent / u32::try_from(events).unwrap_or(u32::MAX))
 }
 
-/// Mean time of placements among `chats` chats, each with its end.
+/// Mean time of placements among `chats` chats, each followed by its output and end.
 fn place(machine: &mut Machine, chats: u64) -> Duration {
-    let begin = Instant::now();
-    for number in 0..EVENTS {
-        one(machine, 1 << 40 | number, number % chats);
-    }
-    begin.elapsed() / EVENTS as u32
+    let spent = (0..EVENTS).map(|number| one(machine, 1 << 40 | number, number % chats));
+    spent.sum::<Duration>() / EVENTS as u32
 }
 
+/// Runs a request from arrival to end; returns the time of its placement.
 fn one(machine: &mut Machine, number: u64, chat: u64) -> Duration {
-    let begin = Instant::now();
     let now = Time::from_millis(number & 0xffff_ffff);
-    machine.handle(now, Event::Arrive(request(number, chat)));
+    let event = Event::Arrive(request(number, chat));
+    let begin = Instant::now();
+    machine.handle(now, event);
+    let spent = begin.elapsed();
     let actions: Vec<_> = machine.drain().collect();
     for action in actions {
         let Action::Dispatch { attempt, .. } = action else {
@@ -261,7 +259,7 @@
         machine.handle(now, Event::End { attempt, outcome });
     }
     black_box(machine.drain().count());
-    begin.elapsed()
+    spent
 }
 
 fn request(number: u64, chat: u64) -> Request {
--- a/crates/dev/src/replay/control.rs
+++ b/crates/dev/src/replay/control.rs
@@ -76,7 +76,8 @@
             changes,
         };
         let body = serde_json::to_vec(&batch).map_or(0, |body| body.len() as u64);
-        self.tally.spend("cache events", PROBE_OVERHEAD_BYTES + body);
+        self.tally
+            .spend("cache events", PROBE_OVERHEAD_BYTES + body);
         if self.rng.random_bool(CACHE_EVENT_LOSS) {
             return;
         }
--- a/crates/dev/src/replay/membership.rs
+++ b/crates/dev/src/replay/membership.rs
@@ -60,7 +60,9 @@
             leaving: false,
             since_ms: STARTED_MS,
         };
-        seats.map(|(number, seat)| listing((number, seat.zone))).collect()
+        seats
+            .map(|(number, seat)| listing((number, seat.zone)))
+            .collect()
     }
 
     /// Tells a router the state of an upstream as the upstream itself tells it.
@@ -143,7 +145,9 @@
             let member = self.seats[seat].member.as_ref();
             let peers: Vec<_> = member.map_or_else(Vec::new, |member| {
                 let peers = member.peers().iter();
-                peers.map(|(host, peer)| (host.clone(), peer.incarnation)).collect()
+                peers
+                    .map(|(host, peer)| (host.clone(), peer.incarnation))
+                    .collect()
             });
             for (peer, incarnation) in peers {
                 let event = claim::Event::Peer(peer, incarnation);
--- a/crates/dev/src/replay/mod.rs
+++ b/crates/dev/src/replay/mod.rs
@@ -21,23 +21,22 @@
 pub mod verdict;
 pub mod world;
 
+use baseline::Baseline;
+use baseline::Rule;
 use serde::Serialize;
 use snipeusher::load;
 use snipeusher::load::Strategy;
 use snipeusher::machine::Machine;
 use snipeusher::machine::Settings;
-
-use crate::trace::Request;
-use crate::trace::Trace;
-use crate::trace::expand;
-
-use baseline::Baseline;
-use baseline::Rule;
 use tally::Figures;
 use tally::Sample;
 use tally::Tally;
 use world::World;
 
+use crate::trace::Request;
+use crate::trace::Trace;
+use crate::trace::expand;
+
 /// What routes in a replay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -119,7 +118,11 @@
             (routers, tally)
         }
         Subject::Baseline(rule) => {
-            let routers = if rule == Rule::FullKnowledge { 1 } else { routers };
+            let routers = if rule == Rule::FullKnowledge {
+                1
+            } else {
+                routers
+            };
             let probes = matches!(rule, Rule::LeastLoaded | Rule::TwoChoices);
             let make = |number| Baseline::new(rule, first_attempt(number), seed + number as u64);
             let world = World::new(trace, &requests, routers, (probes, false), make);
--- a/crates/dev/src/replay/seat.rs
+++ b/crates/dev/src/replay/seat.rs
@@ -180,8 +180,7 @@
         let arrived = Time::from_millis(found.at_ms);
         let deadline = arrived + fleet::deadline(self.trace, found);
         self.open -= usize::from(self.tally.fates[request].ended.is_none());
-        self.tally
-            .finish(request, ended, deadline, found);
+        self.tally.finish(request, ended, deadline, found);
         self.settle(request, ended);
     }
 }
--- a/crates/dev/src/replay/tally.rs
+++ b/crates/dev/src/replay/tally.rs
@@ -323,7 +323,11 @@
             skew_samples: ratio(self.skews.len() as u64, self.samples.len() as u64),
             first_token_p95_ms: self.first.value_at_quantile(0.95) as f64 / 1e3,
             control_bytes: self.control.values().sum::<u64>() as f64 / each,
-            control_by: self.control.iter().map(|(of, bytes)| (*of, *bytes as f64 / each)).collect(),
+            control_by: self
+                .control
+                .iter()
+                .map(|(of, bytes)| (*of, *bytes as f64 / each))
+                .collect(),
             leave_ms: self.leave_ms,
             others_queue_p99_ms: self.others.value_at_quantile(0.99) as f64 / 1e3,
             config_ms: self.config_ms,
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -19,6 +19,7 @@
 use bytes::Bytes;
 use futures_util::Stream;
 use futures_util::StreamExt as _;
+use futures_util::stream;
 use snipeusher::machine::Outcome;
 use snipeusher::name;
 use snipeusher::policy::Policy;
@@ -28,9 +29,12 @@
 
 use crate::attempt;
 use crate::attempt::Clients;
+use crate::attempt::Reply;
 use crate::attempt::text;
 use crate::call;
 use crate::chat;
+use crate::claims;
+use crate::claims::Guard;
 use crate::dispatch::Dispatch;
 use crate::problem::Kind;
 use crate::problem::Problem;
@@ -44,6 +48,9 @@
 /// Bodies up to this size are read before they are sent on, so that they can be sent again.
 const BUFFERED_BYTES: u64 = 64 << 10;
 
+/// Header with the milliseconds that a caller allows.
+pub(crate) const DEADLINE_MS: &str = "x-request-deadline-ms";
+
 /// Headers that hold for one connection or that the router sets itself.
 const OWN_HEADERS: &[&str] = &[
     "connection",
@@ -80,7 +87,18 @@
     let limit = caller.policy.limits.body_bytes;
     let length = text(request.headers(), "content-length").and_then(|text| text.parse().ok());
     let chunked = request.headers().contains_key("transfer-encoding");
-    let is_small = !chunked && length.unwrap_or(0) <= BUFFERED_BYTES;
+    let method = request.method().as_str();
+    let repeatable = settings
+        .idempotent_methods
+        .iter()
+        .any(|known| known == method);
+    let may_repeat = class.idempotent && repeatable;
+    let key = if may_repeat || settings.upstream_checks_key {
+        None
+    } else {
+        claims::key(&request)?
+    };
+    let is_small = key.is_some() || !chunked && length.unwrap_or(0) <= BUFFERED_BYTES;
     if length.is_some_and(|length: u64| length > limit) {
         let detail = format!("the body is longer than {limit} bytes");
         return Err(Problem::not_run(Kind::BodyTooLarge, detail));
@@ -90,11 +108,6 @@
     } else {
         Body::Parts(Parts::new(payload, limit), length)
     };
-    let method = request.method().as_str();
-    let repeatable = settings
-        .idempotent_methods
-        .iter()
-        .any(|known| known == method);
     let record = Request {
         id: shared.next_id(),
         workspace: caller.policy.workspace.clone(),
@@ -105,17 +118,33 @@
         output_tokens: 1,
         bytes: length.unwrap_or(BUFFERED_BYTES),
         deadline: shared.time(deadline),
-        idempotent: class.idempotent && repeatable && is_small,
+        idempotent: may_repeat && is_small,
     };
     let idempotent = record.idempotent;
-    let session = Session::submit(&shared, open, record, caller.arrived, deadline);
+    let guarded = key.zip(body.whole());
     let call = Call {
-        request,
+        request: request.clone(),
         body,
         deadline,
         idempotent,
     };
-    forward(session, call, clients.0).await
+    let work = async {
+        let session = Session::submit(&shared, open, record, caller.arrived, deadline);
+        forward(session, call, clients.0.clone()).await
+    };
+    let Some((key, body)) = guarded else {
+        return work.await;
+    };
+    let guard = Guard {
+        shared: &shared,
+        clients: &clients.0,
+        policy: &caller.policy,
+        request: &request,
+        key,
+        body,
+        deadline,
+    };
+    guard.run(work).await
 }
 
 /// Finds the service with the longest path that the request's path starts with.
@@ -144,13 +173,22 @@
     Parts(Parts, Option<u64>),
 }
 
+impl Body {
+    fn whole(&self) -> Option<Bytes> {
+        match self {
+            Self::Whole(bytes) => Some(bytes.clone()),
+            Self::Parts(..) => None,
+        }
+    }
+}
+
 /// A caller's body that is sent on as it arrives; it can be sent once.
 #[derive(Clone)]
 struct Parts {
     payload: Rc<RefCell<web::Payload>>,
     left: Rc<Cell<u64>>,
     touched: Rc<Cell<bool>>,
-    too_large: Rc<Cell<bool>>,
+    fault: Rc<Cell<Option<Problem>>>,
 }
 
 impl Parts {
@@ -159,7 +197,7 @@
             payload: Rc::new(RefCell::new(payload)),
             left: Rc::new(Cell::new(limit)),
             touched: Rc::default(),
-            too_large: Rc::default(),
+            fault: Rc::default(),
         }
     }
 }
@@ -173,13 +211,20 @@
         polled.map(|part| match part? {
             Ok(part) => {
                 let Some(left) = self.left.get().checked_sub(part.len() as u64) else {
-                    self.too_large.set(true);
+                    let detail = "the body is longer than the workspace may send";
+                    let problem = Problem::unknown(Kind::BodyTooLarge, detail);
+                    self.fault.set(Some(problem));
                     return Some(Err(io::Error::other("the body is too large")));
                 };
                 self.left.set(left);
                 Some(Ok(part))
             }
-            Err(error) => Some(Err(io::Error::other(error.to_string()))),
+            Err(error) => {
+                let detail = format!("the body broke off: {error}");
+                let problem = Problem::unknown(Kind::MalformedBody, detail);
+                self.fault.set(Some(problem));
+                Some(Err(io::Error::other("the body broke off")))
+            }
         })
     }
 }
@@ -190,13 +235,13 @@
         shared: &Arc<Shared>,
         dispatch: &Dispatch,
         clients: &Clients,
-    ) -> Result<ClientResponse, Outcome> {
+    ) -> Result<Reply, Outcome> {
         let path = self
             .request
             .uri()
             .path_and_query()
             .map_or("/", |path| path.as_str());
-        let url = format!("{}://{}{path}", shared.scheme, dispatch.address);
+        let url = format!("http://{}{path}", dispatch.address);
         let method = self.request.method().clone();
         let mut request = clients.of(self.idempotent).request(method, url);
         for (name, value) in end_to_end(self.request.headers()) {
@@ -224,13 +269,17 @@
         }
     }
 
-    fn too_large(&self) -> bool {
-        matches!(&self.body, Body::Parts(parts, _) if parts.too_large.get())
+    /// What is wrong with the body of the caller, part of which has been sent on.
+    fn fault(&self) -> Option<Problem> {
+        match &self.body {
+            Body::Whole(_) => None,
+            Body::Parts(parts, _) => parts.fault.take(),
+        }
     }
 }
 
 /// Headers that go on to the other side.
-fn end_to_end(
+pub(crate) fn end_to_end(
     headers: &HeaderMap,
 ) -> impl Iterator<Item = (&HeaderName, &actix_web::http::header::HeaderValue)> {
     let listed: Vec<_> = headers
@@ -259,13 +308,11 @@
         }
         let work = call.send(&shared, &dispatch, &clients);
         match session.race(work).await {
-            Ok(Ok(response)) => return Ok(answer(session, &dispatch, response)),
-            Ok(Err(_)) if call.too_large() => {
-                let detail = "the body is longer than the workspace may send";
-                let problem = Problem::unknown(Kind::BodyTooLarge, detail);
-                return Err(session.give_up(problem));
-            }
-            Ok(Err(outcome)) => session.finish(outcome),
+            Ok(Ok(reply)) => return Ok(answer(session, &dispatch, reply)),
+            Ok(Err(outcome)) => match call.fault() {
+                Some(problem) => return Err(session.give_up(problem)),
+                None => session.finish(outcome),
+            },
             Err(Stop::Cancelled) => {}
             Err(Stop::Refused(problem)) => return Err(problem),
         }
@@ -273,7 +320,8 @@
 }
 
 /// Sends the head on and the body as it arrives.
-fn answer(session: Session, dispatch: &Dispatch, response: ClientResponse) -> HttpResponse {
+fn answer(session: Session, dispatch: &Dispatch, reply: Reply) -> HttpResponse {
+    let Reply { response, read } = reply;
     let mut head = chat::head(response.status(), dispatch, None);
     for (name, value) in end_to_end(response.headers()) {
         head.append_header((name.clone(), value.clone()));
@@ -284,17 +332,24 @@
         head.no_chunking(length);
     }
     let (sender, body) = relay::channel(session.open());
-    actix_rt::spawn(relay_body(session, response, sender));
+    actix_rt::spawn(relay_body(session, response, read, sender));
     head.streaming(body)
 }
 
-async fn relay_body(mut session: Session, mut response: ClientResponse, sender: Sender) {
+async fn relay_body(
+    mut session: Session,
+    response: ClientResponse,
+    read: Option<Bytes>,
+    sender: Sender,
+) {
+    let read = stream::iter(read.map(Ok));
+    let mut parts = read.chain(response);
     loop {
         let stall = session.shared().settings.stall_timeout;
         let work = async {
             tokio::select! {
                 biased;
-                part = tokio::time::timeout(stall, response.next()) => Some(part),
+                part = tokio::time::timeout(stall, parts.next()) => Some(part),
                 () = sender.closed() => None,
             }
         };
--- a/crates/router/src/settings/reader.rs
+++ b/crates/router/src/settings/reader.rs
@@ -82,6 +82,14 @@
         self.take(key, "a path", |value| value.as_str().map(PathBuf::from))
     }
 
+    /// A path that must be there.
+    pub fn required_path(&mut self, key: &'static str) -> Option<PathBuf> {
+        if !self.table.contains_key(key) {
+            self.missing(key, "a path");
+        }
+        self.path(key)
+    }
+
     /// A socket address with a default.
     pub fn address(&mut self, key: &'static str, default: &str) -> SocketAddr {
         let given = self.optional_address(key);
@@ -156,6 +164,15 @@
         given.unwrap_or_default()
     }
 
+    /// A list of texts, empty where absent.
+    pub fn texts(&mut self, key: &'static str) -> Vec<String> {
+        let given = self.take(key, "a list of texts", |value| {
+            let items = value.as_array()?.iter();
+            items.map(|item| item.as_str().map(String::from)).collect()
+        });
+        given.unwrap_or_default()
+    }
+
     /// Reports all keys that were not asked for.
     pub fn finish(self) {
         let expected = format!("one of the keys {}", self.known.join(", "));
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -13,6 +13,9 @@
 use snipeusher::time::Time;
 use tokio::sync::watch;
 
+use crate::attempt::Dial;
+use crate::claims::Claimer;
+use crate::configuration::Status;
 use crate::count::Counts;
 use crate::directory::Directory;
 use crate::dispatch::Dispatcher;
@@ -24,11 +27,14 @@
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
     pub(crate) dispatcher: Addr<Dispatcher>,
+    pub(crate) claimer: Addr<Claimer>,
+    /// Absent where the router runs without the key-value service.
+    pub(crate) configuration: Option<watch::Receiver<Arc<Status>>>,
     pub(crate) directory: watch::Receiver<Arc<Directory>>,
     pub(crate) counts: Counts,
     pub(crate) metrics: Metrics,
     pub(crate) origin: Instant,
-    pub(crate) scheme: &'static str,
+    pub(crate) dial: Dial,
     pub(crate) log: Logger,
     pub(crate) first_attempt: u64,
     pub(crate) next_id: AtomicU64,
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -12,8 +12,17 @@
 use futures_util::StreamExt as _;
 use serde_json::Value;
 use serde_json::json;
+use snipeusher::config::Author;
+use snipeusher::config::Change;
+use snipeusher::config::Edit;
+use snipeusher::config::EditId;
+use snipeusher::config::Name;
+use snipeusher::config::Outcome;
+use snipeusher::config::Step;
+use snipeusher::time::Time;
 use snipeusher_fakes::engine::Engine;
 use snipeusher_fakes::engine::Options;
+use snipeusher_fakes::kv::Server;
 use snipeusher_fakes::plain::Plain;
 use snipeusher_router::Router;
 use snipeusher_router::log;
@@ -36,6 +45,8 @@
 
 pub struct Plan {
     pub engines: usize,
+    /// Engines that must be ready before the test begins.
+    pub ready: usize,
     pub options: Options,
     pub settings: Box<dyn Fn(&mut Settings)>,
 }
@@ -44,6 +55,7 @@
     fn default() -> Self {
         Self {
             engines: 2,
+            ready: usize::MAX,
             options: Options::default(),
             settings: Box::new(|_settings| {}),
         }
@@ -81,15 +93,21 @@
             Some("match-desk"),
         ));
         (plan.settings)(&mut settings);
+        let scheme = if settings.tls.is_some() {
+            "https"
+        } else {
+            "http"
+        };
         let router = Router::bind(settings, log::discard()).expect("a router");
-        wait(async || router.ready_engines().await == plan.engines).await;
-        let base = format!("http://{}", router.address());
+        let ready = plan.ready.min(plan.engines);
+        wait(async || router.ready_engines().await == ready).await;
         // A kept connection may be closed by the router in the same moment as it is used.
         let connector = Connector::new().conn_keep_alive(Duration::ZERO);
         let client = Client::builder()
             .connector(connector)
             .timeout(PATIENCE)
             .finish();
+        let base = format!("{scheme}://{}", router.address());
         Self {
             router,
             engines,
@@ -131,6 +149,56 @@
     }
 }
 
+/// Makes an operator's change, past the faults of the service.
+pub fn change(server: &Server, change: Change) -> Outcome {
+    let author = Author {
+        name: "operator".to_owned(),
+        at_ms: 0,
+    };
+    let id = EditId(u128::from(server.with_memory(|memory| memory.revision().0)) + 1);
+    let deadline = Time::from_millis(1_000);
+    let mut edit = Edit::open(change, author, id, None, Time(0), deadline);
+    edit.handle(Time(0), None);
+    loop {
+        let step = edit.drain().next();
+        match step.expect("a step") {
+            Step::Done(outcome) => return outcome,
+            Step::Call { id, call } => edit.handle(Time(0), Some((id, server.call(&call)))),
+        }
+    }
+}
+
+/// Writes the documents of the tests into the service.
+pub fn write_documents(server: &Server) {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/documents");
+    let read = |path| std::fs::read_to_string(root.join(path)).expect("a document");
+    let documents = [
+        (Name::Template("letters".into()), "templates/letters.toml"),
+        (
+            Name::Workspace("reading-circle".into()),
+            "workspaces/reading-circle.toml",
+        ),
+    ];
+    for (name, path) in documents {
+        let text = read(path);
+        let outcome = change(server, Change::Put { name, text });
+        assert!(matches!(outcome, Outcome::Applied(_)), "{outcome:?}");
+    }
+}
+
+/// A plan of a router that takes its configuration from the service.
+pub fn from_service(server: &Server) -> Plan {
+    let url = server.url();
+    Plan {
+        engines: 0,
+        settings: Box::new(move |settings| {
+            settings.documents = None;
+            settings.key_value_endpoints = vec![url.clone()];
+        }),
+        ..Plan::default()
+    }
+}
+
 /// A chat body; the text makes the chat.
 pub fn body(text: &str, stream: bool, tokens: u64) -> Value {
     json!({
--- a/crates/snipeusher/src/lib.rs
+++ b/crates/snipeusher/src/lib.rs
@@ -6,9 +6,9 @@
 
 pub mod admission;
 pub mod board;
+pub mod churn;
 pub mod claim;
 pub mod config;
-pub mod churn;
 pub mod hash;
 pub mod kv;
 pub mod lease;
