--- a/crates/dev/src/replay/parts.rs
+++ b/crates/dev/src/replay/parts.rs
@@ -12,6 +12,7 @@
 use snipeusher::lease;
 use snipeusher::machine::Event;
 use snipeusher::machine::Reason;
+use snipeusher::member;
 use snipeusher::name;
 use snipeusher::request::Id;
 use snipeusher::request::Ran;
@@ -20,8 +21,6 @@
 use super::platform::Caller;
 use super::platform::PartEvent;
 use super::platform::Parts;
-use super::platform::host;
-use super::platform::number_of;
 use super::router::Router;
 use super::tally::Final;
 use super::world::Happening;
@@ -42,9 +41,14 @@
         let configs: Vec<_> = parts.replica.drain().collect();
         let claims: Vec<_> = parts.claims.drain().collect();
         let leases: Vec<_> = parts.holder.drain().collect();
+        let digest = parts.replica.digest();
+        let changed = std::mem::replace(&mut parts.told, digest) != digest;
         for action in configs {
             self.act_config(seat, action);
         }
+        if changed {
+            self.meet(seat, member::Event::Digest(digest));
+        }
         for action in claims {
             match action {
                 claim::Action::Call { id, call } => self.call(Caller::Claim(seat), id, call),
@@ -76,14 +80,7 @@
                 self.push();
             }
             config::Action::Exchange(to, exchange) => {
-                let Some(peer) = number_of(&to).filter(|peer| *peer < self.seats.len()) else {
-                    self.tally.violate("messages go to known routers");
-                    return;
-                };
-                let body = rmp_serde::to_vec(&exchange).map_or(0, |body| body.len() as u64);
-                self.tally.control += body;
-                let event = config::Event::Exchange(host(seat), exchange);
-                self.send_part(seat, peer, PartEvent::Config(event));
+                self.meet(seat, member::Event::Exchange(to, exchange));
             }
             config::Action::Apply { policy, revision } => {
                 self.applied(seat, &policy.workspace, revision);
@@ -114,15 +111,6 @@
         }
     }
 
-    /// Sends a message from one router's part to another's.
-    pub(super) fn send_part(&mut self, from: usize, to: usize, event: PartEvent) {
-        let zones = (self.seats[from].zone, self.seats[to].zone);
-        if self.reach(zones.0, zones.1) {
-            let at = self.now + self.latency(zones.0, zones.1);
-            self.plan(at, Happening::Part(to, Box::new(event)));
-        }
-    }
-
     /// What the claims decided about a request with a key.
     fn decide(&mut self, seat: usize, request: usize, verdict: &claim::Verdict) {
         let refuse = |ran| Final::Refused(Reason::AttemptsFailed, ran);
--- a/crates/dev/src/replay/tally.rs
+++ b/crates/dev/src/replay/tally.rs
@@ -69,6 +69,10 @@
     pub late: u64,
     /// Refused, by reason.
     pub refused: BTreeMap<String, u64>,
+    /// Answered after their deadline, by workspace.
+    pub late_by: BTreeMap<name::Workspace, u64>,
+    /// Refused, by workspace.
+    pub refused_by: BTreeMap<name::Workspace, u64>,
     /// Refused without knowing whether they ran.
     pub unknown: u64,
     /// Rules that must always hold and did not, with the number of cases.
@@ -103,6 +107,8 @@
     pub first_token_p95_ms: f64,
     /// Bytes that a router spends on coordination and probes in a second.
     pub control_bytes: f64,
+    /// The same by what they are for.
+    pub control_by: BTreeMap<&'static str, f64>,
     /// Latest new work at a leaving upstream after its departure began.
     pub leave_ms: u64,
 }
@@ -116,8 +122,8 @@
     pub samples: Vec<Sample>,
     /// Rules broken.
     pub violations: BTreeMap<String, u64>,
-    /// Bytes of control traffic of all routers.
-    pub control: u64,
+    /// Bytes of control traffic of all routers, by what they are for.
+    pub control: BTreeMap<&'static str, u64>,
     /// Latest new work at a leaving upstream.
     pub leave_ms: u64,
     /// Longest time until an accepted configuration was in force at a router.
@@ -131,7 +137,8 @@
     surging: BTreeSet<name::Workspace>,
     others: Histogram<u64>,
     taken: BTreeMap<(name::Workspace, String), u32>,
-    late: u64,
+    late_by: BTreeMap<name::Workspace, u64>,
+    refused_by: BTreeMap<name::Workspace, u64>,
     left: BTreeMap<Chat, u64>,
     reusable: u64,
     reused: u64,
@@ -153,7 +160,7 @@
             fates: vec![Fate::default(); requests],
             samples: Vec::new(),
             violations: BTreeMap::new(),
-            control: 0,
+            control: BTreeMap::new(),
             leave_ms: 0,
             config_ms: 0,
             edits_failed: 0,
@@ -162,7 +169,8 @@
             surging,
             others: histogram(),
             taken: BTreeMap::new(),
-            late: 0,
+            late_by: BTreeMap::new(),
+            refused_by: BTreeMap::new(),
             left: BTreeMap::new(),
             reusable: 0,
             reused: 0,
@@ -178,6 +186,11 @@
         }
     }
 
+    /// Counts bytes of control traffic.
+    pub fn spend(&mut self, of: &'static str, bytes: u64) {
+        *self.control.entry(of).or_default() += bytes;
+    }
+
     /// Counts a broken rule.
     pub fn violate(&mut self, rule: &str) {
         *self.violations.entry(rule.to_owned()).or_default() += 1;
@@ -248,20 +261,28 @@
     }
 
     /// Takes the caller's final answer; a second one is a broken rule.
-    pub fn finish(&mut self, request: usize, ended: Final, deadline: Time, idempotent: bool) {
-        if self.fates[request].ended.is_some() {
+    pub fn finish(&mut self, number: usize, ended: Final, deadline: Time, request: &Request) {
+        if self.fates[number].ended.is_some() {
             self.violate("one final answer");
             return;
         }
-        let fate = &mut self.fates[request];
+        let fate = &mut self.fates[number];
         fate.ended = Some(ended);
         let taken = fate.taken;
+        let workspace = request.workspace.clone();
         match ended {
-            Final::Complete(at) if at > deadline => self.late += 1,
-            Final::Refused(_, Ran::NotRun) if taken > 0 => self.violate("not_run is true"),
-            _ => {}
+            Final::Complete(at) if at > deadline => {
+                *self.late_by.entry(workspace).or_default() += 1;
+            }
+            Final::Complete(_) => {}
+            Final::Refused(_, ran) => {
+                *self.refused_by.entry(workspace).or_default() += 1;
+                if ran == Ran::NotRun && taken > 0 {
+                    self.violate("not_run is true");
+                }
+            }
         }
-        if taken > 1 && !idempotent {
+        if taken > 1 && !request.idempotent {
             self.violate("non-idempotent runs at most once");
         }
     }
@@ -288,9 +309,12 @@
 
     /// Makes the figures; `seconds` is the length of the trace.
     pub fn figures(&self, routers: usize, seconds: f64) -> Figures {
+        let each = routers.max(1) as f64 * seconds;
         let mut figures = Figures {
             requests: self.fates.len() as u64,
-            late: self.late,
+            late: self.late_by.values().sum(),
+            late_by: self.late_by.clone(),
+            refused_by: self.refused_by.clone(),
             violations: self.violations.clone(),
             cache_reuse: ratio(self.totals.1 + self.reused, self.totals.0 + self.reusable),
             beyond: ratio(self.beyond, self.placements),
@@ -298,7 +322,12 @@
             excess: ratio(self.excess, self.samples.len() as u64),
             skew_samples: ratio(self.skews.len() as u64, self.samples.len() as u64),
             first_token_p95_ms: self.first.value_at_quantile(0.95) as f64 / 1e3,
-            control_bytes: self.control as f64 / routers.max(1) as f64 / seconds,
+            control_bytes: self.control.values().sum::<u64>() as f64 / each,
+            control_by: self
+                .control
+                .iter()
+                .map(|(of, bytes)| (*of, *bytes as f64 / each))
+                .collect(),
             leave_ms: self.leave_ms,
             others_queue_p99_ms: self.others.value_at_quantile(0.99) as f64 / 1e3,
             config_ms: self.config_ms,
--- a/crates/dev/tests/replay.rs
+++ b/crates/dev/tests/replay.rs
@@ -33,13 +33,10 @@
 
 /// Guards against decisions that no longer meet a recorded outcome.
 #[rstest]
-fn recorded_outcomes_hold() {
-    let paths = trace::list(&folder()).unwrap();
-    assert!(!paths.is_empty(), "no traces in {}", folder().display());
-    let traces = paths.iter().map(|path| Trace::read(path).unwrap());
-    let verdicts: Vec<_> = traces.map(|trace| verdict::judge(&trace)).collect();
-    let held = verdicts.iter().all(|verdict| verdict.held);
-    assert!(held, "{}", replay::table::verdicts(&verdicts));
+fn recorded_outcomes_hold(#[files("../../traces/*.jsonl")] path: PathBuf) {
+    let verdict = verdict::judge(&Trace::read(&path).unwrap());
+    let table = replay::table::verdicts(std::slice::from_ref(&verdict));
+    assert!(verdict.held, "{table}");
 }
 
 /// Guards against a trace that only the subcommand would find to be malformed.
@@ -57,7 +54,7 @@
 
 /// Guards against hidden inputs such as the clock or the order of a hash map.
 #[rstest]
-#[case(Subject::Fleet)]
+#[case(Subject::FLEET)]
 #[case(Subject::Baseline(Rule::TwoChoices))]
 fn same_seed_gives_same_bytes(#[case] subject: Subject) {
     let trace = read("compare/deployment-churn.jsonl");
@@ -146,7 +143,7 @@
         breakage,
         next: 1 << 40,
     };
-    let tally = World::new(&trace, &requests, 1, true, make).run();
+    let tally = World::new(&trace, &requests, 1, (true, false), make).run();
     let figures = tally.figures(1, 2.0);
     assert!(figures.violations.contains_key(rule), "{figures:?}");
 }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -185,6 +185,7 @@
                     }
                 }
                 Action::Cancel { attempt, upstream } => self.cancel(attempt, &upstream),
+                _ => {}
             }
         }
     }
@@ -356,7 +357,7 @@
             .upstreams
             .values()
             .map(|state| {
-                let load = board.loads.get(&state.name).copied().unwrap_or_default();
+                let load = 0;
                 json!({ "state": state, "load": load })
             })
             .collect();
--- a/crates/snipeusher/src/member/shares.rs
+++ b/crates/snipeusher/src/member/shares.rs
@@ -29,6 +29,7 @@
         let in_flight = loads.into_iter().map(|load| (load.upstream, load.work));
         let share = load::Share {
             in_flight: in_flight.collect(),
+            ..load::Share::default()
         };
         let known = self.map.insert(host.clone(), (now, share.clone()));
         let old = known.map(|(_, share)| share).unwrap_or_default();
