--- a/crates/snipeusher/src/lib.rs
+++ b/crates/snipeusher/src/lib.rs
@@ -4,16 +4,20 @@
 //! arguments, events go in and typed actions come out, so that the same inputs give the same
 //! outputs on every machine. The design is described in `docs/design.md`.
 
+pub mod admission;
 pub mod board;
+pub mod churn;
 pub mod hash;
 pub mod kv;
 pub mod load;
 pub mod machine;
 pub mod name;
+pub mod outlier;
 pub mod placement;
 pub mod policy;
 pub mod prefix;
 pub mod request;
+pub mod retry;
 pub mod template;
 pub mod time;
 pub mod upstream;
--- a/crates/snipeusher/src/load/mod.rs
+++ b/crates/snipeusher/src/load/mod.rs
@@ -2,14 +2,27 @@
 //!
 //! See `docs/design.md#load-and-its-bound`.
 
+mod cell;
+mod kind;
+mod level;
 mod strategy;
+mod table;
 
+pub use cell::Cell;
+pub use cell::SLOW_START;
+pub use cell::Seen;
+pub use cell::WORK_MAX;
+pub use kind::Kind;
+pub use level::Level;
 pub use strategy::Admission;
 pub use strategy::Headroom;
 pub use strategy::Peers;
 pub use strategy::Reports;
 pub use strategy::Strategy;
 pub use strategy::View;
+pub use table::Hot;
+pub use table::Slot;
+pub use table::Table;
 
 use std::collections::BTreeMap;
 
@@ -32,11 +45,28 @@
 pub struct Work(pub u64);
 
 impl Work {
-    /// The work of a request of which `cached` prompt tokens need no prefill.
+    /// The work of a request of which `cached` prompt tokens need no prefill, from one to
+    /// [`WORK_MAX`].
+    ///
+    /// Calls of plain services have no tokens and count as one each.
     pub const fn of(request: &Request, cached: u64) -> Self {
         let prefill = request.prompt_tokens.saturating_sub(cached);
         let output = request.output_tokens.saturating_mul(OUTPUT_TOKEN_WORK);
-        Self(prefill.saturating_add(output))
+        match prefill.saturating_add(output) {
+            0 => Self(1),
+            work if work > WORK_MAX => Self(WORK_MAX),
+            work => Self(work),
+        }
+    }
+
+    /// The work left of a request after some output.
+    pub const fn left(request: &Request, tokens: u64) -> Self {
+        let left = request.output_tokens.saturating_sub(tokens);
+        match left.saturating_mul(OUTPUT_TOKEN_WORK) {
+            0 => Self(1),
+            work if work > WORK_MAX => Self(WORK_MAX),
+            work => Self(work),
+        }
     }
 }
 
--- /dev/null
+++ b/crates/snipeusher/src/load/table.rs
@@ -0,0 +1,413 @@
+//! The load of all upstreams as one router knows it.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::hash;
+use crate::name;
+use crate::request::Target;
+use crate::time::Time;
+
+use super::Cell;
+use super::Kind;
+use super::Report;
+use super::Share;
+use super::Strategy;
+use super::View;
+use super::WORK_MAX;
+use super::Work;
+
+/// A peer's work counts for this long after it was told.
+const PEER_TTL: Duration = Duration::from_secs(5);
+
+/// Index of an upstream in the table, reused after the upstream is forgotten.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Slot(pub u32);
+
+/// What placement reads of each upstream, kept dense.
+#[derive(Clone, Copy, Debug)]
+pub struct Hot {
+    /// Estimated work outstanding.
+    pub estimate: u64,
+    /// Work beyond which it would only queue, during slow start a part of it.
+    pub capacity: u64,
+    /// Slow-start factor.
+    pub factor: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Told {
+    at: Time,
+    work: Vec<(Slot, u64)>,
+}
+
+/// The load of all upstreams, with estimates kept up to date.
+#[derive(Clone, Debug, Default)]
+pub struct Table<S> {
+    strategy: S,
+    capacity: u64,
+    slots: BTreeMap<name::Upstream, Slot>,
+    cells: Vec<Cell>,
+    hot: Vec<Hot>,
+    free: Vec<Slot>,
+    kinds: Vec<Kind>,
+    targets: BTreeMap<Target, u32>,
+    peers: BTreeMap<name::Host, Told>,
+}
+
+impl<S: Strategy> Table<S> {
+    /// Starts without upstreams; `capacity` is what each may hold until its reports tell.
+    pub fn new(capacity: Work) -> Self {
+        Self {
+            capacity: capacity.0,
+            ..Self::default()
+        }
+    }
+
+    /// The way it judges load.
+    pub const fn strategy(&self) -> &S {
+        &self.strategy
+    }
+
+    /// The upstream of that name.
+    pub fn slot(&self, name: &name::Upstream) -> Option<Slot> {
+        self.slots.get(name).copied()
+    }
+
+    /// What is known of an upstream.
+    pub fn cell(&self, slot: Slot) -> &Cell {
+        &self.cells[slot.0 as usize]
+    }
+
+    /// Forgets what only held for an earlier run of an upstream.
+    pub(crate) fn restart(&mut self, slot: Slot, incarnation: name::Incarnation) {
+        let capacity = self.capacity;
+        self.cell_mut(slot).restart(incarnation, capacity);
+    }
+
+    /// Lets a caller change what does not touch the estimate.
+    pub(crate) fn cell_mut(&mut self, slot: Slot) -> &mut Cell {
+        &mut self.cells[slot.0 as usize]
+    }
+
+    /// What placement reads of an upstream.
+    pub fn hot(&self, slot: Slot) -> Hot {
+        self.hot[slot.0 as usize]
+    }
+
+    /// The upstreams known, in order of name.
+    pub fn iter(&self) -> impl Iterator<Item = (Slot, &Cell)> {
+        self.slots.values().map(|slot| (*slot, self.cell(*slot)))
+    }
+
+    /// The upstreams that can serve a target, if one ever could.
+    pub fn kind(&self, target: &Target) -> Option<&Kind> {
+        let index = self.targets.get(target)?;
+        self.kinds.get(*index as usize)
+    }
+
+    /// Whether an upstream belongs to a kind.
+    pub fn serves(&self, slot: Slot, kind: &Kind) -> bool {
+        let index = self.targets.get(&kind.target);
+        index.is_some_and(|index| self.cell(slot).kinds.contains(index))
+    }
+
+    /// All kinds.
+    pub fn kinds(&self) -> &[Kind] {
+        &self.kinds
+    }
+
+    /// Routers whose work is known, this one included.
+    pub fn routers(&self) -> u32 {
+        self.peers.len() as u32 + 1
+    }
+
+    /// Estimated work of all upstreams of a kind that take new work.
+    pub fn total(&self, target: &Target) -> Work {
+        Work(self.kind(target).map_or(0, |kind| kind.total))
+    }
+
+    /// Adds an upstream, or finds it.
+    pub(crate) fn enter(&mut self, name: &name::Upstream) -> Slot {
+        if let Some(slot) = self.slot(name) {
+            return slot;
+        }
+        let node = hash::bytes(name.as_str().as_bytes());
+        let cell = Cell::new(name.clone(), node, self.capacity);
+        let hot = Hot {
+            estimate: 0,
+            capacity: cell.capacity,
+            factor: 1.0,
+        };
+        let slot = if let Some(slot) = self.free.pop() {
+            let epoch = self.cell(slot).epoch.wrapping_add(1);
+            self.cells[slot.0 as usize] = Cell { epoch, ..cell };
+            self.hot[slot.0 as usize] = hot;
+            slot
+        } else {
+            self.cells.push(cell);
+            self.hot.push(hot);
+            Slot(self.cells.len() as u32 - 1)
+        };
+        self.slots.insert(name.clone(), slot);
+        slot
+    }
+
+    /// Forgets an upstream; refused while own work is in flight there.
+    pub(crate) fn forget(&mut self, slot: Slot) -> bool {
+        if self.cell(slot).own.get() > 0 {
+            return false;
+        }
+        self.serve(slot, &BTreeSet::new());
+        for told in self.peers.values_mut() {
+            told.work.retain(|(other, _)| *other != slot);
+        }
+        let cell = self.cell_mut(slot);
+        // What was learned of its cache must not count for the slot's next user.
+        cell.epoch = cell.epoch.wrapping_add(1);
+        let name = cell.name.clone();
+        if self.slots.remove(&name).is_some() {
+            self.free.push(slot);
+        }
+        true
+    }
+
+    /// Sets what an upstream serves while it is live; nothing if it is not.
+    pub(crate) fn serve(&mut self, slot: Slot, targets: &BTreeSet<Target>) {
+        self.leave_kinds(slot);
+        let ejected = u32::from(self.cell(slot).ejected);
+        let mut kinds = Vec::with_capacity(targets.len());
+        for target in targets {
+            let index = self.index(target);
+            let kind = &mut self.kinds[index as usize];
+            kind.live += 1;
+            kind.ejected += ejected;
+            kinds.push(index);
+        }
+        self.cell_mut(slot).kinds = kinds;
+        self.join_open(slot);
+    }
+
+    /// Sets whether an upstream takes new work, and whether that is because it is ejected.
+    pub(crate) fn open(&mut self, slot: Slot, open: bool, ejected: bool) {
+        self.leave_open(slot);
+        let before = self.cell(slot).ejected;
+        for index in self.cell(slot).kinds.clone() {
+            let kind = &mut self.kinds[index as usize];
+            kind.ejected = kind.ejected + u32::from(ejected) - u32::from(before);
+        }
+        let cell = self.cell_mut(slot);
+        cell.open = open;
+        cell.ejected = ejected;
+        self.join_open(slot);
+    }
+
+    /// Changes the own work at an upstream.
+    pub(crate) fn own(&mut self, now: Time, slot: Slot, add: Work, remove: Work) {
+        let cell = self.cell_mut(slot);
+        let value = cell.own.get().saturating_add(add.0);
+        cell.own.set(now, value.saturating_sub(remove.0));
+        self.update(now, slot);
+    }
+
+    /// Changes the work granted to peers at an upstream.
+    pub(crate) fn granted(&mut self, now: Time, slot: Slot, add: Work, remove: Work) {
+        let cell = self.cell_mut(slot);
+        cell.granted = cell.granted.saturating_add(add.0).saturating_sub(remove.0);
+        self.update(now, slot);
+    }
+
+    /// Takes a report; false if it is out of order.
+    pub(crate) fn report(&mut self, now: Time, slot: Slot, report: &Report) -> bool {
+        let taken = self.cell_mut(slot).take(now, report);
+        if taken {
+            self.update(now, slot);
+        }
+        taken
+    }
+
+    /// Brings the estimate of an upstream up to date.
+    pub(crate) fn refreshed(&mut self, now: Time, slot: Slot) {
+        self.update(now, slot);
+    }
+
+    /// Lowers the capacity of an upstream that declined a request.
+    pub(crate) fn declined(&mut self, now: Time, slot: Slot) {
+        self.cell_mut(slot).declined();
+        self.update(now, slot);
+    }
+
+    /// Takes a peer's work in place of what it told last; returns the names it does not know.
+    ///
+    /// Work beyond [`WORK_MAX`] at one upstream counts as that.
+    pub(crate) fn peer(
+        &mut self,
+        now: Time,
+        host: name::Host,
+        share: &Share,
+    ) -> Vec<name::Upstream> {
+        self.drop_peer(now, &host);
+        let mut work = Vec::with_capacity(share.in_flight.len());
+        let mut unknown = Vec::new();
+        for (name, told) in &share.in_flight {
+            match self.slot(name) {
+                Some(slot) => work.push((slot, told.0.min(WORK_MAX))),
+                None => unknown.push(name.clone()),
+            }
+        }
+        for (slot, told) in &work {
+            self.peers_at(now, *slot, *told, 0);
+        }
+        self.peers.insert(host, Told { at: now, work });
+        unknown
+    }
+
+    /// Drops a peer's work.
+    pub(crate) fn drop_peer(&mut self, now: Time, host: &name::Host) {
+        let Some(told) = self.peers.remove(host) else {
+            return;
+        };
+        for (slot, work) in told.work {
+            self.peers_at(now, slot, 0, work);
+        }
+    }
+
+    /// Ages reports, slow starts and peers' work; returns the peers that fell silent.
+    pub(crate) fn refresh(&mut self, now: Time) -> Vec<name::Host> {
+        let silent: Vec<name::Host> = self
+            .peers
+            .iter()
+            .filter(|(_, told)| now.since(told.at) > PEER_TTL)
+            .map(|(host, _)| host.clone())
+            .collect();
+        for host in &silent {
+            self.drop_peer(now, host);
+        }
+        for index in 0..self.kinds.len() {
+            self.kinds[index].typical = self.typical(now, &self.kinds[index]);
+        }
+        for index in 0..self.cells.len() {
+            self.update(now, Slot(index as u32));
+        }
+        for index in 0..self.kinds.len() {
+            let slots = &self.kinds[index].slots;
+            let factors = slots.iter().map(|slot| self.hot(*slot).factor).sum();
+            self.kinds[index].factors = factors;
+        }
+        silent
+    }
+
+    fn typical(&self, now: Time, kind: &Kind) -> View {
+        let mut sum = View::default();
+        let mut count = 0;
+        for slot in &kind.slots {
+            let cell = self.cell(*slot);
+            let Some(seen) = cell.report else { continue };
+            if cell.freshness(now) < 1.0 {
+                continue;
+            }
+            count += 1;
+            sum.reported.0 += seen.work;
+            sum.own_reported.0 += seen.own;
+            sum.peers_reported.0 += seen.peers;
+        }
+        let mean = |work: Work| Work(work.0.checked_div(count).unwrap_or(0));
+        View {
+            reported: mean(sum.reported),
+            own_reported: mean(sum.own_reported),
+            peers_reported: mean(sum.peers_reported),
+            ..View::default()
+        }
+    }
+
+    fn peers_at(&mut self, now: Time, slot: Slot, add: u64, remove: u64) {
+        let cell = self.cell_mut(slot);
+        let value = cell.peers.get().saturating_add(add);
+        cell.peers.set(now, value.saturating_sub(remove));
+        self.update(now, slot);
+    }
+
+    /// Recomputes what placement reads of an upstream.
+    fn update(&mut self, now: Time, slot: Slot) {
+        let cell = &self.cells[slot.0 as usize];
+        let kind = cell.kinds.first().map(|index| &self.kinds[*index as usize]);
+        let typical = kind.map_or_else(View::default, |kind| kind.typical);
+        let view = cell.view(now, &typical, self.routers());
+        let factor = cell.factor(now);
+        let estimate = self.strategy.estimate(&view).0;
+        let open = cell.open;
+        let hot = &mut self.hot[slot.0 as usize];
+        let before = hot.estimate;
+        hot.estimate = estimate;
+        hot.capacity = (cell.capacity as f64 * factor) as u64;
+        hot.factor = factor;
+        if !open {
+            return;
+        }
+        for index in &self.cells[slot.0 as usize].kinds {
+            let total = &mut self.kinds[*index as usize].total;
+            *total = total.saturating_sub(before).saturating_add(estimate);
+        }
+    }
+
+    fn index(&mut self, target: &Target) -> u32 {
+        if let Some(index) = self.targets.get(target) {
+            return *index;
+        }
+        // A kind that lost its last upstream makes room for a new one, so that versions that
+        // come and go do not add up.
+        let empty = self.kinds.iter().position(|kind| kind.live == 0);
+        let kind = Kind::new(target.clone());
+        let index = if let Some(index) = empty {
+            self.targets.remove(&self.kinds[index].target);
+            self.kinds[index] = kind;
+            index as u32
+        } else {
+            self.kinds.push(kind);
+            self.kinds.len() as u32 - 1
+        };
+        self.targets.insert(target.clone(), index);
+        index
+    }
+
+    fn leave_kinds(&mut self, slot: Slot) {
+        self.leave_open(slot);
+        let kinds = std::mem::take(&mut self.cell_mut(slot).kinds);
+        let ejected = u32::from(self.cell(slot).ejected);
+        for index in kinds {
+            let kind = &mut self.kinds[index as usize];
+            kind.live -= 1;
+            kind.ejected -= ejected;
+        }
+    }
+
+    fn leave_open(&mut self, slot: Slot) {
+        self.join(slot, false);
+    }
+
+    fn join_open(&mut self, slot: Slot) {
+        self.join(slot, true);
+    }
+
+    /// Puts an open upstream into the lists of its kinds, or takes it out.
+    fn join(&mut self, slot: Slot, enter: bool) {
+        let cell = &self.cells[slot.0 as usize];
+        let hot = self.hot[slot.0 as usize];
+        if !cell.open {
+            return;
+        }
+        for index in &cell.kinds {
+            let kind = &mut self.kinds[*index as usize];
+            if enter {
+                kind.insert(slot, cell.node);
+                kind.total = kind.total.saturating_add(hot.estimate);
+                kind.factors += hot.factor;
+            } else {
+                kind.remove(slot);
+                kind.total = kind.total.saturating_sub(hot.estimate);
+                kind.factors = (kind.factors - hot.factor).max(0.0);
+            }
+        }
+    }
+}
--- a/crates/snipeusher/src/machine/action.rs
+++ b/crates/snipeusher/src/machine/action.rs
@@ -24,8 +24,6 @@
     AttemptsFailed,
     /// The workspace has no policy.
     UnknownWorkspace,
-    /// The request's identity is already in use.
-    Duplicate,
 }
 
 /// What the embedding process must do.
--- /dev/null
+++ b/crates/snipeusher/src/machine/flow.rs
@@ -0,0 +1,301 @@
+//! The way of a request from its arrival to an upstream.
+
+use std::time::Duration;
+
+use crate::admission::Full;
+use crate::board::Flight;
+use crate::board::Stage;
+use crate::load::Slot;
+use crate::load::Strategy;
+use crate::load::Work;
+use crate::name;
+use crate::placement;
+use crate::placement::Ask;
+use crate::placement::Choice;
+use crate::request::Attempt;
+use crate::request::Id;
+use crate::request::Ran;
+use crate::request::Request;
+use crate::request::Target;
+use crate::request::Task;
+use crate::request::Terms;
+use crate::time::Time;
+
+use super::Action;
+use super::Fault;
+use super::Machine;
+use super::Reason;
+use super::Ticket;
+
+/// When a caller may come back if nothing better is known.
+pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl<S: Strategy> Machine<S> {
+    pub(super) fn arrive(&mut self, now: Time, request: Request) {
+        if self.board.requests.contains_key(&request.id) {
+            self.fault(Fault::DuplicateRequest { id: request.id });
+            return;
+        }
+        let Some(policy) = self.board.policies.get(&request.workspace) else {
+            self.refuse(
+                request.id,
+                Reason::UnknownWorkspace,
+                Ran::NotRun,
+                RETRY_AFTER,
+            );
+            return;
+        };
+        let terms = Terms::of(policy, &request.class);
+        let workspace = &request.workspace;
+        self.board.budget.deposit(workspace, terms.retry_ratio);
+        self.board.queues.usage_mut().touch(now, workspace);
+        let task = Task {
+            request,
+            terms,
+            since: now,
+            tries: 0,
+            ran: Ran::NotRun,
+            last: None,
+        };
+        if task.request.deadline <= now {
+            self.give_up(&task, Reason::TooLate, RETRY_AFTER);
+        } else if !self.is_served(&task.request.target) {
+            self.give_up(&task, Reason::NoUpstream, RETRY_AFTER);
+        } else if terms.immediate {
+            self.start_immediate(now, task);
+        } else if self.board.queues.waits(&task.request.target) {
+            self.enqueue(now, task);
+            self.pump(now);
+        } else if let Some(choice) = self.decide(&task, None) {
+            self.start(now, task, choice, 0);
+        } else {
+            self.enqueue(now, task);
+        }
+    }
+
+    /// Starts what waits, in the order of the queues, as far as upstreams have room.
+    pub(super) fn pump(&mut self, now: Time) {
+        if self.board.queues.is_empty() {
+            return;
+        }
+        let mut blocked: Vec<(Target, bool)> = Vec::new();
+        loop {
+            let usage = self.board.queues.usage();
+            let lane = self.board.queues.next(|lane, head| {
+                // What has no room below the reserve may still have room within it.
+                let over = usage.over(&head.request.workspace);
+                blocked
+                    .iter()
+                    .any(|(target, reserved)| *target == lane.target && (over || !*reserved))
+            });
+            let Some(lane) = lane else { return };
+            let Some(head) = self.board.queues.head(&lane).cloned() else {
+                return;
+            };
+            let avoid = self.last_slot(&head);
+            if let Some(choice) = self.decide(&head, avoid) {
+                self.board.queues.start(now, &lane);
+                self.start(now, head, choice, 0);
+            } else {
+                let over = self.board.queues.usage().over(&lane.workspace);
+                blocked.push((lane.target, over));
+            }
+        }
+    }
+
+    /// Chooses an upstream for a request that counts against the capacity of engines.
+    pub(super) fn decide(&mut self, task: &Task, avoid: Option<Slot>) -> Option<Choice> {
+        let ask = Ask {
+            limit: task.terms.load_limit,
+            capped: !task.terms.immediate,
+            over: self.board.queues.usage().over(&task.request.workspace),
+            avoid,
+        };
+        let kind = self.board.loads.kind(&task.request.target)?;
+        placement::choose(
+            &self.board.loads,
+            &self.board.prefixes,
+            kind,
+            &task.request,
+            &ask,
+            &mut self.rng,
+        )
+    }
+
+    /// Sends a request to the upstream chosen, by way of a slot where the strategy needs one.
+    pub(super) fn start(&mut self, now: Time, task: Task, choice: Choice, denials: u32) {
+        let task = if S::ADMISSION && !task.terms.immediate {
+            match self.ask_slot(now, task, choice, denials) {
+                Some(task) => task,
+                None => return,
+            }
+        } else {
+            task
+        };
+        self.dispatch(now, task, choice, None);
+    }
+
+    pub(super) fn dispatch(
+        &mut self,
+        now: Time,
+        mut task: Task,
+        choice: Choice,
+        slot: Option<(name::Host, Ticket)>,
+    ) {
+        self.transfer(&task.request, choice);
+        let attempt = self.take_attempt();
+        let cell = self.board.loads.cell(choice.slot);
+        let upstream = cell.name.clone();
+        let epoch = cell.epoch;
+        let none = Work::default();
+        self.board.loads.own(now, choice.slot, choice.work, none);
+        let usage = self.board.queues.usage_mut();
+        usage.change(&task.request.workspace, choice.work, none);
+        let id = task.request.id;
+        task.tries += 1;
+        task.last = Some(upstream.clone());
+        self.board.requests.insert(id, Stage::Running(attempt));
+        self.actions.push_back(Action::Dispatch {
+            request: id,
+            attempt,
+            upstream: upstream.clone(),
+            priority: task.terms.priority,
+        });
+        let flight = Flight {
+            task,
+            upstream,
+            work: choice.work,
+            start: choice.work,
+            epoch,
+            since: now,
+            sent: false,
+            output: None,
+            slot,
+        };
+        self.board.attempts.insert(attempt, flight);
+    }
+
+    /// Puts a request into its queue, or refuses it.
+    pub(super) fn enqueue(&mut self, now: Time, task: Task) {
+        match self.board.queues.refusal(now, &task) {
+            Some(Full::Queue(after)) => self.give_up(&task, Reason::QueueFull, after),
+            Some(Full::Late(after)) => self.give_up(&task, Reason::TooLate, after),
+            None => {
+                let stage = Stage::Queued(task.lane());
+                self.board.requests.insert(task.request.id, stage);
+                self.board.queues.push(now, task);
+            }
+        }
+    }
+
+    /// Puts a request that had its turn at the head of its queue.
+    ///
+    /// One that is never dropped gets its place back even if the queue has filled since.
+    pub(super) fn enqueue_front(&mut self, now: Time, task: Task) {
+        if self.board.queues.is_full(&task) && !task.terms.never_dropped {
+            self.give_up(&task, Reason::QueueFull, RETRY_AFTER);
+            return;
+        }
+        let stage = Stage::Queued(task.lane());
+        self.board.requests.insert(task.request.id, stage);
+        self.board.queues.push_front(now, task);
+    }
+
+    pub(super) fn depart(&mut self, now: Time, id: Id) {
+        let Some(stage) = self.board.requests.remove(&id) else {
+            return;
+        };
+        match stage {
+            Stage::Queued(lane) => {
+                self.board.queues.remove(&lane, id);
+            }
+            Stage::Backoff(due) => {
+                self.timers.remove(&(due, super::Timer::Retry(id)));
+                self.backoff.remove(&id);
+            }
+            Stage::Asking(ticket) => self.withdraw_ticket(now, ticket),
+            Stage::Running(attempt) => self.cancel(now, attempt),
+        }
+        self.actions.push_back(Action::Close(id));
+        self.pump(now);
+    }
+
+    /// Ends a request with a refusal that tells what is known of it.
+    pub(super) fn give_up(&mut self, task: &Task, reason: Reason, retry_after: Duration) {
+        self.board.requests.remove(&task.request.id);
+        self.refuse(task.request.id, reason, task.ran, retry_after);
+    }
+
+    pub(super) fn cancel(&mut self, now: Time, attempt: Attempt) {
+        if let Some(flight) = self.release(now, attempt) {
+            self.actions.push_back(Action::Cancel {
+                attempt,
+                upstream: flight.upstream,
+            });
+        }
+    }
+
+    /// Takes an attempt out of flight and its work off the load.
+    pub(super) fn release(&mut self, now: Time, attempt: Attempt) -> Option<Flight> {
+        let flight = self.board.attempts.remove(&attempt)?;
+        let request = &flight.task.request;
+        self.board.requests.remove(&request.id);
+        let none = Work::default();
+        if let Some(slot) = self.board.loads.slot(&flight.upstream) {
+            self.board.loads.own(now, slot, none, flight.work);
+        }
+        let usage = self.board.queues.usage_mut();
+        usage.change(&request.workspace, none, flight.work);
+        if let Some((to, ticket)) = flight.slot.clone() {
+            self.actions.push_back(Action::ReleaseSlot { to, ticket });
+        }
+        Some(flight)
+    }
+
+    /// The upstream of the last attempt, which the next one avoids.
+    pub(super) fn last_slot(&self, task: &Task) -> Option<Slot> {
+        task.last
+            .as_ref()
+            .and_then(|last| self.board.loads.slot(last))
+    }
+
+    /// Whether an upstream serves the target, even if it takes no new work for a while.
+    pub(super) fn is_served(&self, target: &Target) -> bool {
+        self.board
+            .loads
+            .kind(target)
+            .is_some_and(|kind| kind.live > 0)
+    }
+
+    fn start_immediate(&mut self, now: Time, task: Task) {
+        match self.decide(&task, None) {
+            Some(choice) => self.dispatch(now, task, choice, None),
+            None => self.give_up(&task, Reason::NoUpstream, RETRY_AFTER),
+        }
+    }
+
+    fn transfer(&mut self, request: &Request, choice: Choice) {
+        let Some(chat) = request.chat else { return };
+        let loads = &self.board.loads;
+        let holders = self.board.prefixes.holders(chat);
+        let prompt = request.prompt_tokens;
+        let source = placement::source(loads, holders, choice.slot, choice.cached, prompt);
+        if let Some((from, tokens)) = source {
+            self.actions.push_back(Action::Transfer {
+                chat,
+                from: loads.cell(from).name.clone(),
+                to: loads.cell(choice.slot).name.clone(),
+                tokens,
+            });
+        }
+    }
+
+    fn refuse(&mut self, request: Id, reason: Reason, ran: Ran, retry_after: Duration) {
+        self.actions.push_back(Action::Refuse {
+            request,
+            reason,
+            ran,
+            retry_after,
+        });
+    }
+}
--- a/crates/snipeusher/src/machine/mod.rs
+++ b/crates/snipeusher/src/machine/mod.rs
@@ -6,8 +6,13 @@
 
 mod action;
 mod event;
+mod failure;
 mod fault;
+mod flow;
+mod refresh;
+mod roster;
 mod settings;
+mod slot;
 
 pub use action::Action;
 pub use action::Reason;
@@ -17,42 +22,60 @@
 pub use fault::Fault;
 pub use settings::Settings;
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
-use std::time::Duration;
+
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
 
 use crate::board::Board;
-use crate::board::Flight;
 use crate::load;
-use crate::load::Work;
+use crate::load::Strategy;
+use crate::load::WORK_MAX;
 use crate::name;
-use crate::placement;
+use crate::policy::Policy;
+use crate::prefix::Change;
+use crate::prefix::Holder;
 use crate::request::Attempt;
+use crate::request::Chat;
 use crate::request::Id;
-use crate::request::Ran;
-use crate::request::Request;
+use crate::request::Target;
+use crate::request::Task;
 use crate::time::Time;
-use crate::upstream::Phase;
-
-/// When a caller may come back if nothing better is known.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Most faults kept until [`Machine::faults`] takes them; the oldest go first.
 const FAULTS_MAX: usize = 64;
 
+/// Something to do at a time.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Refresh,
+    Retry(Id),
+    Slot(Ticket),
+    Reopen(name::Upstream),
+}
+
 /// The decisions of one router, which judges load by the strategy `S`.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Machine<S = load::Peers> {
-    board: Board,
+    board: Board<S>,
+    settings: Settings,
+    rng: Pcg64Mcg,
     actions: VecDeque<Action>,
     faults: VecDeque<Fault>,
+    timers: BTreeSet<(Time, Timer)>,
+    backoff: BTreeMap<Id, Task>,
+    slots: slot::Book,
     next_attempt: u64,
-    settings: Settings,
-    strategy: S,
+    refreshing: bool,
+    started: Option<Time>,
+    now: Time,
 }
 
 impl Machine {
-    /// Starts with nothing known and default settings. `first_attempt` must differ between runs of a process, so that
-    /// a late answer to an earlier run is told apart.
+    /// Starts with nothing known and default settings. `first_attempt` must differ between runs
+    /// of a process, so that a late answer to an earlier run is told apart.
     pub fn new(first_attempt: u64) -> Self {
         Self::with(Settings {
             first_attempt,
@@ -61,13 +84,31 @@
     }
 }
 
-impl<S: load::Strategy> Machine<S> {
+impl Default for Machine {
+    fn default() -> Self {
+        Self::with(Settings::default())
+    }
+}
+
+impl<S: Strategy> Machine<S> {
     /// Starts with nothing known.
     pub fn with(settings: Settings) -> Self {
         Self {
+            board: Board {
+                loads: load::Table::new(settings.capacity),
+                ..Board::default()
+            },
+            rng: Pcg64Mcg::seed_from_u64(settings.seed),
             next_attempt: settings.first_attempt,
             settings,
-            ..Self::default()
+            actions: VecDeque::new(),
+            faults: VecDeque::new(),
+            timers: BTreeSet::new(),
+            backoff: BTreeMap::new(),
+            slots: slot::Book::default(),
+            refreshing: false,
+            started: None,
+            now: Time::default(),
         }
     }
 
@@ -78,55 +119,68 @@
 
     /// The way it judges load.
     pub const fn strategy(&self) -> &S {
-        &self.strategy
+        self.board.loads.strategy()
     }
 
     /// The shared state, for status pages and tests.
-    pub const fn board(&self) -> &Board {
+    pub const fn board(&self) -> &Board<S> {
         &self.board
     }
 
+    /// The upstreams that may get new work for a target now.
+    pub fn accepting(&self, target: &Target) -> Vec<name::Upstream> {
+        let kind = self.board.loads.kind(target);
+        let slots = kind.map_or(&[][..], |kind| &kind.slots);
+        let names = slots.iter().map(|slot| &self.board.loads.cell(*slot).name);
+        names.cloned().collect()
+    }
+
     /// Takes one event at `now`; actions wait in [`Self::drain`].
-    pub fn handle(&mut self, _now: Time, event: Event) {
+    ///
+    /// A time before the latest one seen counts as that and gives a [`Fault::ClockBack`].
+    pub fn handle(&mut self, now: Time, event: Event) {
+        let now = self.advance(now);
+        self.run_due(now);
         match event {
-            Event::Arrive(request) => self.arrive(request),
-            Event::Depart(id) => self.depart(id),
-            Event::Sent(attempt) => {
-                if let Some(flight) = self.board.attempts.get_mut(&attempt) {
-                    flight.sent = true;
-                }
-            }
-            Event::End { attempt, outcome } => self.end(attempt, outcome),
-            Event::Upstream(state) => {
-                self.board.upstreams.insert(state.name.clone(), state);
-            }
-            Event::Policy(policy) => {
-                self.board.policies.insert(policy.workspace.clone(), policy);
-            }
+            Event::Arrive(request) => self.arrive(now, request),
+            Event::Depart(id) => self.depart(now, id),
+            Event::Sent(attempt) => self.sent(attempt),
+            Event::Output {
+                attempt,
+                tokens,
+                cached,
+            } => self.output(now, attempt, tokens, cached),
+            Event::End { attempt, outcome } => self.end(now, attempt, outcome),
+            Event::Upstream(state) => self.upstream(now, state),
+            Event::Leaving {
+                upstream,
+                incarnation,
+            } => self.leaving(now, upstream, incarnation),
+            Event::Unknown(upstream) => self.unknown(now, upstream),
+            Event::Report { upstream, report } => self.report(now, upstream, &report),
+            Event::Cache { upstream, batch } => self.cache(upstream, &batch),
+            Event::Peer { host, share } => self.peer(now, host, &share),
+            Event::PeerGone(host) => self.peer_gone(now, &host),
+            Event::Routers(hosts) => self.board.routers = hosts,
+            Event::SlotAsked {
+                from,
+                ticket,
+                upstream,
+                work,
+                load_limit,
+            } => self.slot_asked(now, (from, ticket), upstream, work, load_limit),
+            Event::SlotReleased { from, ticket } => self.slot_released(now, &(from, ticket)),
+            Event::SlotAnswered { ticket, granted } => self.slot_answered(now, ticket, granted),
+            Event::SlotUnreachable(ticket) => self.slot_unreachable(now, ticket),
+            Event::Transferred { chat, to, tokens } => self.transferred(chat, to, tokens),
+            Event::Policy(policy) => self.policy(policy),
             Event::Forget(workspace) => {
                 self.board.policies.remove(&workspace);
+                self.board.budget.forget(&workspace);
             }
-            Event::Leaving { upstream, .. } => self.set_phase(&upstream, Phase::Leaving),
-            Event::Unknown(upstream) => self.set_phase(&upstream, Phase::Gone),
-            Event::SlotAsked { from, ticket, .. } => {
-                self.actions.push_back(Action::AnswerSlot {
-                    to: from,
-                    ticket,
-                    granted: true,
-                });
-            }
-            Event::Output { .. }
-            | Event::Report { .. }
-            | Event::Cache { .. }
-            | Event::Peer { .. }
-            | Event::PeerGone(_)
-            | Event::Routers(_)
-            | Event::SlotReleased { .. }
-            | Event::SlotAnswered { .. }
-            | Event::SlotUnreachable(_)
-            | Event::Transferred { .. }
-            | Event::Tick => {}
+            Event::Tick => {}
         }
+        self.schedule_refresh(now);
     }
 
     /// Takes the actions that are due, in order.
@@ -139,6 +193,34 @@
         self.faults.drain(..)
     }
 
+    /// When [`Event::Tick`] must come at the latest.
+    pub fn next_wake(&self) -> Time {
+        self.timers.first().map_or(Time::NEVER, |(time, _)| *time)
+    }
+
+    /// The own work in flight and waiting, to be told to the peers.
+    pub fn share(&self) -> load::Share {
+        let cells = self.board.loads.iter();
+        let in_flight = cells
+            .filter(|(_, cell)| cell.own.get() > 0)
+            .map(|(_, cell)| (cell.name.clone(), load::Work(cell.own.get())));
+        load::Share {
+            in_flight: in_flight.collect(),
+            running: self.board.queues.usage().own(),
+            waiting: self.board.queues.waiting(),
+        }
+    }
+
+    fn advance(&mut self, now: Time) -> Time {
+        if now < self.now {
+            let micros = self.now.0 - now.0;
+            self.fault(Fault::ClockBack { micros });
+        }
+        self.now = self.now.max(now);
+        self.started.get_or_insert(self.now);
+        self.now
+    }
+
     fn fault(&mut self, fault: Fault) {
         if self.faults.len() == FAULTS_MAX {
             self.faults.pop_front();
@@ -146,109 +228,99 @@
         self.faults.push_back(fault);
     }
 
-    /// When [`Event::Tick`] must come at the latest.
-    pub const fn next_wake(&self) -> Time {
-        Time::NEVER
-    }
-
-    /// The own work in flight, to be told to the peers.
-    pub fn share(&self) -> load::Share {
-        let mut share = load::Share {
-            in_flight: self.board.loads.clone(),
-            ..load::Share::default()
-        };
-        share.in_flight.retain(|_, work| work.0 > 0);
-        for flight in self.board.attempts.values() {
-            let workspace = flight.request.workspace.clone();
-            share.running.entry(workspace).or_default().0 += flight.work.0;
+    fn run_due(&mut self, now: Time) {
+        while let Some((time, _)) = self.timers.first()
+            && *time <= now
+            && let Some((_, timer)) = self.timers.pop_first()
+        {
+            match timer {
+                Timer::Refresh => self.refresh(now),
+                Timer::Retry(id) => self.retry_due(now, id),
+                Timer::Slot(ticket) => self.slot_timeout(now, ticket),
+                Timer::Reopen(name) => self.reopen(now, &name),
+            }
         }
-        share
     }
 
-    fn set_phase(&mut self, upstream: &name::Upstream, phase: Phase) {
-        if let Some(state) = self.board.upstreams.get_mut(upstream) {
-            state.phase = state.phase.max(phase);
+    fn policy(&mut self, policy: Policy) {
+        if policy.limits.usable_load_limit() < policy.limits.load_limit
+            || policy.limits.load_limit.is_nan()
+            || policy.limits.load_limit <= 1.0
+        {
+            let workspace = policy.workspace.clone();
+            self.fault(Fault::LoadLimit { workspace });
         }
+        self.board.policies.insert(policy.workspace.clone(), policy);
     }
 
-    fn arrive(&mut self, request: Request) {
-        let Some(policy) = self.board.policies.get(&request.workspace) else {
-            self.refuse(request.id, Reason::UnknownWorkspace, Ran::NotRun);
+    fn report(&mut self, now: Time, upstream: name::Upstream, report: &load::Report) {
+        let Some(slot) = self.board.loads.slot(&upstream) else {
+            self.fault(Fault::UnknownUpstream { upstream });
             return;
         };
-        let priority = policy
-            .classes
-            .get(&request.class)
-            .map_or(0, |class| class.priority);
-        let limit = policy.limits.load_limit;
-        let Some(upstream) = placement::choose(&self.board, &request, limit) else {
-            self.refuse(request.id, Reason::NoUpstream, Ran::NotRun);
+        if report.work.0 > WORK_MAX {
+            let work = report.work;
+            self.fault(Fault::AbsurdLoad { upstream, work });
             return;
-        };
-        let attempt = Attempt(self.next_attempt);
-        self.next_attempt += 1;
-        let work = Work::of(&request, 0);
-        self.board.loads.entry(upstream.clone()).or_default().0 += work.0;
-        self.board.running.insert(request.id, attempt);
-        self.actions.push_back(Action::Dispatch {
-            request: request.id,
-            attempt,
-            upstream: upstream.clone(),
-            priority,
-        });
-        let flight = Flight {
-            request,
-            upstream,
-            work,
-            sent: false,
-        };
-        self.board.attempts.insert(attempt, flight);
+        }
+        if !self.board.loads.report(now, slot, report) {
+            self.fault(Fault::OutOfOrder { upstream });
+            return;
+        }
+        self.pump(now);
     }
 
-    fn depart(&mut self, id: Id) {
-        let Some(attempt) = self.board.running.get(&id).copied() else {
+    fn peer(&mut self, now: Time, host: name::Host, share: &load::Share) {
+        if host == self.settings.host {
             return;
-        };
-        if let Some(flight) = self.release(attempt) {
-            self.actions.push_back(Action::Cancel {
-                attempt,
-                upstream: flight.upstream,
-            });
-            self.actions.push_back(Action::Close(id));
+        }
+        self.board.queues.usage_mut().peer(now, &host, share);
+        for upstream in self.board.loads.peer(now, host, share) {
+            self.fault(Fault::UnknownUpstream { upstream });
         }
     }
 
-    fn end(&mut self, attempt: Attempt, outcome: Outcome) {
-        let Some(flight) = self.release(attempt) else {
-            self.fault(Fault::UnknownAttempt { attempt });
+    fn cache(&mut self, upstream: name::Upstream, batch: &crate::prefix::Batch) {
+        let Some(slot) = self.board.loads.slot(&upstream) else {
+            self.fault(Fault::UnknownUpstream { upstream });
             return;
         };
-        let ran = match outcome {
-            Outcome::Complete | Outcome::Cancelled => {
-                self.actions.push_back(Action::Close(flight.request.id));
-                return;
+        if self.board.loads.cell(slot).incarnation != batch.incarnation {
+            self.fault(Fault::OutOfOrder { upstream });
+            return;
+        }
+        for change in self.board.prefixes.fresh(slot, batch) {
+            match *change {
+                Change::Stored { chat, tokens } => self.learn(chat, slot, tokens),
+                Change::Evicted(chat) => self.board.prefixes.forget(chat, slot),
+                Change::Cleared => {
+                    let cell = self.board.loads.cell_mut(slot);
+                    cell.epoch = cell.epoch.wrapping_add(1);
+                }
             }
-            Outcome::Unreachable | Outcome::Declined { .. } => Ran::NotRun,
-            Outcome::Broken => Ran::Unknown,
-        };
-        self.refuse(flight.request.id, Reason::AttemptsFailed, ran);
+        }
     }
 
-    fn release(&mut self, attempt: Attempt) -> Option<Flight> {
-        let flight = self.board.attempts.remove(&attempt)?;
-        self.board.running.remove(&flight.request.id);
-        if let Some(load) = self.board.loads.get_mut(&flight.upstream) {
-            load.0 = load.0.saturating_sub(flight.work.0);
+    fn transferred(&mut self, chat: Chat, to: name::Upstream, tokens: u64) {
+        match self.board.loads.slot(&to) {
+            Some(slot) if tokens > 0 => self.learn(chat, slot, tokens),
+            Some(_) => {}
+            None => self.fault(Fault::UnknownUpstream { upstream: to }),
         }
-        Some(flight)
     }
 
-    fn refuse(&mut self, request: Id, reason: Reason, ran: Ran) {
-        self.actions.push_back(Action::Refuse {
-            request,
-            reason,
-            ran,
-            retry_after: RETRY_AFTER,
-        });
+    fn learn(&mut self, chat: Chat, slot: load::Slot, tokens: u64) {
+        let holder = Holder {
+            slot,
+            epoch: self.board.loads.cell(slot).epoch,
+            tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+        };
+        self.board.prefixes.learn(chat, holder);
+    }
+
+    fn take_attempt(&mut self) -> Attempt {
+        let attempt = Attempt(self.next_attempt);
+        self.next_attempt = self.next_attempt.wrapping_add(1);
+        attempt
     }
 }
--- /dev/null
+++ b/crates/snipeusher/src/machine/roster.rs
@@ -0,0 +1,230 @@
+//! Upstreams that join, change and leave.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::churn;
+use crate::load::Slot;
+use crate::load::Strategy;
+use crate::name;
+use crate::placement;
+use crate::request::Chat;
+use crate::request::Target;
+use crate::time::Time;
+use crate::upstream::Kind;
+use crate::upstream::Phase;
+use crate::upstream::State;
+
+use super::Action;
+use super::Fault;
+use super::Machine;
+use super::Timer;
+
+/// Upstreams seen so soon after the start are not new to the fleet and start at full share.
+const STARTING: Duration = Duration::from_secs(5);
+/// Runs of unknown upstreams that are remembered as leaving; the first by name go first.
+const LEAVING_MAX: usize = 8_192;
+/// Most transfers started when an engine begins to leave; the source has little time left.
+const TRANSFERS_MAX: usize = 64;
+
+impl<S: Strategy> Machine<S> {
+    pub(super) fn upstream(&mut self, now: Time, mut state: State) {
+        let name = state.name.clone();
+        let marked = self.board.leaving.get(&name);
+        if marked.is_some_and(|marked| *marked >= state.incarnation) {
+            state.phase = state.phase.max(Phase::Leaving);
+        }
+        if let Some(known) = self.board.upstreams.get(&name) {
+            if known.incarnation > state.incarnation {
+                self.fault(Fault::OutOfOrder { upstream: name });
+                return;
+            }
+            if known.incarnation == state.incarnation {
+                state.phase = state.phase.max(known.phase);
+            }
+        }
+        let before = self.board.upstreams.get(&name);
+        let was_live = before.is_some_and(|before| before.phase == Phase::Live);
+        let slot = self.board.loads.enter(&name);
+        let cell = self.board.loads.cell_mut(slot);
+        let zone = self.settings.zone.as_ref();
+        cell.near = zone.is_none_or(|zone| *zone == state.zone);
+        if cell.incarnation != state.incarnation {
+            self.board.loads.restart(slot, state.incarnation);
+            self.board.prefixes.restart(slot);
+            self.board.outliers.forget(slot);
+            if was_live {
+                self.down(now, &name);
+            }
+        }
+        if state.phase >= Phase::Leaving {
+            self.mark(name.clone(), state.incarnation);
+            self.down(now, &name);
+        }
+        if state.phase == Phase::Leaving {
+            self.evacuate(slot);
+        }
+        if state.phase == Phase::Gone {
+            self.void(slot);
+        }
+        self.board.upstreams.insert(name.clone(), state);
+        self.apply(now, &name);
+        self.pump(now);
+    }
+
+    pub(super) fn leaving(
+        &mut self,
+        now: Time,
+        upstream: name::Upstream,
+        incarnation: name::Incarnation,
+    ) {
+        let known = self.board.upstreams.get_mut(&upstream);
+        if let Some(state) = known {
+            if state.incarnation > incarnation {
+                self.fault(Fault::OutOfOrder { upstream });
+                return;
+            }
+            state.phase = state.phase.max(Phase::Leaving);
+            self.down(now, &upstream);
+        }
+        self.mark(upstream.clone(), incarnation);
+        if let Some(slot) = self.board.loads.slot(&upstream) {
+            self.evacuate(slot);
+        }
+        self.apply(now, &upstream);
+    }
+
+    pub(super) fn unknown(&mut self, now: Time, upstream: name::Upstream) {
+        let Some(state) = self.board.upstreams.remove(&upstream) else {
+            self.fault(Fault::UnknownUpstream { upstream });
+            return;
+        };
+        if state.phase == Phase::Live {
+            self.down(now, &upstream);
+        }
+        if let Some(slot) = self.board.loads.slot(&upstream) {
+            self.void(slot);
+        }
+        self.apply(now, &upstream);
+    }
+
+    pub(super) fn reopen(&mut self, now: Time, name: &name::Upstream) {
+        self.apply(now, name);
+        self.pump(now);
+    }
+
+    /// Forgets upstreams that are gone once nothing runs there.
+    pub(super) fn sweep(&mut self, now: Time) {
+        let upstreams = &mut self.board.upstreams;
+        upstreams.retain(|_, state| state.phase != Phase::Gone);
+        self.board.churn.retain(|_, record| !record.clean(now));
+        let gone: Vec<Slot> = self
+            .board
+            .loads
+            .iter()
+            .filter(|(_, cell)| !self.board.upstreams.contains_key(&cell.name))
+            .map(|(slot, _)| slot)
+            .collect();
+        for slot in gone {
+            if self.board.loads.forget(slot) {
+                self.board.outliers.forget(slot);
+                self.board.prefixes.restart(slot);
+                self.slots.forget(slot);
+            }
+        }
+    }
+
+    /// Lets the load table follow what is known of an upstream.
+    fn apply(&mut self, now: Time, name: &name::Upstream) {
+        let Some(slot) = self.board.loads.slot(name) else {
+            return;
+        };
+        self.board.outliers.restore(now, slot);
+        let state = self.board.upstreams.get(name);
+        let live = state.filter(|state| state.phase == Phase::Live);
+        let targets = live.map_or_else(BTreeSet::new, targets);
+        if live.is_some()
+            && let Some(record) = self.board.churn.get_mut(name)
+        {
+            record.up(now);
+        }
+        let held = self.board.churn.get(name).map_or(now, churn::Record::until);
+        if held > now {
+            self.timers.insert((held, Timer::Reopen(name.clone())));
+        }
+        let ejected = self.board.outliers.score(slot).until.is_some();
+        let open = live.is_some() && held <= now && !ejected;
+        let opens = open && !self.board.loads.cell(slot).open;
+        self.board.loads.open(slot, false, ejected);
+        self.board.loads.serve(slot, &targets);
+        if opens {
+            let grown = self.started.is_some_and(|at| now.since(at) > STARTING);
+            self.board.loads.cell_mut(slot).opened = grown.then_some(now);
+        }
+        self.board.loads.refreshed(now, slot);
+        self.board.loads.open(slot, open, ejected);
+    }
+
+    fn down(&mut self, now: Time, name: &name::Upstream) {
+        self.board.churn.entry(name.clone()).or_default().down(now);
+    }
+
+    /// Voids what is known of a cache that is gone.
+    fn void(&mut self, slot: Slot) {
+        let cell = self.board.loads.cell_mut(slot);
+        cell.epoch = cell.epoch.wrapping_add(1);
+    }
+
+    fn mark(&mut self, name: name::Upstream, incarnation: name::Incarnation) {
+        let mark = self.board.leaving.entry(name).or_default();
+        *mark = incarnation.max(*mark);
+        if self.board.leaving.len() > LEAVING_MAX {
+            self.board.leaving.pop_first();
+        }
+    }
+
+    /// Moves caches of an engine that begins to leave to where its chats go next.
+    fn evacuate(&mut self, slot: Slot) {
+        if !self.board.loads.cell(slot).open {
+            return;
+        }
+        let epoch = self.board.loads.cell(slot).epoch;
+        let held = self.board.prefixes.held(slot, epoch).take(TRANSFERS_MAX);
+        let held: Vec<(Chat, u32)> = held.collect();
+        for (chat, tokens) in held {
+            let Some(to) = self.successor(chat, slot) else {
+                continue;
+            };
+            let holders = self.board.prefixes.holders(chat);
+            let known = holders.filter(|holder| holder.slot == to);
+            let cached = known.map(|holder| u64::from(holder.tokens)).max();
+            let from = self.board.prefixes.holders(chat);
+            let from = from.filter(|holder| holder.slot == slot);
+            let loads = &self.board.loads;
+            let cached = cached.unwrap_or(0);
+            if placement::source(loads, from, to, cached, u64::from(tokens)).is_some() {
+                self.actions.push_back(Action::Transfer {
+                    chat,
+                    from: loads.cell(slot).name.clone(),
+                    to: loads.cell(to).name.clone(),
+                    tokens: u64::from(tokens),
+                });
+            }
+        }
+    }
+
+    /// The first choice of a chat once an engine has left.
+    fn successor(&self, chat: Chat, without: Slot) -> Option<Slot> {
+        let loads = &self.board.loads;
+        let index = loads.cell(without).kinds.first()?;
+        placement::first(&loads.kinds()[*index as usize], chat, without)
+    }
+}
+
+/// What an upstream serves.
+fn targets(state: &State) -> BTreeSet<Target> {
+    match &state.kind {
+        Kind::Engine(ready) => ready.iter().cloned().map(Target::Model).collect(),
+        Kind::Plain(service) => BTreeSet::from([Target::Plain(service.clone())]),
+    }
+}
--- a/crates/snipeusher/src/policy.rs
+++ b/crates/snipeusher/src/policy.rs
@@ -115,6 +115,29 @@
     pub max_unavailable: u32,
 }
 
+/// Highest usable [`Limits::load_limit`]; anything above is no limit in effect.
+const LOAD_LIMIT_MAX: f64 = 16.0;
+
+impl Limits {
+    /// The load limit, or the default if it is not a number above one.
+    pub fn usable_load_limit(&self) -> f64 {
+        if self.load_limit.is_finite() && self.load_limit > 1.0 {
+            self.load_limit.min(LOAD_LIMIT_MAX)
+        } else {
+            Self::default().load_limit
+        }
+    }
+
+    /// The retry ratio between zero and one, or the default if it is not a number.
+    pub fn usable_retry_ratio(&self) -> f64 {
+        if self.retry_ratio.is_nan() {
+            Self::default().retry_ratio
+        } else {
+            self.retry_ratio.clamp(0.0, 1.0)
+        }
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
--- a/crates/snipeusher/src/prefix.rs
+++ b/crates/snipeusher/src/prefix.rs
@@ -3,9 +3,12 @@
 //! It comes from the router's own answers and from cache events that are late and have gaps, so
 //! placement never depends on it. See `docs/design.md#placement`.
 
+use std::collections::BTreeMap;
+
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::load::Slot;
 use crate::name;
 use crate::request::Chat;
 
@@ -37,3 +40,111 @@
     /// The changes, in order.
     pub changes: Vec<Change>,
 }
+
+/// Chats in each of the two generations.
+const GENERATION: usize = 32 << 10;
+/// Holders remembered for each chat.
+const HOLDERS: usize = 4;
+
+/// An engine that holds the prefix of a chat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// The engine.
+    pub slot: Slot,
+    /// The engine's epoch when this was learned; another one voids it.
+    pub epoch: u32,
+    /// Tokens of the prefix.
+    pub tokens: u32,
+}
+
+/// Bounded map from chats to the engines that hold their prefix.
+///
+/// It has two generations: when the young one is full it becomes the old one, and the old one is
+/// dropped. A chat that is used moves to the young one.
+#[derive(Clone, Debug, Default)]
+pub struct Map {
+    young: BTreeMap<Chat, [Option<Holder>; HOLDERS]>,
+    old: BTreeMap<Chat, [Option<Holder>; HOLDERS]>,
+    next: BTreeMap<Slot, u64>,
+}
+
+impl Map {
+    /// Chats known.
+    pub fn len(&self) -> usize {
+        self.young.len() + self.old.len()
+    }
+
+    /// Whether no chat is known.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// The engines last known to hold a chat, most recent first.
+    pub fn holders(&self, chat: Chat) -> impl Iterator<Item = Holder> + '_ {
+        let found = self.young.get(&chat).or_else(|| self.old.get(&chat));
+        found.into_iter().flatten().filter_map(|holder| *holder)
+    }
+
+    /// Chats held by an engine, with the tokens, the most recently used generation first.
+    pub fn held(&self, slot: Slot, epoch: u32) -> impl Iterator<Item = (Chat, u32)> + '_ {
+        let own = move |holder: &Holder| holder.slot == slot && holder.epoch == epoch;
+        self.young
+            .iter()
+            .chain(&self.old)
+            .filter_map(move |(chat, holders)| {
+                let holder = holders.iter().flatten().find(|holder| own(holder))?;
+                Some((*chat, holder.tokens))
+            })
+    }
+
+    /// Learns that an engine holds a chat.
+    pub fn learn(&mut self, chat: Chat, holder: Holder) {
+        let mut holders = self.take(chat);
+        let same = |other: &Option<Holder>| other.is_some_and(|other| other.slot == holder.slot);
+        let end = holders.iter().position(same).unwrap_or(HOLDERS - 1);
+        holders[..=end].rotate_right(1);
+        holders[0] = Some(holder);
+        self.put(chat, holders);
+    }
+
+    /// Learns that an engine no longer holds a chat.
+    pub fn forget(&mut self, chat: Chat, slot: Slot) {
+        if self.holders(chat).all(|holder| holder.slot != slot) {
+            return;
+        }
+        let mut holders = self.take(chat);
+        for holder in &mut holders {
+            *holder = holder.filter(|holder| holder.slot != slot);
+        }
+        if holders.iter().any(Option::is_some) {
+            self.put(chat, holders);
+        }
+    }
+
+    /// Skips the changes of a batch that were seen before; a gap is passed over.
+    pub(crate) fn fresh<'a>(&mut self, slot: Slot, batch: &'a Batch) -> &'a [Change] {
+        let next = self.next.entry(slot).or_insert(0);
+        let seen = next.saturating_sub(batch.first);
+        let skip = usize::try_from(seen).unwrap_or(usize::MAX);
+        let end = batch.first.saturating_add(batch.changes.len() as u64);
+        *next = (*next).max(end);
+        batch.changes.get(skip..).unwrap_or_default()
+    }
+
+    /// Starts the sequence of an engine anew, for a new run of it.
+    pub(crate) fn restart(&mut self, slot: Slot) {
+        self.next.remove(&slot);
+    }
+
+    fn take(&mut self, chat: Chat) -> [Option<Holder>; HOLDERS] {
+        let young = self.young.remove(&chat);
+        young.or_else(|| self.old.remove(&chat)).unwrap_or_default()
+    }
+
+    fn put(&mut self, chat: Chat, holders: [Option<Holder>; HOLDERS]) {
+        if self.young.len() >= GENERATION {
+            self.old = std::mem::take(&mut self.young);
+        }
+        self.young.insert(chat, holders);
+    }
+}
--- a/crates/snipeusher/src/request.rs
+++ b/crates/snipeusher/src/request.rs
@@ -5,7 +5,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::admission::Lane;
 use crate::name;
+use crate::policy::Policy;
 use crate::time::Time;
 
 /// Identifies a request within one router process.
@@ -86,3 +88,71 @@
     /// It may have run.
     Unknown,
 }
+
+/// What a workspace's policy says of a request, fixed as it arrives.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Priority for the engine.
+    pub priority: u8,
+    /// Weight of its share, at least one.
+    pub weight: u32,
+    /// Bound of its queue in requests.
+    pub entries: u32,
+    /// Bound of its queue in bytes.
+    pub bytes: u64,
+    /// Whether it starts at once, past all queues.
+    pub immediate: bool,
+    /// Whether it stays queued past its deadline.
+    pub never_dropped: bool,
+    /// Highest load as a multiple of the mean, a number above one.
+    pub load_limit: f64,
+    /// Retries as a fraction of requests, from zero to one.
+    pub retry_ratio: f64,
+}
+
+impl Terms {
+    /// The terms of a class; those of the default class if the policy has no such class.
+    pub fn of(policy: &Policy, class: &name::Class) -> Self {
+        let named = policy.classes.get(class);
+        let class = named.or_else(|| policy.classes.get(&policy.default_class));
+        let class = class.cloned().unwrap_or_default();
+        Self {
+            priority: class.priority,
+            weight: class.weight.max(1),
+            entries: class.queue_entries,
+            bytes: class.queue_bytes,
+            immediate: class.immediate,
+            never_dropped: class.never_dropped,
+            load_limit: policy.limits.usable_load_limit(),
+            retry_ratio: policy.limits.usable_retry_ratio(),
+        }
+    }
+}
+
+/// A request with what happened to it so far.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Task {
+    /// The request.
+    pub request: Request,
+    /// Its terms.
+    pub terms: Terms,
+    /// When it arrived.
+    pub since: Time,
+    /// Attempts made.
+    pub tries: u32,
+    /// Whether one of them may have run.
+    pub ran: Ran,
+    /// The upstream of the last attempt, which a retry avoids.
+    pub last: Option<name::Upstream>,
+}
+
+impl Task {
+    /// The lane that it waits in.
+    pub fn lane(&self) -> Lane {
+        Lane {
+            workspace: self.request.workspace.clone(),
+            class: self.request.class.clone(),
+            target: self.request.target.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/snipeusher/tests/machine/oracle.rs
@@ -0,0 +1,578 @@
+//! A run of the machine beside plain books of what it may do.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use snipeusher::load::Report;
+use snipeusher::load::Share;
+use snipeusher::load::Strategy;
+use snipeusher::load::Work;
+use snipeusher::machine::Action;
+use snipeusher::machine::Event;
+use snipeusher::machine::Machine;
+use snipeusher::machine::Outcome;
+use snipeusher::machine::Settings;
+use snipeusher::machine::Ticket;
+use snipeusher::name;
+use snipeusher::policy::Class;
+use snipeusher::policy::Limits;
+use snipeusher::policy::Policy;
+use snipeusher::prefix::Batch;
+use snipeusher::prefix::Change;
+use snipeusher::request::Attempt;
+use snipeusher::request::Chat;
+use snipeusher::request::Id;
+use snipeusher::request::Ran;
+use snipeusher::request::Request;
+use snipeusher::request::Target;
+use snipeusher::request::Variant;
+use snipeusher::time::Time;
+use snipeusher::upstream::Kind;
+use snipeusher::upstream::Phase;
+use snipeusher::upstream::State;
+
+use crate::model::Arrival;
+use crate::model::FIRST_PLAIN;
+use crate::model::Model;
+use crate::model::Step;
+
+/// Highest bound of any queue that a policy of the test sets.
+const ENTRIES_MAX: u32 = 3;
+/// The same in bytes.
+const BYTES_MAX: u64 = 20_000;
+/// Capacity that a few requests fill.
+const SMALL: Work = Work(6_000);
+/// Capacity that is never reached.
+const WORK_MAX: Work = Work(u64::MAX);
+const CLASSES: [&str; 5] = ["chat", "status", "review", "notice", "none"];
+
+struct Open {
+    request: Request,
+    limit: f64,
+    attempts: u32,
+    running: Option<Attempt>,
+    may_have_run: bool,
+    may_close: bool,
+}
+
+struct Try {
+    id: Id,
+    upstream: name::Upstream,
+    work: u64,
+    sent: bool,
+    output: bool,
+}
+
+/// The machine, and books of all open requests and attempts.
+pub struct Run<S> {
+    machine: Machine<S>,
+    now: Time,
+    next: u64,
+    limits: BTreeMap<u8, f64>,
+    open: BTreeMap<Id, Open>,
+    tries: BTreeMap<Attempt, Try>,
+    tickets: BTreeSet<Ticket>,
+    own_only: bool,
+}
+
+impl<S: Strategy> Run<S> {
+    pub fn new(model: &Model) -> Self {
+        let settings = Settings {
+            host: name::Host::from("r0"),
+            capacity: if model.small { SMALL } else { WORK_MAX },
+            ..Settings::default()
+        };
+        let mut run = Self {
+            machine: Machine::with(settings),
+            now: Time::from_millis(1),
+            next: 0,
+            limits: BTreeMap::new(),
+            open: BTreeMap::new(),
+            tries: BTreeMap::new(),
+            tickets: BTreeSet::new(),
+            own_only: model.own_only,
+        };
+        for (upstream, (incarnation, phase, second)) in &model.known {
+            run.handle(model, state(*upstream, *incarnation, *phase, *second));
+        }
+        run.step(model, Step::Routers(vec![0, 1, 2]));
+        for workspace in 0..3 {
+            run.step(model, Step::Policy(workspace, 1.25, 0.5, ENTRIES_MAX));
+        }
+        run
+    }
+
+    pub fn step(&mut self, model: &Model, step: Step) {
+        let event = match step {
+            Step::Advance(ms) => {
+                let until = self.now + Duration::from_millis(ms);
+                while self.machine.next_wake() <= until {
+                    self.now = self.now.max(self.machine.next_wake());
+                    self.handle(model, Event::Tick);
+                }
+                self.now = until;
+                Event::Tick
+            }
+            Step::Back(to) => {
+                let now = self.now;
+                self.now = Time(to % now.0);
+                self.handle(model, Event::Tick);
+                self.now = now;
+                return;
+            }
+            Step::Arrive(arrival) => self.arrive(&arrival),
+            Step::ArriveAgain(k) => match pick(&self.open, k) {
+                Some((_, open)) => Event::Arrive(open.request.clone()),
+                None => return,
+            },
+            Step::Depart(k) => match pick(&self.open, k).map(|(id, _)| *id) {
+                Some(id) => self.depart(id),
+                None => return,
+            },
+            Step::Sent(k) => match pick(&self.tries, k).map(|(attempt, _)| *attempt) {
+                Some(attempt) => {
+                    self.try_mut(attempt).sent = true;
+                    Event::Sent(attempt)
+                }
+                None => return,
+            },
+            Step::Output(k, tokens) => match pick(&self.tries, k).map(|(attempt, _)| *attempt) {
+                Some(attempt) => self.output(attempt, tokens),
+                None => return,
+            },
+            Step::End(k, outcome) => match pick(&self.tries, k).map(|(attempt, _)| *attempt) {
+                Some(attempt) => self.end(attempt, outcome),
+                None => return,
+            },
+            Step::EndUnknown(attempt) => Event::End {
+                attempt: Attempt(attempt | 1 << 63),
+                outcome: Outcome::Complete,
+            },
+            Step::SlotAnswered(k, granted) => match self.tickets.iter().nth_back(k % 4).copied() {
+                Some(ticket) => Event::SlotAnswered { ticket, granted },
+                None => return,
+            },
+            Step::SlotUnreachable(k) => match self.tickets.iter().nth_back(k % 4).copied() {
+                Some(ticket) => Event::SlotUnreachable(ticket),
+                None => return,
+            },
+            Step::Policy(workspace, limit, ratio, entries) => {
+                let usable = limit.is_finite() && limit > 1.0;
+                let effective = if usable { limit } else { 1.25 };
+                self.limits.insert(workspace, effective);
+                Event::Policy(policy(workspace, limit, ratio, entries))
+            }
+            other => told(other),
+        };
+        self.handle(model, event);
+    }
+
+    /// Checks what must hold between events.
+    pub fn check(&self) {
+        let board = self.machine.board();
+        let known: Vec<&Id> = board.requests.keys().collect();
+        let open: Vec<&Id> = self.open.keys().collect();
+        assert_eq!(known, open, "open requests differ from the machine's");
+        let flights: Vec<&Attempt> = board.attempts.keys().collect();
+        let tries: Vec<&Attempt> = self.tries.keys().collect();
+        assert_eq!(flights, tries, "attempts in flight differ");
+        for ((workspace, class), count) in board.queues.counts() {
+            // Reviews that had their turn return to the queue even if it has filled since.
+            let returned = if class.as_str() == "review" {
+                u32::MAX
+            } else {
+                0
+            };
+            let entries = ENTRIES_MAX.saturating_add(returned);
+            assert!(
+                count.entries <= entries,
+                "{workspace} {class} holds {count:?}"
+            );
+            let bytes = BYTES_MAX.saturating_add(u64::from(returned));
+            assert!(count.bytes <= bytes, "{workspace} {class} holds {count:?}");
+        }
+    }
+
+    /// Ends all that is open and checks that every request came to an end.
+    pub fn finish(mut self) {
+        let model = Model {
+            own_only: false,
+            small: false,
+            known: BTreeMap::new(),
+            marks: BTreeMap::new(),
+        };
+        while let Some(id) = self.open.keys().next().copied() {
+            let event = self.depart(id);
+            // Departures make room, and the books of upstreams are no longer kept.
+            self.own_only = false;
+            self.machine.handle(self.now, event);
+            let actions: Vec<Action> = self.machine.drain().collect();
+            for action in actions {
+                if let Action::Dispatch { upstream, .. } = &action {
+                    let live = self.machine.board().upstreams.get(upstream);
+                    assert!(live.is_some_and(|state| state.phase == Phase::Live));
+                }
+                self.action(&model, action, false);
+            }
+            self.check();
+        }
+        assert!(self.tries.is_empty(), "an attempt outlived its request");
+        assert!(
+            self.machine.board().queues.is_empty(),
+            "something still waits"
+        );
+        let share = self.machine.share();
+        assert_eq!(share, Share::default(), "work is left without requests");
+    }
+
+    fn handle(&mut self, model: &Model, event: Event) {
+        let before = self.accepting();
+        self.machine.handle(self.now, event);
+        let after = self.accepting();
+        assert!(self.machine.faults().count() <= 64, "faults pile up");
+        let actions: Vec<Action> = self.machine.drain().collect();
+        for action in actions {
+            if let Action::Dispatch {
+                request, upstream, ..
+            } = &action
+                && self.own_only
+                && !S::ADMISSION
+            {
+                self.check_bound(*request, upstream, &before, &after);
+            }
+            self.action(model, action, true);
+        }
+    }
+
+    fn action(&mut self, model: &Model, action: Action, phases: bool) {
+        match action {
+            Action::Dispatch {
+                request,
+                attempt,
+                upstream,
+                ..
+            } => {
+                let open = self
+                    .open
+                    .get_mut(&request)
+                    .expect("dispatch of a closed request");
+                assert_eq!(open.running, None, "two attempts at once");
+                assert!(
+                    open.attempts == 0 || open.request.idempotent,
+                    "a second attempt of non-idempotent work"
+                );
+                assert!(!open.may_close, "dispatch after the end");
+                open.attempts += 1;
+                open.running = Some(attempt);
+                let number = number(&upstream);
+                assert!(
+                    !phases || model.is_live(number),
+                    "{upstream} takes no new work"
+                );
+                let flight = &self.machine.board().attempts[&attempt];
+                let least = Work::of(&open.request, open.request.prompt_tokens);
+                assert!(flight.start >= least, "{} is too little", flight.start.0);
+                assert!(flight.start <= Work::of(&open.request, 0), "too much work");
+                let work = flight.start.0;
+                let new = Try {
+                    id: request,
+                    upstream,
+                    work,
+                    sent: false,
+                    output: false,
+                };
+                assert!(self.tries.insert(attempt, new).is_none(), "attempt reused");
+            }
+            Action::Refuse { request, ran, .. } => {
+                let open = self
+                    .open
+                    .remove(&request)
+                    .expect("refusal of a closed request");
+                assert_eq!(open.running, None, "refused while it runs");
+                assert!(
+                    ran == Ran::Unknown || !open.may_have_run,
+                    "not_run is not true of {request:?}"
+                );
+            }
+            Action::Close(request) => {
+                let open = self.open.remove(&request).expect("closed twice");
+                assert!(open.may_close, "closed without an end");
+            }
+            Action::Cancel { attempt, .. } => {
+                let tried = self
+                    .tries
+                    .remove(&attempt)
+                    .expect("cancel of an ended attempt");
+                let open = self
+                    .open
+                    .get_mut(&tried.id)
+                    .expect("cancel of a closed request");
+                open.running = None;
+                open.may_have_run = true;
+            }
+            Action::AskSlot { ticket, .. } => {
+                assert!(S::ADMISSION, "a slot is asked for without need");
+                assert!(self.tickets.insert(ticket), "ticket reused");
+            }
+            Action::Transfer { from, to, .. } => assert_ne!(from, to),
+            Action::AnswerSlot { .. } | Action::ReleaseSlot { .. } => {}
+        }
+    }
+
+    /// The load of the upstream chosen is at most the limit times the mean with the new work.
+    fn check_bound(
+        &self,
+        request: Id,
+        upstream: &name::Upstream,
+        before: &[Vec<name::Upstream>],
+        after: &[Vec<name::Upstream>],
+    ) {
+        let open = &self.open[&request];
+        let target = usize::from(number_of(&open.request.target));
+        let board = self.machine.board();
+        let load = |name: &name::Upstream| {
+            let own = self.tries.values().filter(|tried| tried.upstream == *name);
+            own.map(|tried| tried.work).sum::<u64>()
+        };
+        let work = board
+            .loads
+            .slot(upstream)
+            .map_or(0, |_| Work::of(&open.request, 0).0);
+        let bound = |names: &[name::Upstream]| {
+            let total: u64 = names.iter().map(load).sum();
+            open.limit * (total + work) as f64 / names.len() as f64
+        };
+        // Upstreams may have been opened or closed within the same event.
+        let sets = [&before[target], &after[target]];
+        let sets = sets.into_iter().filter(|names| names.contains(upstream));
+        let bound = sets.map(|names| bound(names)).fold(0.0, f64::max);
+        let load = load(upstream);
+        assert!(load as f64 <= bound, "{upstream} has {load} above {bound}");
+    }
+
+    fn accepting(&self) -> Vec<Vec<name::Upstream>> {
+        let targets = (0..4).map(target);
+        targets
+            .map(|target| self.machine.accepting(&target))
+            .collect()
+    }
+
+    fn arrive(&mut self, arrival: &Arrival) -> Event {
+        let id = Id(self.next);
+        self.next += 1;
+        let class = CLASSES[usize::from(arrival.class) % CLASSES.len()];
+        let request = Request {
+            id,
+            workspace: workspace(arrival.workspace),
+            class: name::Class::from(class),
+            target: target(arrival.target),
+            chat: arrival.chat.map(Chat),
+            prompt_tokens: arrival.prompt,
+            output_tokens: arrival.output,
+            bytes: arrival.bytes,
+            deadline: self.now + Duration::from_millis(arrival.deadline_ms),
+            idempotent: arrival.idempotent,
+        };
+        let open = Open {
+            request: request.clone(),
+            limit: self.limits.get(&arrival.workspace).copied().unwrap_or(1.25),
+            attempts: 0,
+            running: None,
+            may_have_run: false,
+            may_close: false,
+        };
+        self.open.insert(id, open);
+        Event::Arrive(request)
+    }
+
+    fn depart(&mut self, id: Id) -> Event {
+        self.open_mut(id).may_close = true;
+        Event::Depart(id)
+    }
+
+    fn output(&mut self, attempt: Attempt, tokens: u64) -> Event {
+        let id = self.tries[&attempt].id;
+        let left = Work::left(&self.open[&id].request, tokens).0;
+        let tried = self.try_mut(attempt);
+        tried.sent = true;
+        tried.output = true;
+        tried.work = tried.work.min(left);
+        Event::Output {
+            attempt,
+            tokens,
+            cached: None,
+        }
+    }
+
+    fn end(&mut self, attempt: Attempt, outcome: Outcome) -> Event {
+        let tried = self.tries.remove(&attempt).expect("picked from the map");
+        let open = self.open_mut(tried.id);
+        open.running = None;
+        open.may_close = matches!(outcome, Outcome::Complete | Outcome::Cancelled);
+        open.may_have_run |= match outcome {
+            Outcome::Unreachable => tried.sent,
+            Outcome::Declined { .. } => tried.output,
+            Outcome::Complete | Outcome::Broken | Outcome::Cancelled => true,
+        };
+        Event::End { attempt, outcome }
+    }
+
+    fn open_mut(&mut self, id: Id) -> &mut Open {
+        self.open.get_mut(&id).expect("an open request")
+    }
+
+    fn try_mut(&mut self, attempt: Attempt) -> &mut Try {
+        self.tries.get_mut(&attempt).expect("an attempt in flight")
+    }
+}
+
+/// Events that need no books.
+fn told(step: Step) -> Event {
+    match step {
+        Step::Upstream(number, run, phase, second) => state(number, run, phase, second),
+        Step::Leaving(number, run) => Event::Leaving {
+            upstream: upstream(number),
+            incarnation: name::Incarnation(run),
+        },
+        Step::Unknown(number) => Event::Unknown(upstream(number)),
+        Step::Report(number, run, sequence, work, queued) => Event::Report {
+            upstream: upstream(number),
+            report: Report {
+                incarnation: name::Incarnation(run),
+                sequence,
+                work: Work(work),
+                running: 4,
+                queued,
+                age_ms: queued * 300,
+            },
+        },
+        Step::Cache(number, run, first, chat, tokens) => Event::Cache {
+            upstream: upstream(number),
+            batch: Batch {
+                incarnation: name::Incarnation(run),
+                first,
+                changes: match first % 3 {
+                    0 => vec![Change::Evicted(Chat(chat)), Change::Cleared],
+                    _ => vec![
+                        Change::Stored {
+                            chat: Chat(chat),
+                            tokens
+                        };
+                        3
+                    ],
+                },
+            },
+        },
+        Step::Peer(host, number, work) => Event::Peer {
+            host: router(host),
+            share: Share {
+                in_flight: [(upstream(number), Work(work))].into(),
+                running: [(workspace(number % 4), Work(work))].into(),
+                waiting: BTreeMap::new(),
+            },
+        },
+        Step::PeerGone(host) => Event::PeerGone(router(host)),
+        Step::Routers(hosts) => Event::Routers(hosts.into_iter().map(router).collect()),
+        Step::SlotAsked(host, ticket, number, work, load_limit) => Event::SlotAsked {
+            from: router(host),
+            ticket: Ticket(ticket),
+            upstream: upstream(number),
+            work: Work(work),
+            load_limit,
+        },
+        Step::SlotReleased(host, ticket) => Event::SlotReleased {
+            from: router(host),
+            ticket: Ticket(ticket),
+        },
+        Step::Forget(number) => Event::Forget(workspace(number)),
+        _ => Event::Tick,
+    }
+}
+
+fn pick<K: Ord, V>(map: &BTreeMap<K, V>, k: usize) -> Option<(&K, &V)> {
+    map.iter().nth(k.checked_rem(map.len())?)
+}
+
+fn router(number: u8) -> name::Host {
+    name::Host::from(format!("r{number}"))
+}
+
+fn upstream(number: u8) -> name::Upstream {
+    name::Upstream::from(format!("u{number}"))
+}
+
+fn number(name: &name::Upstream) -> u8 {
+    name.as_str()[1..].parse().expect("a name of the test")
+}
+
+fn workspace(number: u8) -> name::Workspace {
+    name::Workspace::from(format!("w{number}"))
+}
+
+/// Two variants, a plain service, and one that nothing serves.
+fn target(number: u8) -> Target {
+    match number {
+        0 | 1 => Target::Model(variant(number)),
+        2 => Target::Plain(name::Service::from("notices")),
+        _ => Target::Plain(name::Service::from("absent")),
+    }
+}
+
+fn number_of(wanted: &Target) -> u8 {
+    (0..3)
+        .find(|number| target(*number) == *wanted)
+        .unwrap_or(3)
+}
+
+fn variant(number: u8) -> Variant {
+    Variant {
+        model: name::Model::from("quill"),
+        adapter: None,
+        version: name::Version::from(format!("v{number}")),
+    }
+}
+
+fn state(number: u8, run: u64, phase: Phase, second: bool) -> Event {
+    let variants = if second { 0..2 } else { 0..1 };
+    let kind = if number < FIRST_PLAIN {
+        Kind::Engine(variants.map(variant).collect())
+    } else {
+        Kind::Plain(name::Service::from("notices"))
+    };
+    Event::Upstream(State {
+        name: upstream(number),
+        address: String::from("127.0.0.1:1"),
+        zone: name::Zone::from("et-central-a"),
+        incarnation: name::Incarnation(run),
+        phase,
+        kind,
+    })
+}
+
+fn policy(number: u8, load_limit: f64, retry_ratio: f64, entries: u32) -> Policy {
+    let class = |name: &str| Class {
+        queue_entries: entries,
+        queue_bytes: BYTES_MAX,
+        immediate: name == "status",
+        never_dropped: name == "review",
+        weight: entries,
+        ..Class::default()
+    };
+    let classes = CLASSES[..4].iter();
+    Policy {
+        workspace: workspace(number),
+        keys: Vec::new(),
+        models: BTreeMap::new(),
+        classes: classes
+            .map(|name| (name::Class::from(*name), class(name)))
+            .collect(),
+        default_class: name::Class::from("chat"),
+        services: BTreeMap::new(),
+        limits: Limits {
+            load_limit,
+            retry_ratio,
+            ..Limits::default()
+        },
+    }
+}
