Measure the cost of a placement and the memory of the state

Change: a criterion bench of `placement::choose` and of a request from its arrival to its end, and a fixed run for callgrind and resident memory.

--- /dev/null
+++ b/crates/snipeusher/benches/fleet/mod.rs
@@ -0,0 +1,160 @@
+//! A machine with engines and policies for the measurements.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+use snipeusher::hash;
+use snipeusher::machine::Action;
+use snipeusher::machine::Event;
+use snipeusher::machine::Machine;
+use snipeusher::machine::Outcome;
+use snipeusher::machine::Settings;
+use snipeusher::name;
+use snipeusher::placement;
+use snipeusher::policy::Class;
+use snipeusher::policy::Limits;
+use snipeusher::policy::Policy;
+use snipeusher::request::Attempt;
+use snipeusher::request::Chat;
+use snipeusher::request::Id;
+use snipeusher::request::Request;
+use snipeusher::request::Target;
+use snipeusher::request::Variant;
+use snipeusher::time::Time;
+use snipeusher::upstream::Kind;
+use snipeusher::upstream::Phase;
+use snipeusher::upstream::State;
+
+/// Workspaces of a measurement that is not about them.
+pub const WORKSPACES: u64 = 10;
+/// Time between two requests.
+const GAP: Duration = Duration::from_micros(100);
+
+/// A router that knows engines and workspaces.
+#[derive(Debug)]
+pub struct Fleet {
+    machine: Machine,
+    now: Time,
+    next: u64,
+    workspaces: u64,
+    rng: Pcg64Mcg,
+}
+
+impl Fleet {
+    /// Starts with all engines live.
+    pub fn new(engines: u64, workspaces: u64) -> Self {
+        let mut fleet = Self {
+            machine: Machine::with(Settings::default()),
+            now: Time::from_millis(1),
+            next: 0,
+            workspaces: workspaces.max(1),
+            rng: Pcg64Mcg::seed_from_u64(1),
+        };
+        for engine in 0..engines {
+            fleet
+                .machine
+                .handle(fleet.now, Event::Upstream(state(engine)));
+        }
+        for workspace in 0..workspaces {
+            fleet
+                .machine
+                .handle(fleet.now, Event::Policy(policy(workspace)));
+        }
+        fleet
+    }
+
+    /// Chooses an engine without any change of state.
+    pub fn choose(&mut self) -> Option<placement::Choice> {
+        let request = self.next_request();
+        let board = self.machine.board();
+        let kind = board.loads.kind(&request.target)?;
+        let ask = placement::Ask {
+            limit: 1.25,
+            capped: true,
+            over: false,
+            avoid: None,
+        };
+        let rng = &mut self.rng;
+        placement::choose(&board.loads, &board.prefixes, kind, &request, &ask, rng)
+    }
+
+    /// Takes one request from its arrival to its end.
+    pub fn request(&mut self) -> Option<Attempt> {
+        let attempt = self.arrive()?;
+        let outcome = Outcome::Complete;
+        let end = Event::End { attempt, outcome };
+        self.machine.handle(self.now, end);
+        self.machine.drain().count();
+        Some(attempt)
+    }
+
+    /// Takes one request to its upstream and leaves it there.
+    pub fn arrive(&mut self) -> Option<Attempt> {
+        self.now = self.now + GAP;
+        let request = self.next_request();
+        self.machine.handle(self.now, Event::Arrive(request));
+        let attempts = self.machine.drain().filter_map(|action| match action {
+            Action::Dispatch { attempt, .. } => Some(attempt),
+            _ => None,
+        });
+        attempts.last()
+    }
+
+    fn next_request(&mut self) -> Request {
+        self.next += 1;
+        Request {
+            id: Id(self.next),
+            workspace: workspace(self.next % self.workspaces),
+            class: name::Class::from("chat"),
+            target: target(),
+            chat: Some(Chat(hash::mix(self.next, 7))),
+            prompt_tokens: 1_000,
+            output_tokens: 200,
+            bytes: 4_000,
+            deadline: self.now + Duration::from_mins(1),
+            idempotent: true,
+        }
+    }
+}
+
+fn workspace(number: u64) -> name::Workspace {
+    name::Workspace::from(format!("workspace-{number}"))
+}
+
+fn variant() -> Variant {
+    Variant {
+        model: name::Model::from("quill"),
+        adapter: None,
+        version: name::Version::from("v1"),
+    }
+}
+
+fn target() -> Target {
+    Target::Model(variant())
+}
+
+fn state(number: u64) -> State {
+    State {
+        name: name::Upstream::from(format!("engine-{number}")),
+        address: format!("127.0.0.1:{}", 1_024 + number),
+        zone: name::Zone::from("et-central-a"),
+        incarnation: name::Incarnation(1),
+        phase: Phase::Live,
+        kind: Kind::Engine([variant()].into()),
+    }
+}
+
+fn policy(number: u64) -> Policy {
+    let class = name::Class::from("chat");
+    Policy {
+        workspace: workspace(number),
+        keys: Vec::new(),
+        models: BTreeMap::new(),
+        classes: [(class.clone(), Class::default())].into(),
+        default_class: class,
+        services: BTreeMap::new(),
+        limits: Limits::default(),
+    }
+}
