--- a/crates/snipeusher/src/load/cell.rs
+++ b/crates/snipeusher/src/load/cell.rs
@@ -18,8 +18,6 @@
 const FRESH: Duration = Duration::from_millis(1_500);
 /// Beyond [`FRESH`], the weight of a report halves in this time.
 const HALF_LIFE: Duration = Duration::from_secs(2);
-/// Work that an upstream may hold before its reports show where it begins to queue.
-const CAPACITY_START: u64 = 256 << 10;
 /// An engine that queues at less is given this much all the same, so that it is tried again.
 const CAPACITY_MIN: u64 = 4 << 10;
 /// Work beyond the point where an engine queues, as a fraction, so that a lagging report does
@@ -82,7 +80,7 @@
 
 impl Cell {
     /// Starts with nothing known of an upstream's load.
-    pub fn new(name: name::Upstream, node: u64) -> Self {
+    pub fn new(name: name::Upstream, node: u64, capacity: u64) -> Self {
         Self {
             name,
             node,
@@ -93,7 +91,7 @@
             peers: Level::default(),
             granted: 0,
             report: None,
-            capacity: CAPACITY_START,
+            capacity: capacity.clamp(CAPACITY_MIN, WORK_MAX),
             opened: None,
             open: false,
             ejected: false,
@@ -129,11 +127,11 @@
     }
 
     /// Forgets what only held for an earlier run.
-    pub fn restart(&mut self, incarnation: name::Incarnation) {
+    pub fn restart(&mut self, incarnation: name::Incarnation, capacity: u64) {
         self.incarnation = incarnation;
         self.epoch = self.epoch.wrapping_add(1);
         self.report = None;
-        self.capacity = CAPACITY_START;
+        self.capacity = capacity.clamp(CAPACITY_MIN, WORK_MAX);
     }
 
     /// The weight of the last report at `now`, from one when fresh towards zero.
--- a/crates/snipeusher/src/machine/roster.rs
+++ b/crates/snipeusher/src/machine/roster.rs
@@ -50,7 +50,7 @@
         let zone = self.settings.zone.as_ref();
         cell.near = zone.is_none_or(|zone| *zone == state.zone);
         if cell.incarnation != state.incarnation {
-            cell.restart(state.incarnation);
+            self.board.loads.restart(slot, state.incarnation);
             self.board.prefixes.restart(slot);
             self.board.outliers.forget(slot);
             if was_live {
