Measure what the path adds and set TCP_NODELAY for callers

Cause: nothing compared the router with the fakes alone; the first run of the comparison showed 43 ms for each streamed answer. Change: measure path takes latency in turns and throughput over the same connections; the listener sets TCP_NODELAY, since events are small writes that waited for delayed acknowledgements.

--- a/crates/dev/src/measure/mod.rs
+++ b/crates/dev/src/measure/mod.rs
@@ -3,6 +3,8 @@
 //! State is read as the growth of the resident set while everything built stays alive, so the
 //! figures include what the allocator adds. Times are means over many events on one core.
 
+pub mod path;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fs;
@@ -44,6 +46,15 @@
     /// print JSON
     #[argh(switch)]
     json: bool,
+    #[argh(subcommand)]
+    what: Option<What>,
+}
+
+/// What to measure in place of the slopes.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum What {
+    Path(path::Path),
 }
 
 /// Why there are no figures.
@@ -55,6 +66,12 @@
         /// The cause.
         source: io::Error,
     },
+    /// The request path cannot be measured.
+    #[snafu(display("{source}"))]
+    Path {
+        /// The cause.
+        source: path::Error,
+    },
     /// The size of the process is not stated.
     #[snafu(display("/proc/self/status has no VmRSS"))]
     NoSize,
@@ -75,6 +92,9 @@
 
 /// Measures and prints.
 pub fn run(options: &Measure) -> Result<(), Error> {
+    if let Some(What::Path(path)) = &options.what {
+        return path::run(path).context(PathSnafu);
+    }
     let mut kept = Vec::new();
     let slopes = [
         slope(
--- /dev/null
+++ b/crates/dev/src/measure/path.rs
@@ -0,0 +1,413 @@
+//! What the router adds to a request: through it against straight to the same fakes.
+//!
+//! Both sides use the same fakes, the same number of connections and the same client in one run;
+//! the latency of single requests is taken in turns, so that a busy moment hits both.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use argh::FromArgs;
+use awc::Client;
+use awc::ClientRequest;
+use awc::Connector;
+use hdrhistogram::Histogram;
+use serde_json::json;
+use snafu::ResultExt as _;
+use snafu::Snafu;
+use snipeusher_fakes::engine;
+use snipeusher_fakes::engine::Engine;
+use snipeusher_fakes::plain::Plain;
+use snipeusher_router::Router;
+use snipeusher_router::log;
+use snipeusher_router::settings;
+use snipeusher_router::settings::Settings;
+
+const KEY: &str = "reading-circle-key";
+/// Highest latency that is told apart, in nanoseconds.
+const HIGHEST_NS: u64 = 60_000_000_000;
+/// Tokens of a streamed answer.
+const STREAM_TOKENS: u64 = 32;
+
+/// Compare requests through the router with requests straight to the same fakes.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "path")]
+pub struct Path {
+    /// seconds of each throughput run (default 5)
+    #[argh(option, default = "5")]
+    seconds: u64,
+    /// connections of a throughput run (default 128)
+    #[argh(option, default = "128")]
+    connections: usize,
+    /// requests of a latency run, on each side (default 20000)
+    #[argh(option, default = "20_000")]
+    requests: usize,
+    /// serving threads of the router; the decisions take one more (default 3)
+    #[argh(option, default = "3")]
+    workers: usize,
+    /// fakes of each sort (default 3)
+    #[argh(option, default = "3")]
+    fakes: usize,
+    /// threads of the client (default 4)
+    #[argh(option, default = "4")]
+    clients: usize,
+    /// folder with templates and workspaces (default examples)
+    #[argh(option, default = "PathBuf::from(\"examples\")")]
+    documents: PathBuf,
+}
+
+/// Why the path cannot be measured.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// A fake does not start.
+    #[snafu(display("cannot start a fake: {source}"))]
+    Fake {
+        /// The cause.
+        source: io::Error,
+    },
+    /// The settings made here are wrong.
+    #[snafu(transparent)]
+    Settings {
+        /// The cause.
+        source: settings::Error,
+    },
+    /// The router does not start.
+    #[snafu(transparent)]
+    Router {
+        /// The cause.
+        source: snipeusher_router::Error,
+    },
+    /// Requests failed, so that their times mean nothing.
+    #[snafu(display("{failed} requests of {what} failed"))]
+    Failed {
+        /// Which run.
+        what: &'static str,
+        /// How many.
+        failed: u64,
+    },
+}
+
+/// A sort of request.
+#[derive(Clone, Copy, Debug)]
+enum Sort {
+    Plain,
+    Whole,
+    Streamed,
+}
+
+impl Sort {
+    const ALL: [Self; 3] = [Self::Plain, Self::Whole, Self::Streamed];
+
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Plain => "plain GET",
+            Self::Whole => "chat, not streamed",
+            Self::Streamed => "chat, streamed, 32 tokens",
+        }
+    }
+
+    /// Sends one request and reads its answer; returns whether it is good.
+    async fn send(self, client: &Client, address: SocketAddr, number: usize) -> bool {
+        let request = match self {
+            Self::Plain => client.get(format!("http://{address}/match/{number}")),
+            Self::Whole | Self::Streamed => {
+                client.post(format!("http://{address}/v1/chat/completions"))
+            }
+        };
+        let request = headers(request);
+        let sent = match self {
+            Self::Plain => request.send().await,
+            Self::Whole => request.send_json(&body(number, false, 1)).await,
+            Self::Streamed => request.send_json(&body(number, true, STREAM_TOKENS)).await,
+        };
+        let Ok(mut response) = sent else {
+            return false;
+        };
+        let status = response.status().is_success();
+        match response.body().await {
+            Ok(body) => {
+                status && (!matches!(self, Self::Streamed) || body.ends_with(b"[DONE]\n\n"))
+            }
+            Err(_) => false,
+        }
+    }
+}
+
+fn headers(request: ClientRequest) -> ClientRequest {
+    request
+        .insert_header(("authorization", format!("Bearer {KEY}")))
+        .insert_header(("x-attempt-id", "0000000000000001"))
+}
+
+fn body(number: usize, stream: bool, tokens: u64) -> serde_json::Value {
+    json!({
+        "model": "quill-llm",
+        "version": "v1",
+        "stream": stream,
+        "max_tokens": tokens,
+        "messages": [{ "role": "user", "content": format!("Letter {number}") }],
+    })
+}
+
+/// Measures and prints.
+pub fn run(options: &Path) -> Result<(), Error> {
+    actix_rt::System::new().block_on(measure(options))
+}
+
+async fn measure(options: &Path) -> Result<(), Error> {
+    let fakes = Fakes::bind(options.fakes)?;
+    let router = Router::bind(fakes.settings(options)?, log::discard())?;
+    while router.ready_engines().await < options.fakes {
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    let entry = router.address();
+    println!(
+        "router: {} serving threads and one for decisions; {} fakes of each sort; client: {} threads",
+        options.workers, options.fakes, options.clients
+    );
+    println!(
+        "\nlatency of single requests, one connection each, in turns, {} requests each side",
+        options.requests
+    );
+    println!(
+        "{:<28}{:>14}{:>14}{:>14}{:>14}{:>12}{:>12}",
+        "", "direct p50 us", "p99 us", "router p50 us", "p99 us", "added p50", "added p99"
+    );
+    for sort in Sort::ALL {
+        let (direct, through) = latency(options, sort, fakes.direct(sort)[0], entry).await?;
+        print_latency(sort, &direct, &through);
+    }
+    println!(
+        "\nrequests a second, {} connections, {} s each side",
+        options.connections, options.seconds
+    );
+    println!(
+        "{:<28}{:>14}{:>14}{:>14}{:>14}{:>12}",
+        "", "direct req/s", "p99 us", "router req/s", "p99 us", "events/s"
+    );
+    for sort in Sort::ALL {
+        let direct = throughput(options, sort, fakes.direct(sort)).await?;
+        let through = throughput(options, sort, vec![entry]).await?;
+        print_throughput(options, sort, &direct, &through);
+    }
+    router.stop().await;
+    Ok(())
+}
+
+fn print_latency(sort: Sort, direct: &Histogram<u64>, through: &Histogram<u64>) {
+    let us = |histogram: &Histogram<u64>, quantile| {
+        histogram.value_at_quantile(quantile) as f64 / 1_000.0
+    };
+    let added = |quantile| us(through, quantile) - us(direct, quantile);
+    println!(
+        "{:<28}{:>14.1}{:>14.1}{:>14.1}{:>14.1}{:>12.1}{:>12.1}",
+        sort.name(),
+        us(direct, 0.5),
+        us(direct, 0.99),
+        us(through, 0.5),
+        us(through, 0.99),
+        added(0.5),
+        added(0.99),
+    );
+}
+
+fn print_throughput(options: &Path, sort: Sort, direct: &Histogram<u64>, through: &Histogram<u64>) {
+    let rate = |histogram: &Histogram<u64>| histogram.len() as f64 / options.seconds as f64;
+    let p99 = |histogram: &Histogram<u64>| histogram.value_at_quantile(0.99) as f64 / 1_000.0;
+    let events = match sort {
+        // The closing chunk and the end marker follow the tokens.
+        Sort::Streamed => rate(through) * (STREAM_TOKENS + 2) as f64,
+        Sort::Plain | Sort::Whole => 0.0,
+    };
+    println!(
+        "{:<28}{:>14.0}{:>14.0}{:>14.0}{:>14.0}{:>12.0}",
+        sort.name(),
+        rate(direct),
+        p99(direct),
+        rate(through),
+        p99(through),
+        events,
+    );
+}
+
+struct Fakes {
+    engines: Vec<Engine>,
+    plain: Vec<Plain>,
+}
+
+impl Fakes {
+    fn bind(count: usize) -> Result<Self, Error> {
+        let engines = (0..count).map(|number| {
+            Engine::bind(engine::Options {
+                name: format!("engine-{number}").into(),
+                ..engine::Options::default()
+            })
+        });
+        let plain = (0..count).map(|_| Plain::bind(&"match-desk".into()));
+        Ok(Self {
+            engines: engines.collect::<Result<_, _>>().context(FakeSnafu)?,
+            plain: plain.collect::<Result<_, _>>().context(FakeSnafu)?,
+        })
+    }
+
+    fn direct(&self, sort: Sort) -> Vec<SocketAddr> {
+        match sort {
+            Sort::Plain => self.plain.iter().map(Plain::address).collect(),
+            Sort::Whole | Sort::Streamed => self.engines.iter().map(Engine::address).collect(),
+        }
+    }
+
+    fn settings(&self, options: &Path) -> Result<Settings, Error> {
+        let mut settings = Settings::parse("host = \"measure\"\nzone = \"a\"")?;
+        settings.listen = ([127, 0, 0, 1], 0).into();
+        settings.workers = options.workers;
+        settings.balancer_delay = Duration::ZERO;
+        settings.documents = Some(options.documents.clone());
+        let mut add = |name: String, address, service: Option<&str>| {
+            settings.upstreams.push(settings::Upstream {
+                name: name.into(),
+                address,
+                zone: "a".into(),
+                service: service.map(Into::into),
+            });
+        };
+        for (number, engine) in self.engines.iter().enumerate() {
+            add(format!("engine-{number}"), engine.address(), None);
+        }
+        for (number, plain) in self.plain.iter().enumerate() {
+            add(
+                format!("match-desk-{number}"),
+                plain.address(),
+                Some("match-desk"),
+            );
+        }
+        Ok(settings)
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_max(HIGHEST_NS, 3).expect("the bounds are valid")
+}
+
+fn client() -> Client {
+    let connector = Connector::new().limit(0);
+    Client::builder()
+        .connector(connector)
+        .timeout(Duration::from_secs(30))
+        .finish()
+}
+
+/// One request after the other, direct and through in turns.
+async fn latency(
+    options: &Path,
+    sort: Sort,
+    direct: SocketAddr,
+    through: SocketAddr,
+) -> Result<(Histogram<u64>, Histogram<u64>), Error> {
+    let client = client();
+    let mut sides = [(direct, histogram()), (through, histogram())];
+    let mut failed = 0;
+    // A tenth more to warm up.
+    let warm = options.requests / 10;
+    for number in 0..options.requests + warm {
+        for (address, times) in &mut sides {
+            let start = Instant::now();
+            failed += u64::from(!sort.send(&client, *address, number).await);
+            if number >= warm {
+                times.saturating_record(start.elapsed().as_nanos() as u64);
+            }
+        }
+    }
+    let [(_, direct), (_, through)] = sides;
+    finish(sort, failed)?;
+    Ok((direct, through))
+}
+
+/// As many requests as go, over all connections at once.
+async fn throughput(
+    options: &Path,
+    sort: Sort,
+    addresses: Vec<SocketAddr>,
+) -> Result<Histogram<u64>, Error> {
+    let next = Arc::new(AtomicUsize::new(0));
+    let each = options.connections.div_ceil(options.clients);
+    let seconds = options.seconds;
+    let threads: Vec<_> = (0..options.clients)
+        .map(|_| {
+            let next = Arc::clone(&next);
+            let addresses = addresses.clone();
+            thread::spawn(move || {
+                let system = actix_rt::System::new();
+                system.block_on(load(sort, addresses, each, seconds, next))
+            })
+        })
+        .collect();
+    let joined = actix_rt::task::spawn_blocking(move || {
+        let joined = threads.into_iter().map(thread::JoinHandle::join);
+        joined
+            .collect::<Result<Vec<_>, _>>()
+            .expect("a client panicked")
+    });
+    let mut all = histogram();
+    let mut failed = 0;
+    for (times, bad) in joined.await.expect("the clients were joined") {
+        all.add(times).expect("the same bounds");
+        failed += bad;
+    }
+    finish(sort, failed)?;
+    Ok(all)
+}
+
+async fn load(
+    sort: Sort,
+    addresses: Vec<SocketAddr>,
+    connections: usize,
+    seconds: u64,
+    next: Arc<AtomicUsize>,
+) -> (Histogram<u64>, u64) {
+    let client = client();
+    let end = Instant::now() + Duration::from_secs(seconds);
+    let tasks: Vec<_> = (0..connections)
+        .map(|index| {
+            let client = client.clone();
+            let address = addresses[index % addresses.len()];
+            let next = Arc::clone(&next);
+            actix_rt::spawn(async move {
+                let mut times = histogram();
+                let mut failed = 0;
+                while Instant::now() < end {
+                    let number = next.fetch_add(1, Ordering::Relaxed);
+                    let start = Instant::now();
+                    failed += u64::from(!sort.send(&client, address, number).await);
+                    times.saturating_record(start.elapsed().as_nanos() as u64);
+                }
+                (times, failed)
+            })
+        })
+        .collect();
+    let mut all = histogram();
+    let mut failed = 0;
+    for task in tasks {
+        let (times, bad) = task.await.expect("the task ended");
+        all.add(times).expect("the same bounds");
+        failed += bad;
+    }
+    (all, failed)
+}
+
+fn finish(sort: Sort, failed: u64) -> Result<(), Error> {
+    if failed == 0 {
+        return Ok(());
+    }
+    FailedSnafu {
+        what: sort.name(),
+        failed,
+    }
+    .fail()
+}
--- a/crates/fakes/src/engine/serve.rs
+++ b/crates/fakes/src/engine/serve.rs
@@ -48,6 +48,7 @@
             .route("/engine/v1/resume/{attempt}", web::get().to(resume))
     })
     .workers(1)
+    .tcp_nodelay(true)
     .disable_signals()
     .shutdown_timeout(5);
     let server = match tls {
--- a/crates/fakes/src/plain.rs
+++ b/crates/fakes/src/plain.rs
@@ -87,6 +87,7 @@
                 .default_service(web::to(serve))
         })
         .workers(1)
+        .tcp_nodelay(true)
         .disable_signals()
         .shutdown_timeout(5)
         .bind(("127.0.0.1", 0))?;
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -37,6 +37,8 @@
     .workers(settings.workers)
     .keep_alive(settings.keep_alive)
     .h1_allow_half_closed(false)
+    // Events of a stream are small writes; with delayed acknowledgements each pair takes 40 ms.
+    .tcp_nodelay(true)
     .disable_signals()
     .shutdown_timeout(settings.drain_timeout.as_secs().max(1));
     let server = match tls {
