--- /dev/null
+++ b/crates/dev/src/replay/membership.rs
@@ -0,0 +1,171 @@
+//! Carries the gossip of `snipeusher::member` between the routers of a replay.
+
+use snipeusher::claim;
+use snipeusher::config;
+use snipeusher::machine::Event;
+use snipeusher::member;
+use snipeusher::member::Member;
+use snipeusher::name;
+use snipeusher::time::Time;
+use snipeusher::upstream;
+use snipeusher::wire;
+
+use super::fleet;
+use super::platform::PartEvent;
+use super::platform::host;
+use super::platform::number_of;
+use super::router::Router;
+use super::world::CONNECT_TIMEOUT;
+use super::world::Happening;
+use super::world::World;
+use crate::trace::Header;
+
+/// Wall clock at the start of every replay, in milliseconds since the Unix epoch.
+pub const STARTED_MS: u64 = 1_700_000_000_000;
+/// The region of all zones.
+const REGION: &str = "region";
+/// The fleet key of replays.
+const KEY: &[u8] = b"replay";
+
+/// Starts a router's part in the fleet.
+pub fn open(header: &Header, number: usize, zone: usize) -> Result<Member, member::Error> {
+    let settings = member::Settings {
+        host: host(number),
+        address: host(number).to_string(),
+        place: place(header, zone),
+        budget_bytes: header.budget_bytes,
+        seeds: Vec::new(),
+    };
+    let seed = header.seed.rotate_left(29) + number as u64;
+    Member::new(settings, wire::Key::new(KEY), Time(0), STARTED_MS, seed)
+}
+
+fn place(header: &Header, zone: usize) -> wire::Place {
+    let zone = header.zones.get(zone).cloned();
+    wire::Place {
+        zone: zone.unwrap_or_else(|| "a".into()),
+        region: REGION.into(),
+    }
+}
+
+impl<R: Router> World<'_, R> {
+    /// The host list of routers. Upstreams tell their states themselves.
+    pub(super) fn listings(&self) -> Vec<member::Listing> {
+        let seats = self.seats.iter().enumerate();
+        let listing = |(number, zone)| member::Listing {
+            name: host(number).to_string(),
+            address: host(number).to_string(),
+            place: place(&self.trace.header, zone),
+            role: member::Role::Router,
+            leaving: false,
+            since_ms: STARTED_MS,
+        };
+        seats
+            .map(|(number, seat)| listing((number, seat.zone)))
+            .collect()
+    }
+
+    /// Tells a router the state of an upstream as the upstream itself tells it.
+    pub(super) fn inform(&mut self, seat: usize, at: Time, state: upstream::State) {
+        if self.seats[seat].member.is_none() {
+            let event = Box::new(Event::Upstream(state));
+            self.plan(at, Happening::Deliver(seat, event));
+            return;
+        }
+        // The time serves as the number of the report, which grows within one run.
+        let sequence = self.now.0 + 1;
+        let event = member::Event::Status { state, sequence };
+        self.plan(at, Happening::Member(seat, Box::new(event)));
+    }
+
+    /// Gives an event to a router's part in the fleet and carries out what it asks for.
+    pub(super) fn meet(&mut self, seat: usize, event: member::Event) {
+        let now = self.now;
+        let Some(member) = &mut self.seats[seat].member else {
+            return;
+        };
+        member.handle(now, event);
+        let actions: Vec<_> = member.drain().collect();
+        for action in actions {
+            match action {
+                member::Action::Send { to, sealed } => self.send(seat, to, sealed),
+                member::Action::Upstream(state) => self.handle(seat, Event::Upstream(state)),
+                member::Action::Share { host, share } => {
+                    self.handle(seat, Event::Peer { host, share });
+                }
+                member::Action::Digest(peer, digest) => {
+                    let event = config::Event::Digest(peer, digest);
+                    self.tend(seat, PartEvent::Config(event));
+                }
+                member::Action::Exchange(peer, exchange) => {
+                    let event = config::Event::Exchange(peer, exchange);
+                    self.tend(seat, PartEvent::Config(event));
+                }
+                member::Action::Suspected(peer) => self.handle(seat, Event::PeerGone(peer)),
+                member::Action::Prefixes(_)
+                | member::Action::Recovered(_)
+                | member::Action::Incarnation(_) => {}
+            }
+        }
+        self.plan_wake(seat);
+    }
+
+    fn send(&mut self, seat: usize, to: String, sealed: wire::Sealed) {
+        let bytes = sealed.body.len() + wire::OVERHEAD_BYTES;
+        self.tally.spend("gossip", bytes as u64);
+        let found = number_of(&name::Host::from(to.as_str()));
+        let Some(peer) = found.filter(|peer| *peer < self.seats.len()) else {
+            self.tally.violate("messages go to known routers");
+            return;
+        };
+        let zones = (self.seats[seat].zone, self.seats[peer].zone);
+        let (at, seat, event) = if self.reach(zones.0, zones.1) {
+            let (body, proof) = (sealed.body, sealed.proof);
+            let event = member::Event::Frame { body, proof };
+            (self.now + self.latency(zones.0, zones.1), peer, event)
+        } else {
+            let event = member::Event::Undelivered(to);
+            (self.now + CONNECT_TIMEOUT, seat, event)
+        };
+        self.plan(at, Happening::Member(seat, Box::new(event)));
+    }
+
+    /// Tells a router's part in the fleet what is new at the router.
+    pub(super) fn gossip(&mut self, seat: usize) {
+        if self.is_over() {
+            return;
+        }
+        let every = std::time::Duration::from_millis(self.trace.header.gossip_every_ms);
+        self.plan(self.now + every, Happening::Gossip(seat));
+        let share = self.seats[seat].router.share();
+        self.meet(seat, member::Event::Share(share));
+        let parts = self.seats[seat].parts.as_ref();
+        if let Some(digest) = parts.map(|parts| parts.replica.digest()) {
+            self.meet(seat, member::Event::Digest(digest));
+            let member = self.seats[seat].member.as_ref();
+            let peers: Vec<_> = member.map_or_else(Vec::new, |member| {
+                let peers = member.peers().iter();
+                peers
+                    .map(|(host, peer)| (host.clone(), peer.incarnation))
+                    .collect()
+            });
+            for (peer, incarnation) in peers {
+                let event = claim::Event::Peer(peer, incarnation);
+                self.tend(seat, PartEvent::Claim(event));
+            }
+        }
+        self.meet(seat, member::Event::Clock(STARTED_MS + self.now.0 / 1_000));
+    }
+
+    /// Starts the fleet: every router knows the host list of routers and all upstreams.
+    pub(super) fn join(&mut self, seat: usize) {
+        let zone = self.seats[seat].zone;
+        self.seats[seat].member = open(&self.trace.header, seat, zone).ok();
+        let listed = member::Event::Listed(self.listings());
+        self.plan(Time(0), Happening::Member(seat, Box::new(listed)));
+        for engine in 0..self.engines.len() {
+            let state = fleet::state(&self.trace.header, &self.engines[engine]);
+            self.inform(seat, Time(0), state);
+        }
+    }
+}
--- a/crates/dev/src/replay/mod.rs
+++ b/crates/dev/src/replay/mod.rs
@@ -10,40 +10,66 @@
 mod control;
 pub mod engine;
 mod fleet;
+mod membership;
 mod occur;
+mod parts;
+pub mod platform;
 pub mod router;
+pub mod seat;
 pub mod table;
 pub mod tally;
 pub mod verdict;
 pub mod world;
 
-use serde::Serialize;
-use snipeusher::machine::Machine;
-
-use crate::trace::Trace;
-use crate::trace::expand;
-
 use baseline::Baseline;
 use baseline::Rule;
+use serde::Serialize;
+use snipeusher::load;
+use snipeusher::load::Strategy;
+use snipeusher::machine::Machine;
+use snipeusher::machine::Settings;
 use tally::Figures;
 use tally::Sample;
 use tally::Tally;
 use world::World;
 
+use crate::trace::Request;
+use crate::trace::Trace;
+use crate::trace::expand;
+
 /// What routes in a replay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Subject {
-    /// The decisions of the project.
-    Fleet,
+    /// The decisions of the project, with a way to judge load.
+    Fleet(Way),
     /// A baseline.
     Baseline(Rule),
 }
 
+/// A way to judge load that the project's decisions may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Way {
+    /// Reports corrected by the peers' shares, the default.
+    Peers,
+    /// Reports and own work only.
+    Reports,
+    /// A fixed share of the headroom for each router.
+    Headroom,
+    /// Admission for an engine at one router of its zone.
+    Admission,
+}
+
 impl Subject {
+    /// The decisions as shipped.
+    pub const FLEET: Self = Self::Fleet(Way::Peers);
     /// All that a comparison shows.
-    pub const ALL: [Self; 6] = [
-        Self::Fleet,
+    pub const ALL: [Self; 9] = [
+        Self::FLEET,
+        Self::Fleet(Way::Reports),
+        Self::Fleet(Way::Headroom),
+        Self::Fleet(Way::Admission),
         Self::Baseline(Rule::RoundRobin),
         Self::Baseline(Rule::LeastLoaded),
         Self::Baseline(Rule::TwoChoices),
@@ -54,7 +80,10 @@
     /// Its name in tables.
     pub const fn name(self) -> &'static str {
         match self {
-            Self::Fleet => "snipeusher",
+            Self::Fleet(Way::Peers) => "snipeusher",
+            Self::Fleet(Way::Reports) => "snipeusher, reports only",
+            Self::Fleet(Way::Headroom) => "snipeusher, share of headroom",
+            Self::Fleet(Way::Admission) => "snipeusher, admission by zone",
             Self::Baseline(Rule::RoundRobin) => "round robin",
             Self::Baseline(Rule::LeastLoaded) => "least loaded, lagged",
             Self::Baseline(Rule::TwoChoices) => "two random choices",
@@ -78,13 +107,15 @@
     let requests = expand(trace);
     let routers = trace.header.routers;
     let seed = trace.header.seed;
-    // Attempts of different routers must differ, as the identities of different hosts do.
-    let first = |number: usize| (number as u64) << 32;
     let (routers, tally) = match subject {
-        Subject::Fleet => {
-            let make = |number| Machine::new(first(number));
-            let world = World::new(trace, &requests, routers, true, make);
-            (routers, world.run())
+        Subject::Fleet(way) => {
+            let tally = match way {
+                Way::Peers => fleet_run::<load::Peers>(trace, &requests),
+                Way::Reports => fleet_run::<load::Reports>(trace, &requests),
+                Way::Headroom => fleet_run::<load::Headroom>(trace, &requests),
+                Way::Admission => fleet_run::<load::Admission>(trace, &requests),
+            };
+            (routers, tally)
         }
         Subject::Baseline(rule) => {
             let routers = if rule == Rule::FullKnowledge {
@@ -93,8 +124,8 @@
                 routers
             };
             let probes = matches!(rule, Rule::LeastLoaded | Rule::TwoChoices);
-            let make = |number| Baseline::new(rule, first(number), seed + number as u64);
-            let world = World::new(trace, &requests, routers, probes, make);
+            let make = |number| Baseline::new(rule, first_attempt(number), seed + number as u64);
+            let world = World::new(trace, &requests, routers, (probes, false), make);
             (routers, world.run())
         }
     };
@@ -105,3 +136,23 @@
         samples: samples.clone(),
     }
 }
+
+fn fleet_run<S: Strategy>(trace: &Trace, requests: &[Request]) -> Tally {
+    let header = &trace.header;
+    let make = |number: usize| {
+        let zones = header.zones.len().max(1);
+        Machine::<S>::with(Settings {
+            host: platform::host(number),
+            zone: header.zones.get(number % zones).cloned(),
+            first_attempt: first_attempt(number),
+            seed: header.seed + number as u64,
+            ..Settings::default()
+        })
+    };
+    World::new(trace, requests, header.routers, (true, true), make).run()
+}
+
+/// Attempts of different routers must differ, as the identities of different hosts do.
+const fn first_attempt(number: usize) -> u64 {
+    (number as u64) << 32
+}
--- a/crates/dev/src/replay/tally.rs
+++ b/crates/dev/src/replay/tally.rs
@@ -1,6 +1,7 @@
 //! What a replay counts, and the figures made of it.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -13,6 +14,7 @@
 use super::engine::DECODE_WORK_PER_S;
 use super::engine::PREFILL_WEIGHT;
 use super::engine::Progress;
+use crate::trace::Request;
 
 /// Interval between two samples of the engines' loads.
 pub const SAMPLE_EVERY_MS: u64 = 100;
@@ -67,6 +69,10 @@
     pub late: u64,
     /// Refused, by reason.
     pub refused: BTreeMap<String, u64>,
+    /// Answered after their deadline, by workspace.
+    pub late_by: BTreeMap<name::Workspace, u64>,
+    /// Refused, by workspace.
+    pub refused_by: BTreeMap<name::Workspace, u64>,
     /// Refused without knowing whether they ran.
     pub unknown: u64,
     /// Rules that must always hold and did not, with the number of cases.
@@ -87,10 +93,22 @@
     pub excess: f64,
     /// p99 of the time to the first token beyond the prefill, by workspace.
     pub queue_p99_ms: BTreeMap<name::Workspace, f64>,
+    /// p99 of the same over all workspaces without a surge.
+    pub others_queue_p99_ms: f64,
+    /// Longest time until an accepted configuration was in force at a router.
+    pub config_ms: u64,
+    /// Edits that were not applied.
+    pub edits_failed: u64,
+    /// Requests with a key answered as the first time.
+    pub repeated: u64,
+    /// Most routers that held one zone's lease after another.
+    pub holders: u64,
     /// p95 of the time to the first token.
     pub first_token_p95_ms: f64,
     /// Bytes that a router spends on coordination and probes in a second.
     pub control_bytes: f64,
+    /// The same by what they are for.
+    pub control_by: BTreeMap<&'static str, f64>,
     /// Latest new work at a leaving upstream after its departure began.
     pub leave_ms: u64,
 }
@@ -104,11 +122,23 @@
     pub samples: Vec<Sample>,
     /// Rules broken.
     pub violations: BTreeMap<String, u64>,
-    /// Bytes of control traffic of all routers.
-    pub control: u64,
+    /// Bytes of control traffic of all routers, by what they are for.
+    pub control: BTreeMap<&'static str, u64>,
     /// Latest new work at a leaving upstream.
     pub leave_ms: u64,
-    late: u64,
+    /// Longest time until an accepted configuration was in force at a router.
+    pub config_ms: u64,
+    /// Edits that were not applied.
+    pub edits_failed: u64,
+    /// Requests with a key answered as the first time.
+    pub repeated: u64,
+    /// Most routers that held one zone's lease after another.
+    pub holders: u64,
+    surging: BTreeSet<name::Workspace>,
+    others: Histogram<u64>,
+    taken: BTreeMap<(name::Workspace, String), u32>,
+    late_by: BTreeMap<name::Workspace, u64>,
+    refused_by: BTreeMap<name::Workspace, u64>,
     left: BTreeMap<Chat, u64>,
     reusable: u64,
     reused: u64,
@@ -124,15 +154,23 @@
 }
 
 impl Tally {
-    /// Nothing counted yet.
-    pub fn new(requests: usize) -> Self {
+    /// Nothing counted yet. `surging` are the workspaces that send a surge.
+    pub fn new(requests: usize, surging: BTreeSet<name::Workspace>) -> Self {
         Self {
             fates: vec![Fate::default(); requests],
             samples: Vec::new(),
             violations: BTreeMap::new(),
-            control: 0,
+            control: BTreeMap::new(),
             leave_ms: 0,
-            late: 0,
+            config_ms: 0,
+            edits_failed: 0,
+            repeated: 0,
+            holders: 0,
+            surging,
+            others: histogram(),
+            taken: BTreeMap::new(),
+            late_by: BTreeMap::new(),
+            refused_by: BTreeMap::new(),
             left: BTreeMap::new(),
             reusable: 0,
             reused: 0,
@@ -148,6 +186,11 @@
         }
     }
 
+    /// Counts bytes of control traffic.
+    pub fn spend(&mut self, of: &'static str, bytes: u64) {
+        *self.control.entry(of).or_default() += bytes;
+    }
+
     /// Counts a broken rule.
     pub fn violate(&mut self, rule: &str) {
         *self.violations.entry(rule.to_owned()).or_default() += 1;
@@ -197,24 +240,49 @@
             .entry(workspace.clone())
             .or_insert_with(histogram);
         waits.saturating_record((wait * 1e6) as u64);
+        if !self.surging.contains(workspace) {
+            self.others.saturating_record((wait * 1e6) as u64);
+        }
         self.first.saturating_record(taken.as_micros() as u64);
     }
 
+    /// Counts that an upstream took an attempt.
+    pub fn take(&mut self, number: usize, request: &Request) {
+        self.fates[number].taken += 1;
+        let Some(key) = &request.key else {
+            return;
+        };
+        let taken = self.taken.entry((request.workspace.clone(), key.clone()));
+        let taken = taken.or_default();
+        *taken += 1;
+        if *taken > 1 {
+            self.violate("a key runs at most once");
+        }
+    }
+
     /// Takes the caller's final answer; a second one is a broken rule.
-    pub fn finish(&mut self, request: usize, ended: Final, deadline: Time, idempotent: bool) {
-        if self.fates[request].ended.is_some() {
+    pub fn finish(&mut self, number: usize, ended: Final, deadline: Time, request: &Request) {
+        if self.fates[number].ended.is_some() {
             self.violate("one final answer");
             return;
         }
-        let fate = &mut self.fates[request];
+        let fate = &mut self.fates[number];
         fate.ended = Some(ended);
         let taken = fate.taken;
+        let workspace = request.workspace.clone();
         match ended {
-            Final::Complete(at) if at > deadline => self.late += 1,
-            Final::Refused(_, Ran::NotRun) if taken > 0 => self.violate("not_run is true"),
-            _ => {}
+            Final::Complete(at) if at > deadline => {
+                *self.late_by.entry(workspace).or_default() += 1;
+            }
+            Final::Complete(_) => {}
+            Final::Refused(_, ran) => {
+                *self.refused_by.entry(workspace).or_default() += 1;
+                if ran == Ran::NotRun && taken > 0 {
+                    self.violate("not_run is true");
+                }
+            }
         }
-        if taken > 1 && !idempotent {
+        if taken > 1 && !request.idempotent {
             self.violate("non-idempotent runs at most once");
         }
     }
@@ -241,9 +309,12 @@
 
     /// Makes the figures; `seconds` is the length of the trace.
     pub fn figures(&self, routers: usize, seconds: f64) -> Figures {
+        let each = routers.max(1) as f64 * seconds;
         let mut figures = Figures {
             requests: self.fates.len() as u64,
-            late: self.late,
+            late: self.late_by.values().sum(),
+            late_by: self.late_by.clone(),
+            refused_by: self.refused_by.clone(),
             violations: self.violations.clone(),
             cache_reuse: ratio(self.totals.1 + self.reused, self.totals.0 + self.reusable),
             beyond: ratio(self.beyond, self.placements),
@@ -251,8 +322,18 @@
             excess: ratio(self.excess, self.samples.len() as u64),
             skew_samples: ratio(self.skews.len() as u64, self.samples.len() as u64),
             first_token_p95_ms: self.first.value_at_quantile(0.95) as f64 / 1e3,
-            control_bytes: self.control as f64 / routers.max(1) as f64 / seconds,
+            control_bytes: self.control.values().sum::<u64>() as f64 / each,
+            control_by: self
+                .control
+                .iter()
+                .map(|(of, bytes)| (*of, *bytes as f64 / each))
+                .collect(),
             leave_ms: self.leave_ms,
+            others_queue_p99_ms: self.others.value_at_quantile(0.99) as f64 / 1e3,
+            config_ms: self.config_ms,
+            edits_failed: self.edits_failed,
+            repeated: self.repeated,
+            holders: self.holders,
             ..Figures::default()
         };
         for fate in &self.fates {
--- a/crates/dev/src/trace/mod.rs
+++ b/crates/dev/src/trace/mod.rs
@@ -11,6 +11,8 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+pub use expand::expand;
+use expect::Expect;
 use serde::Deserialize;
 use serde::Serialize;
 use snafu::OptionExt as _;
@@ -19,10 +21,6 @@
 use snipeusher::name;
 use snipeusher::policy;
 
-pub use expand::expand;
-
-use expect::Expect;
-
 /// Why a trace can't be read.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -100,10 +98,12 @@
     pub report_every_ms: u64,
     /// Age of a load report when it arrives.
     pub report_lag_ms: u64,
-    /// Interval between two rounds of gossip.
+    /// Interval at which a router's share is handed to gossip.
     pub gossip_every_ms: u64,
-    /// Peers that a router tells its share in one round.
-    pub gossip_peers: usize,
+    /// Bytes of gossip that a router may send in a second.
+    pub budget_bytes: u32,
+    /// Whether routers read the changes of caches with each load report.
+    pub cache_events: bool,
     /// Latest time at which a router learns of a change of the list of upstreams.
     pub list_lag_ms: u64,
     /// One-way latency between hosts of one zone.
@@ -129,7 +129,8 @@
             report_every_ms: 2_000,
             report_lag_ms: 200,
             gossip_every_ms: 500,
-            gossip_peers: 3,
+            budget_bytes: 4_000,
+            cache_events: true,
             list_lag_ms: 1_000,
             zone_latency_us: 300,
             cross_latency_us: 1_500,
@@ -216,6 +217,9 @@
     /// Whether it may run more than once.
     #[serde(default = "yes")]
     pub idempotent: bool,
+    /// Its `Idempotency-Key`, which is claimed in the key-value service.
+    #[serde(default)]
+    pub key: Option<String>,
 }
 
 /// Something that happens to the fleet.
@@ -256,6 +260,21 @@
     CutZone(name::Zone),
     /// A workspace's policy changes.
     Configure(Workspace),
+    /// An operator writes a document.
+    Edit {
+        /// The document, such as `template/letters`.
+        document: String,
+        /// Its TOML.
+        text: String,
+    },
+    /// The key-value service does not answer.
+    StoreOutage,
+    /// Replies of the key-value service to transactions are lost after these took effect.
+    LoseStoreReplies,
+    /// Routers stand still; what reaches them waits.
+    Pause(Vec<usize>),
+    /// The router that holds the lease on a zone's orders stands still.
+    PauseHolder(name::Zone),
     /// The next reply to the workspace is lost after its upstream did the work.
     LoseReply(name::Workspace),
 }
@@ -329,6 +348,22 @@
         Ok(trace)
     }
 
+    /// Whether the key-value service takes part.
+    pub fn uses_platform(&self) -> bool {
+        let uses = |event: &Event| {
+            matches!(
+                event.what,
+                What::Edit { .. }
+                    | What::StoreOutage
+                    | What::LoseStoreReplies
+                    | What::Pause(_)
+                    | What::PauseHolder(_)
+            )
+        };
+        let keyed = self.requests.iter().any(|request| request.key.is_some());
+        keyed || self.events.iter().any(uses)
+    }
+
     /// The same trace without the requests of a surge.
     #[must_use]
     pub fn without_surge(&self) -> Self {
--- a/crates/router/tests/plain.rs
+++ b/crates/router/tests/plain.rs
@@ -7,9 +7,13 @@
 use common::Fleet;
 use common::KEY;
 use common::Plan;
+use common::from_service;
 use common::is_whole;
+use common::wait;
+use common::write_documents;
 use futures_util::stream;
 use serde_json::Value;
+use snipeusher_fakes::kv::Server;
 use snipeusher_fakes::plain::Fault;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
@@ -26,7 +30,11 @@
 /// Guards against a path, query, method or body that does not arrive as it was sent.
 #[actix_rt::test]
 async fn requests_go_through_unchanged() {
-    let fleet = fleet().await;
+    // The key of a request that must not run twice is claimed in the key-value service.
+    let server = Server::open().expect("a service");
+    write_documents(&server);
+    let fleet = Fleet::start(from_service(&server)).await;
+    wait(async || fleet.status().await["configuration"]["ready"] == true).await;
     let path = "/match/pairings/7?by=name&by=date";
     let part = Bytes::from(vec![b'x'; 9_000]);
     let parts = (0..100).map(move |_| Ok::<_, std::io::Error>(part.clone()));
--- a/crates/snipeusher/src/config.rs
+++ b/crates/snipeusher/src/config.rs
@@ -14,15 +14,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::kv::Call;
-use crate::kv::CallId;
-use crate::kv::Entry;
-use crate::kv::Fault;
-use crate::kv::Reply;
-use crate::kv::Revision;
-use crate::name;
-use crate::policy::Policy;
-
 pub use self::document::Document;
 pub use self::document::EditId;
 pub use self::document::History;
@@ -38,6 +29,14 @@
 pub use self::plan::Refusal;
 pub use self::replica::Replica;
 pub use self::world::World;
+use crate::kv::Call;
+use crate::kv::CallId;
+use crate::kv::Entry;
+use crate::kv::Fault;
+use crate::kv::Reply;
+use crate::kv::Revision;
+use crate::name;
+use crate::policy::Policy;
 
 /// Start of all keys that routers watch.
 pub const WATCHED_PREFIX: &str = "fleet/";
--- a/crates/snipeusher/tests/member.rs
+++ b/crates/snipeusher/tests/member.rs
@@ -313,6 +313,7 @@
     });
     let share = load::Share {
         in_flight: in_flight.collect(),
+        ..load::Share::default()
     };
     fleet.event(0, Event::Share(share));
     fleet.run(Duration::from_secs(20));
