Carry out the extended decisions and test retries over sockets

Cause: the machine now retries, closes requests, moves caches and asks for slots; the dispatcher passed over all but dispatch, refusal and cancel. Every engine was probed every second, which grows with the number of engines. Change: each action has an arm; faults of the machine are logged; the status page shows own and peers' work and ejections; the machine knows host and zone; probes take turns, four a second by default. Tests: a cut stream goes on at another engine with the same text, work that may be repeated goes elsewhere, a refused connection too. Cache transfer is answered as failed, slots as unreachable.

--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -184,10 +184,31 @@
                         let _gone = entry.orders.send(order);
                     }
                 }
+                Action::Close(request) => {
+                    self.forget(request);
+                }
                 Action::Cancel { attempt, upstream } => self.cancel(attempt, &upstream),
-                _ => {}
+                // Engines are not asked to move caches yet; the destination prefills.
+                Action::Transfer { chat, to, .. } => {
+                    let tokens = 0;
+                    self.answer(Event::Transferred { chat, to, tokens });
+                }
+                // The strategy in use shares no slots; a request goes on without one.
+                Action::AskSlot { ticket, .. } => self.answer(Event::SlotUnreachable(ticket)),
+                Action::AnswerSlot { .. } | Action::ReleaseSlot { .. } => {}
             }
         }
+        let faults: Vec<_> = self.machine.faults().collect();
+        for fault in faults {
+            debug!(self.log, "dispatch: event set aside"; "fault" => %fault);
+        }
+    }
+
+    /// Tells the machine what became of an action and carries out what follows.
+    fn answer(&mut self, event: Event) {
+        let now = self.now();
+        self.machine.handle(now, event);
+        self.carry_out();
     }
 
     fn dispatch(&mut self, request: Id, attempt: Attempt, upstream: name::Upstream, priority: u8) {
@@ -199,10 +220,8 @@
         self.attempts.insert(attempt, request);
         let Some(address) = address else {
             warn!(self.log, "dispatch: upstream has no usable address"; "upstream" => upstream.as_str());
-            let now = self.now();
             let outcome = Outcome::Unreachable;
-            self.machine.handle(now, Event::End { attempt, outcome });
-            self.carry_out();
+            self.answer(Event::End { attempt, outcome });
             return;
         };
         let order = Order::Dispatch(Dispatch {
@@ -357,8 +376,15 @@
             .upstreams
             .values()
             .map(|state| {
-                let load = 0;
-                json!({ "state": state, "load": load })
+                let slot = board.loads.slot(&state.name);
+                let cell = slot.map(|slot| board.loads.cell(slot));
+                json!({
+                    "state": state,
+                    "own_work": cell.map(|cell| cell.own.get()),
+                    "peers_work": cell.map(|cell| cell.peers.get()),
+                    "takes_work": cell.map(|cell| cell.open),
+                    "is_ejected": cell.map(|cell| cell.ejected),
+                })
             })
             .collect();
         MessageResult(json!({
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -22,12 +22,16 @@
 use crate::dispatch::Notify;
 use crate::settings::Upstream;
 
+/// How long an engine may take to tell its status.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest status that is read.
 const STATUS_BYTES: usize = 256 << 10;
 
 /// Tells the machine about each upstream and, at intervals, what engines say of themselves.
 pub(crate) struct Probe {
-    upstreams: Vec<Upstream>,
+    services: Vec<Upstream>,
+    engines: Vec<Upstream>,
+    next: usize,
     interval: Duration,
     client: Client,
     dispatcher: Addr<Dispatcher>,
@@ -43,15 +47,19 @@
 }
 
 impl Probe {
-    pub(crate) const fn new(
+    pub(crate) fn new(
         upstreams: Vec<Upstream>,
         interval: Duration,
         client: Client,
         dispatcher: Addr<Dispatcher>,
         log: Logger,
     ) -> Self {
+        let is_service = |upstream: &Upstream| upstream.service.is_some();
+        let (services, engines) = upstreams.into_iter().partition(is_service);
         Self {
-            upstreams,
+            services,
+            engines,
+            next: 0,
             interval,
             client,
             dispatcher,
@@ -59,28 +67,26 @@
         }
     }
 
-    fn round(&self) {
-        for upstream in &self.upstreams {
-            match &upstream.service {
-                Some(_) => {}
-                None => self.ask(upstream.clone()),
-            }
+    /// Asks the next engine. Engines take turns, so that the bytes spent do not grow with them.
+    fn turn(&mut self) {
+        if let Some(engine) = self.engines.get(self.next) {
+            self.ask(engine.clone());
         }
+        self.next = (self.next + 1) % self.engines.len().max(1);
     }
 
     fn ask(&self, upstream: Upstream) {
         let url = format!("http://{}/engine/v1/status", upstream.address);
-        let call = self.client.get(url).timeout(self.interval).send();
+        let call = self.client.get(url).send();
         let dispatcher = self.dispatcher.clone();
         let log = self.log.clone();
-        let limit = self.interval;
         actix_rt::spawn(async move {
             let read = async {
                 let mut response = call.await.ok()?;
                 let body = response.body().limit(STATUS_BYTES).await.ok()?;
                 serde_json::from_slice::<Status>(&body).ok()
             };
-            let Ok(Some(status)) = tokio::time::timeout(limit, read).await else {
+            let Ok(Some(status)) = tokio::time::timeout(STATUS_TIMEOUT, read).await else {
                 debug!(log, "probe: no status"; "upstream" => upstream.name.as_str());
                 return;
             };
@@ -103,7 +109,7 @@
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
-        for upstream in &self.upstreams {
+        for upstream in &self.services {
             // A plain service has no status; its answers tell whether it works.
             if let Some(service) = &upstream.service {
                 let kind = Kind::Plain(service.clone());
@@ -111,8 +117,10 @@
                 self.dispatcher.do_send(Notify(Event::Upstream(state)));
             }
         }
-        self.round();
-        ctx.run_interval(self.interval, |probe, _ctx| probe.round());
+        for engine in &self.engines {
+            self.ask(engine.clone());
+        }
+        ctx.run_interval(self.interval, |probe, _ctx| probe.turn());
     }
 }
 
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -24,6 +24,7 @@
 use snafu::Snafu;
 use snipeusher::claim::Claims;
 use snipeusher::hash;
+use snipeusher::machine;
 use snipeusher::machine::Machine;
 use snipeusher::name;
 use snipeusher::policy::Policy;
@@ -124,7 +125,7 @@
         let origin = Instant::now();
         let first_attempt = first_attempt(&settings);
         let control = Arbiter::new();
-        let dispatcher = start_dispatcher(&control, &dial, first_attempt, origin, &log);
+        let dispatcher = start_dispatcher(&control, &settings, &dial, first_attempt, origin, &log);
         let (mut publisher, directory) = Policies::new(dispatcher.clone());
         publisher.put(policies);
         let incarnation = incarnation();
@@ -333,16 +334,23 @@
 
 fn start_dispatcher(
     control: &Arbiter,
+    settings: &Settings,
     dial: &Dial,
     first_attempt: u64,
     origin: Instant,
     log: &Logger,
 ) -> Addr<Dispatcher> {
     let dial = dial.clone();
+    let decisions = machine::Settings {
+        host: settings.host.clone(),
+        zone: Some(settings.zone.clone()),
+        first_attempt,
+        seed: first_attempt,
+    };
     let log = log.clone();
     Dispatcher::start_in_arbiter(&control.handle(), move |_ctx| {
         let client = attempt::client(&dial);
-        let machine = Machine::new(first_attempt);
+        let machine = Machine::with(decisions);
         Dispatcher::new(machine, origin, client, log)
     })
 }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -106,7 +106,7 @@
     pub drain_timeout: Duration,
     /// Largest sum of a request's header lines in bytes.
     pub header_bytes: usize,
-    /// Time between two status reads of an engine.
+    /// Time between two status reads; engines take turns.
     pub probe_interval: Duration,
     /// TLS of the listener; plain where absent.
     pub tls: Option<Tls>,
@@ -162,7 +162,7 @@
         let balancer_delay = reader.millis("balancer_delay_ms", 0..=60_000, 3_000);
         let drain_timeout = reader.millis("drain_timeout_ms", 1..=3_600_000, 60_000);
         let header_bytes = reader.count("header_bytes", 256..=65_536, 16_384);
-        let probe_interval = reader.millis("probe_interval_ms", 10..=60_000, 1_000);
+        let probe_interval = reader.millis("probe_interval_ms", 10..=60_000, 250);
         let key_value_endpoints = reader.texts("key_value_endpoints");
         let key_value_timeout = reader.millis("key_value_timeout_ms", 10..=60_000, 1_000);
         let zone: Option<name::Zone> = zone.map(|text| text.as_str().into());
--- a/crates/router/tests/fault.rs
+++ b/crates/router/tests/fault.rs
@@ -236,3 +236,73 @@
         assert!(!call.chat.is_empty());
     }
 }
+
+/// Guards against a stream that is lost, repeated or mixed up when its engine dies for good and
+/// the work may be repeated.
+#[actix_rt::test]
+async fn cut_stream_goes_on_at_another_engine() {
+    for position in [0, 1, 7, 11] {
+        let fleet = Fleet::start(Plan::default()).await;
+        for engine in &fleet.engines {
+            engine.inject(Fault::NoResume);
+        }
+        // The first answer shows which engine the chat goes to.
+        let first = streamed(&fleet, "interactive").await;
+        let name = |number: usize| format!("engine-{number}");
+        let home = usize::from(first.upstream == name(1));
+        fleet.engines[home].inject(Fault::Cut(position));
+        let answer = streamed(&fleet, "interactive").await;
+        assert_eq!(answer.text, expected(TEXT, 12), "cut at {position}");
+        assert!(answer.done && answer.error.is_none(), "{answer:?}");
+        assert_eq!(fleet.engines[1 - home].counts().started, 1);
+        assert_eq!(fleet.count("cut").await, 1);
+    }
+}
+
+/// Guards against work that may be repeated being lost with one engine.
+#[actix_rt::test]
+async fn repeatable_work_goes_to_another_engine() {
+    let faults = [
+        Fault::DieBeforeAnswer,
+        Fault::Fail,
+        Fault::Refuse(1),
+        Fault::WrongAttempt(STRANGE.to_owned()),
+        Fault::Cut(0),
+    ];
+    for fault in faults {
+        let fleet = Fleet::start(Plan::default()).await;
+        let mut home = 0;
+        for (number, engine) in fleet.engines.iter().enumerate() {
+            let (status, _) = whole(&fleet, "interactive").await;
+            assert_eq!(status, StatusCode::OK);
+            if engine.counts().started > 0 {
+                home = number;
+            }
+        }
+        fleet.engines[home].inject(fault.clone());
+        let (status, answer) = whole(&fleet, "interactive").await;
+        assert_eq!(status, StatusCode::OK, "{fault:?} {answer}");
+        let text = &answer["choices"][0]["message"]["content"];
+        assert_eq!(text, expected(TEXT, 12).as_str());
+        assert_eq!(fleet.engines[1 - home].counts().started, 1, "{fault:?}");
+    }
+}
+
+/// Guards against an engine that is gone taking requests with it.
+#[actix_rt::test]
+async fn refused_connection_goes_to_another_engine() {
+    let fleet = Fleet::start(Plan::default()).await;
+    // Retries are a tenth of the requests; these pay for the six below.
+    for _ in 0..60 {
+        whole(&fleet, "interactive").await;
+    }
+    fleet.engines[0].die().await;
+    for number in 0..6 {
+        let text = format!("Letter {number}");
+        let call = fleet.chat().send_json(&body(&text, true, 5)).await;
+        let answer = Answer::read(call.expect("an answer")).await;
+        assert_eq!(answer.text, expected(&text, 5));
+        assert!(answer.done);
+        assert_eq!(answer.upstream, "engine-1");
+    }
+}
