Let outcomes of keyed requests join later claims; keep exchanges small

Cause: each claimed key cost a second transaction for its outcome, and a set of large documents made exchanges of several megabytes, which gossip drops. Change: an outcome waits up to 200 ms for a claim that takes it along. Documents are exchanged in messages of at most 32 KiB, or one document. Figures: 100 claims within 3 ms cost one lease and two transactions; one more claim takes their 100 outcomes along in two transactions (counted in tests/claim.rs).

--- a/crates/snipeusher/src/claim/claims.rs
+++ b/crates/snipeusher/src/claim/claims.rs
@@ -35,6 +35,9 @@
 
 /// How long a claim waits for others to share its transaction.
 const BATCH_DELAY: Duration = Duration::from_millis(3);
+/// How long an outcome waits for a claim that takes it along. Repeats at other routers are told
+/// that the request still runs until then, and a crash leaves the outcome unknown.
+const RECORD_DELAY: Duration = Duration::from_millis(200);
 /// Most keys in one transaction; the service's default limit is 128 operations.
 const BATCH_KEYS: usize = 60;
 /// Most keys that wait for a transaction; beyond it a slow service would only lengthen the wait.
@@ -205,9 +208,12 @@
     }
 
     fn enqueue(&mut self, now: Time, key: Arc<str>, delay: Duration) {
-        if self.queue.is_empty() {
-            self.flush_at = now + delay;
-        }
+        let due = now + delay;
+        self.flush_at = if self.queue.is_empty() {
+            due
+        } else {
+            self.flush_at.min(due)
+        };
         self.queue.push_back(key);
     }
 
@@ -232,7 +238,7 @@
             return;
         }
         entry.state = State::Writing(Stage::of(outcome));
-        self.enqueue(now, key, BATCH_DELAY);
+        self.enqueue(now, key, RECORD_DELAY);
     }
 
     /// Ends a claim without running it. If it may have taken effect it is released, which also
@@ -246,7 +252,7 @@
             State::Claiming { sent: true, .. } => {
                 entry.state = State::Writing(Stage::Released);
                 if !in_flight {
-                    self.enqueue(now, Arc::clone(key), BATCH_DELAY);
+                    self.enqueue(now, Arc::clone(key), RECORD_DELAY);
                 }
             }
             State::Claiming { sent: false, .. } => {
@@ -366,7 +372,6 @@
     fn answered(&mut self, now: Time, items: Vec<Item>, written: Vec<Written>) {
         self.backoff.reset();
         self.retry_at = None;
-        self.flush_at = now;
         for (item, written) in items.into_iter().zip(written) {
             self.settle(now, item, written);
         }
--- a/crates/snipeusher/src/config/replica.rs
+++ b/crates/snipeusher/src/config/replica.rs
@@ -38,6 +38,9 @@
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(250);
 /// Documents that are sent without splitting their span further.
 const EXCHANGE_DOCUMENTS: usize = 16;
+/// Bytes of documents that are sent without splitting their span further; a router has a few
+/// kilobytes a second for all gossip, and what is lost is sent again.
+const EXCHANGE_BYTES: usize = 32 << 10;
 /// Parts of a span that are compared, or asked for, at once.
 const EXCHANGE_PARTS: usize = 16;
 
@@ -253,7 +256,9 @@
             return;
         }
         let documents = self.set.within(asked.above, asked.upto);
-        if documents.len() <= EXCHANGE_DOCUMENTS {
+        let bytes: usize = documents.iter().map(|document| document.value.len()).sum();
+        let small = documents.len() <= EXCHANGE_DOCUMENTS && bytes <= EXCHANGE_BYTES;
+        if small || documents.len() == 1 {
             if !documents.is_empty() {
                 self.send(peer, Exchange::Documents(documents));
             }
--- a/crates/snipeusher/tests/claim.rs
+++ b/crates/snipeusher/tests/claim.rs
@@ -424,3 +424,41 @@
     #[test]
     fn a_key_runs_at_most_once(sequential 1..120 => Test);
 }
+
+/// Guards against one transaction for each claim, and against a lease for each.
+#[test]
+fn claims_of_a_few_milliseconds_share_a_transaction() {
+    let mut fleet = Fleet::open();
+    let sent = |fleet: &mut Fleet| {
+        let mut calls = 0;
+        while !fleet.network.is_quiet() {
+            fleet.carry(0, Way::Reply);
+            calls += 1;
+        }
+        calls
+    };
+    for nth in 0..100 {
+        fleet.arrive(0, format!("shared-{nth}"), 0, 5_000);
+    }
+    assert_eq!(
+        sent(&mut fleet),
+        0,
+        "a claim was sent before others could join"
+    );
+    fleet.network.now = fleet.network.now + Duration::from_millis(3);
+    fleet.handle(0, Event::Tick);
+    assert_eq!(
+        sent(&mut fleet),
+        3,
+        "a lease and transactions of 60 and 40 keys"
+    );
+    while let Some(nth) = fleet.nth_open(0, true) {
+        fleet.finish(nth, End::Answered);
+    }
+    assert_eq!(sent(&mut fleet), 0);
+    fleet.arrive(0, "later".to_owned(), 0, 5_000);
+    fleet.network.now = fleet.network.now + Duration::from_millis(3);
+    fleet.handle(0, Event::Tick);
+    assert_eq!(sent(&mut fleet), 2, "a claim takes the outcomes along");
+    assert_eq!(fleet.nth_open(0, false), None);
+}
--- a/crates/snipeusher/tests/config.rs
+++ b/crates/snipeusher/tests/config.rs
@@ -21,6 +21,7 @@
 use snipeusher::config::Edit;
 use snipeusher::config::EditId;
 use snipeusher::config::Event;
+use snipeusher::config::Exchange;
 use snipeusher::config::Name;
 use snipeusher::config::Outcome;
 use snipeusher::config::Replica;
@@ -592,6 +593,39 @@
     fn configuration_never_reverts(sequential 1..120 => Test);
 }
 
+/// Guards against messages of peers that are too large for gossip, and against large sets that
+/// never arrive.
+#[test]
+fn large_sets_are_exchanged_in_small_messages() {
+    let document = |number: u64| Document {
+        path: format!("template/t{number}").into(),
+        revision: Revision(number),
+        value: "x".repeat(if number == 7 { 300_000 } else { 5_000 }).into(),
+    };
+    let mut replicas = [Replica::open(Time(0), 1), Replica::open(Time(0), 2)];
+    let all = Exchange::Documents((1..=100).map(document).collect());
+    replicas[0].handle(Time(0), Event::Exchange(host(1), all));
+    for round in 1..30 {
+        let now = Time::from_millis(round * 500);
+        let digest = replicas[0].digest();
+        let mut post = vec![(1, Event::Digest(host(0), digest))];
+        while let Some((to, event)) = post.pop() {
+            replicas[to].handle(now, event);
+            for action in replicas[to].drain() {
+                let Action::Exchange(_, exchange) = action else {
+                    continue;
+                };
+                if let Exchange::Documents(documents) = &exchange {
+                    let bytes: usize = documents.iter().map(|found| found.value.len()).sum();
+                    assert!(bytes <= 40_000 || documents.len() == 1, "{bytes} bytes");
+                }
+                post.push((1 - to, Event::Exchange(host(to), exchange)));
+            }
+        }
+    }
+    assert_eq!(replicas[0].digest(), replicas[1].digest());
+}
+
 /// Guards against a router that reports ready with nothing behind it, and against one that never
 /// does although a ready peer has all it needs.
 #[test]
