--- a/crates/dev/src/replay/mod.rs
+++ b/crates/dev/src/replay/mod.rs
@@ -17,19 +17,18 @@
 pub mod verdict;
 pub mod world;
 
-use serde::Serialize;
-use snipeusher::machine::Machine;
-
-use crate::trace::Trace;
-use crate::trace::expand;
-
 use baseline::Baseline;
 use baseline::Rule;
+use serde::Serialize;
+use snipeusher::machine::Machine;
 use tally::Figures;
 use tally::Sample;
 use tally::Tally;
 use world::World;
 
+use crate::trace::Trace;
+use crate::trace::expand;
+
 /// What routes in a replay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/router/src/claims/guard.rs
+++ b/crates/router/src/claims/guard.rs
@@ -20,7 +20,6 @@
 use super::Ask;
 use super::Decision;
 use super::recorded;
-use crate::attempt;
 use crate::attempt::Clients;
 use crate::chat::ANSWER_BYTES;
 use crate::plain;
@@ -104,7 +103,7 @@
         let unreachable = |text: &str| Problem::unknown(Kind::OutcomeUnknown, text);
         let path = self.request.uri().path_and_query();
         let path = path.map_or("/", |path| path.as_str());
-        let url = format!("{}://{address}{path}", self.shared.scheme);
+        let url = format!("http://{address}{path}");
         let method = self.request.method().clone();
         let mut call = self.clients.fresh.request(method, url);
         for (name, value) in plain::end_to_end(self.request.headers()) {
@@ -117,7 +116,7 @@
         let call = call.insert_header((plain::DEADLINE_MS, left.as_millis().max(1).to_string()));
         let work = async {
             let mut response = call.send_body(self.body.clone()).await.ok()?;
-            let body = attempt::whole(&mut response, ANSWER_BYTES).await?;
+            let body = response.body().limit(ANSWER_BYTES).await.ok()?;
             let mut head = HttpResponse::build(response.status());
             for (name, value) in plain::end_to_end(response.headers()) {
                 head.append_header((name.clone(), value.clone()));
--- a/crates/snipeusher/src/claim.rs
+++ b/crates/snipeusher/src/claim.rs
@@ -17,6 +17,11 @@
 use sha2::Digest as _;
 use sha2::Sha256;
 
+pub use self::claims::Claims;
+pub use self::issued::Issued;
+pub use self::record::Claimer;
+pub use self::record::Record;
+pub use self::record::Stage;
 use crate::kv::Call;
 use crate::kv::CallId;
 use crate::kv::Fault;
@@ -25,12 +30,6 @@
 use crate::request;
 use crate::time::Time;
 
-pub use self::claims::Claims;
-pub use self::issued::Issued;
-pub use self::record::Claimer;
-pub use self::record::Record;
-pub use self::record::Stage;
-
 /// Longest key that a caller may send, in bytes.
 pub const KEY_BYTES_MAX: usize = 255;
 /// Largest body of an answer that is kept with its claim, in bytes.
--- a/crates/snipeusher/src/template.rs
+++ b/crates/snipeusher/src/template.rs
@@ -13,13 +13,12 @@
 use snafu::ResultExt as _;
 use snafu::Snafu;
 
+pub use self::parameter::Kind;
+pub use self::parameter::Parameter;
 use crate::name;
 use crate::policy;
 use crate::policy::Policy;
 
-pub use self::parameter::Kind;
-pub use self::parameter::Parameter;
-
 /// A text value that starts with this character names a parameter.
 const PARAMETER_MARK: char = '$';
 
