Recognise the end of a chunked answer in tests by its own line

Change: is_whole also asks for the line end before the zero, so that only the last chunk matches. Conclusion: the test was wrong, not the router; the check is stricter than before.

--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -233,7 +233,7 @@
 ///
 /// `awc` takes a cut chunked body for a whole one, so tests look at the bytes.
 pub fn is_whole(raw: &[u8]) -> bool {
-    raw.ends_with(b"0\r\n\r\n")
+    raw.ends_with(b"\r\n0\r\n\r\n")
 }
 
 /// Opens a raw connection and sends a chat whose answer is then up to the test.
