--- a/crates/snipeusher/src/config.rs
+++ b/crates/snipeusher/src/config.rs
@@ -2,7 +2,9 @@
 //!
 //! A document's version is the revision that the key-value service gave to its last change, and
 //! sets are merged by highest revision, so that no order, source or repetition of documents
-//! reverts one. See `docs/design.md#configuration`.
+//! reverts one. A store that is restored from a backup must continue above the revisions that it
+//! had given out before, or routers ignore what operators write next. See
+//! `docs/design.md#configuration`.
 
 mod document;
 mod edit;
--- a/crates/snipeusher/tests/claim.rs
+++ b/crates/snipeusher/tests/claim.rs
@@ -21,6 +21,7 @@
 use snipeusher::name::Host;
 use snipeusher::name::Incarnation;
 use snipeusher::request::Id;
+use snipeusher::time::Time;
 
 use self::support::Network;
 use self::support::Way;
@@ -157,7 +158,7 @@
     let mut claims = Claims::new(host(router), Incarnation(incarnation), seed);
     for other in 0..ROUTERS {
         let event = Event::Peer(host(other), Incarnation(1));
-        claims.handle(snipeusher::time::Time(0), event);
+        claims.handle(Time(0), event);
     }
     claims
 }
@@ -462,3 +463,33 @@
     assert_eq!(sent(&mut fleet), 2, "a claim takes the outcomes along");
     assert_eq!(fleet.nth_open(0, false), None);
 }
+
+/// Guards against a claim that is forgotten within a day, and against a lease for each claim.
+#[test]
+fn claims_of_an_hour_share_a_lease_and_are_kept_for_a_day() {
+    let mut fleet = Fleet::open();
+    let mut leases = Vec::new();
+    for (nth, second) in [0, 3_599, 3_601].into_iter().enumerate() {
+        fleet.network.now = Time(second * 1_000_000);
+        fleet.arrive(0, format!("hourly-{nth}"), 0, 5_000);
+        fleet.network.now = fleet.network.now + Duration::from_millis(3);
+        fleet.handle(0, Event::Tick);
+        while !fleet.network.is_quiet() {
+            fleet.carry(0, Way::Reply);
+        }
+        let claims = fleet.network.memory.entries();
+        leases.push(claims.filter_map(|entry| entry.lease).max().unwrap());
+    }
+    assert_eq!(leases[0], leases[1]);
+    assert_ne!(leases[1], leases[2]);
+    fleet
+        .network
+        .memory
+        .expire(Time((3_599 + 24 * 3_600) * 1_000_000));
+    assert_eq!(fleet.network.memory.entries().count(), 3);
+    fleet
+        .network
+        .memory
+        .expire(Time(26 * 3_600 * 1_000_000 + 2_000_000));
+    assert_eq!(fleet.network.memory.entries().count(), 0);
+}
