--- a/crates/dev/src/replay/router.rs
+++ b/crates/dev/src/replay/router.rs
@@ -1,6 +1,7 @@
 //! What the replay drives: the decisions of the project, or a baseline.
 
 use snipeusher::load::Share;
+use snipeusher::load::Strategy;
 use snipeusher::machine::Action;
 use snipeusher::machine::Event;
 use snipeusher::machine::Machine;
@@ -23,7 +24,7 @@
     fn share(&self) -> Share;
 }
 
-impl Router for Machine {
+impl<S: Strategy> Router for Machine<S> {
     fn handle(&mut self, now: Time, event: Event, _fleet: &[Engine]) {
         Self::handle(self, now, event);
     }
@@ -37,11 +38,6 @@
     }
 
     fn share(&self) -> Share {
-        let mut share = Share::default();
-        for flight in self.board().attempts.values() {
-            let upstream = flight.upstream.clone();
-            share.in_flight.entry(upstream).or_default().0 += flight.work.0;
-        }
-        share
+        Self::share(self)
     }
 }
--- a/crates/dev/src/replay/verdict.rs
+++ b/crates/dev/src/replay/verdict.rs
@@ -1,6 +1,9 @@
 //! Holds a replay against the outcomes that its trace states.
 
+use std::collections::BTreeMap;
+
 use serde::Serialize;
+use snipeusher::name;
 
 use super::Replay;
 use super::Subject;
@@ -40,12 +43,12 @@
 
 /// Replays a trace with the project's decisions and checks its outcomes.
 pub fn judge(trace: &Trace) -> Verdict {
-    let replay = run(trace, Subject::Fleet);
+    let replay = run(trace, Subject::FLEET);
     let uses = |versus| trace.expects.iter().any(|expect| expect.versus == versus);
     let reference = uses(Versus::FullKnowledge)
         .then(|| run(trace, Subject::Baseline(Rule::FullKnowledge)).figures);
     let calm =
-        uses(Versus::WithoutSurge).then(|| run(&trace.without_surge(), Subject::Fleet).figures);
+        uses(Versus::WithoutSurge).then(|| run(&trace.without_surge(), Subject::FLEET).figures);
     let check = |expect: &Expect| {
         let other = match expect.versus {
             Versus::Absolute => None,
@@ -86,16 +89,25 @@
 }
 
 fn read(expect: &Expect, figures: &Figures) -> f64 {
+    let count = |by: &BTreeMap<name::Workspace, u64>| match &expect.workspace {
+        Some(workspace) => by.get(workspace).copied().unwrap_or(0) as f64,
+        None => by.values().sum::<u64>() as f64,
+    };
     match expect.figure {
         Figure::CacheReuse => figures.cache_reuse,
         Figure::SkewP99 => figures.skew_p99,
         Figure::Beyond => figures.beyond,
         Figure::Excess => figures.excess,
-        Figure::Late => figures.late as f64,
-        Figure::Refused => figures.refused.values().sum::<u64>() as f64,
+        Figure::Late => count(&figures.late_by),
+        Figure::Refused => count(&figures.refused_by),
         Figure::Unknown => figures.unknown as f64,
         Figure::Complete => figures.complete as f64,
         Figure::ControlBytes => figures.control_bytes,
+        Figure::OthersQueueP99Ms => figures.others_queue_p99_ms,
+        Figure::ConfigMs => figures.config_ms as f64,
+        Figure::EditsFailed => figures.edits_failed as f64,
+        Figure::Repeated => figures.repeated as f64,
+        Figure::Holders => figures.holders as f64,
         Figure::LeaveMs => figures.leave_ms as f64,
         Figure::QueueP99Ms => match &expect.workspace {
             Some(workspace) => figures.queue_p99_ms.get(workspace).copied().unwrap_or(0.0),
--- a/crates/snipeusher/src/lib.rs
+++ b/crates/snipeusher/src/lib.rs
@@ -4,7 +4,9 @@
 //! arguments, events go in and typed actions come out, so that the same inputs give the same
 //! outputs on every machine. The design is described in `docs/design.md`.
 
+pub mod admission;
 pub mod board;
+pub mod churn;
 pub mod claim;
 pub mod config;
 pub mod hash;
@@ -14,9 +16,12 @@
 pub mod machine;
 pub mod member;
 pub mod name;
+pub mod outlier;
 pub mod placement;
 pub mod policy;
+pub mod prefix;
 pub mod request;
+pub mod retry;
 pub mod template;
 pub mod time;
 pub mod upstream;
