Add the planner of orders

Cause: nothing decided which engine loads which model, adapter and version.

Change: order::Planner compares policies, demand and read-back states and emits one step at a time under the lease, within the weight store's rate and max_unavailable, never taking away the last ready copy that a workspace needs; orders state the wanted end state and are repeated. order::serving_version keeps chats on versions that an engine reports loaded.

--- a/crates/snipeusher/src/lib.rs
+++ b/crates/snipeusher/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod machine;
 pub mod member;
 pub mod name;
+pub mod order;
 pub mod placement;
 pub mod policy;
 pub mod request;
