--- a/crates/dev/src/replay/control.rs
+++ b/crates/dev/src/replay/control.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use rand::Rng as _;
 use snipeusher::load::Report;
 use snipeusher::load::Work;
 use snipeusher::machine::Event;
 use snipeusher::name;
+use snipeusher::prefix;
 use snipeusher::time::Time;
 use snipeusher::upstream::Phase;
 
@@ -17,8 +19,11 @@
 
 /// Bytes of HTTP headers of a probe and its reply together.
 const PROBE_OVERHEAD_BYTES: u64 = 250;
-/// Bytes of HTTP headers of a control message, its proof and its reply together.
-const FRAME_OVERHEAD_BYTES: u64 = 250;
+/// Fraction of the batches of cache events that are lost.
+const CACHE_EVENT_LOSS: f64 = 0.1;
+
+/// Interval at which a router notes what its streams have produced. A real one sees every token.
+const STREAM_EVERY_MS: u64 = 250;
 
 impl<R: Router> World<'_, R> {
     pub(super) fn probe(&mut self, seat: usize, engine: usize) {
@@ -44,44 +49,76 @@
             age_ms: self.trace.header.report_lag_ms as u32,
         };
         let body = serde_json::to_vec(&report).map_or(0, |body| body.len() as u64);
-        self.tally.control += PROBE_OVERHEAD_BYTES + body;
+        self.tally.spend("probes", PROBE_OVERHEAD_BYTES + body);
         let upstream = upstream.name.clone();
-        if !self.lose_reports.contains(&upstream) {
-            self.deliver(lag, seat, Event::Report { upstream, report });
+        if self.lose_reports.contains(&upstream) {
+            return;
+        }
+        self.deliver(lag, seat, Event::Report { upstream, report });
+        if self.trace.header.cache_events && self.seats[seat].member.is_some() {
+            self.publish(seat, engine, lag);
         }
     }
 
-    /// Tells a few peers in turn, so that each hears of each after some rounds.
-    pub(super) fn gossip(&mut self, seat: usize) {
+    /// Carries the changes of a cache since the last probe, some of which are lost.
+    fn publish(&mut self, seat: usize, engine: usize, lag: Duration) {
+        let log = &self.engines[engine].cache_log;
+        let read = self.seats[seat].cache_read.entry(engine).or_default();
+        let first = (*read).min(log.len());
+        let changes = log[first..].to_vec();
+        *read = log.len();
+        if changes.is_empty() {
+            return;
+        }
+        let batch = prefix::Batch {
+            incarnation: name::Incarnation(self.engines[engine].incarnation),
+            first: first as u64 + 1,
+            changes,
+        };
+        let body = serde_json::to_vec(&batch).map_or(0, |body| body.len() as u64);
+        self.tally
+            .spend("cache events", PROBE_OVERHEAD_BYTES + body);
+        if self.rng.random_bool(CACHE_EVENT_LOSS) {
+            return;
+        }
+        let upstream = self.engines[engine].name.clone();
+        self.deliver(lag, seat, Event::Cache { upstream, batch });
+    }
+
+    /// Carries what streams have produced so far to their routers.
+    pub(super) fn stream(&mut self) {
         if self.is_over() {
             return;
         }
-        let header = &self.trace.header;
-        let every = Duration::from_millis(header.gossip_every_ms);
-        self.plan(self.now + every, Happening::Gossip(seat));
-        let share = self.seats[seat].router.share();
-        let body = rmp_serde::to_vec(&share).map_or(0, |body| body.len() as u64);
-        let count = self.seats.len();
-        let round = self.now.0 / (header.gossip_every_ms * 1_000).max(1);
-        let start = round as usize * header.gossip_peers;
-        for step in 0..header.gossip_peers.min(count - 1) {
-            let peer = (seat + 1 + (start + step) % (count - 1)) % count;
-            self.tally.control += FRAME_OVERHEAD_BYTES + body;
-            let zones = (self.seats[seat].zone, self.seats[peer].zone);
-            if self.reach(zones.0, zones.1) {
-                let event = Event::Peer {
-                    host: name::Host::from(format!("router-{seat:03}")),
-                    share: share.clone(),
-                };
-                self.deliver(self.latency(zones.0, zones.1), peer, event);
+        let every = Duration::from_millis(STREAM_EVERY_MS);
+        self.plan(self.now + every, Happening::Stream);
+        let now = self.now;
+        let mut outputs = Vec::new();
+        for engine in &self.engines {
+            for (seat, attempt, tokens) in engine.streams(now) {
+                if self.reach(self.seats[seat].zone, engine.zone) {
+                    outputs.push((seat, attempt, tokens));
+                }
             }
         }
+        for (seat, attempt, tokens) in outputs {
+            let event = Event::Output {
+                attempt,
+                tokens,
+                cached: None,
+            };
+            self.deliver(Duration::ZERO, seat, event);
+        }
     }
 
     pub(super) fn sample(&mut self) {
         if self.now >= Time::from_millis(self.trace.header.duration_ms) {
             return;
         }
+        if self.trace.uses_platform() {
+            self.push();
+            self.check_holders();
+        }
         let now = self.now;
         self.plan(
             now + Duration::from_millis(SAMPLE_EVERY_MS),
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -123,7 +123,6 @@
     attempts: BTreeMap<Attempt, Id>,
     wake: Option<(Time, SpawnHandle)>,
     client: awc::Client,
-    scheme: &'static str,
     log: Logger,
 }
 
@@ -136,13 +135,7 @@
 }
 
 impl Dispatcher {
-    pub(crate) fn new(
-        machine: Machine,
-        origin: Instant,
-        client: awc::Client,
-        scheme: &'static str,
-        log: Logger,
-    ) -> Self {
+    pub(crate) fn new(machine: Machine, origin: Instant, client: awc::Client, log: Logger) -> Self {
         Self {
             machine,
             origin,
@@ -150,7 +143,6 @@
             attempts: BTreeMap::new(),
             wake: None,
             client,
-            scheme,
             log,
         }
     }
@@ -193,6 +185,7 @@
                     }
                 }
                 Action::Cancel { attempt, upstream } => self.cancel(attempt, &upstream),
+                _ => {}
             }
         }
     }
@@ -242,7 +235,7 @@
         else {
             return;
         };
-        let url = format!("{}://{address}/engine/v1/cancel", self.scheme);
+        let url = format!("http://{address}/engine/v1/cancel");
         let body = json!({ "attempt": attempt.to_string() });
         let call = self.client.post(url).send_json(&body);
         let log = self.log.clone();
@@ -364,7 +357,7 @@
             .upstreams
             .values()
             .map(|state| {
-                let load = board.loads.get(&state.name).copied().unwrap_or_default();
+                let load = 0;
                 json!({ "state": state, "load": load })
             })
             .collect();
--- a/crates/router/tests/plain.rs
+++ b/crates/router/tests/plain.rs
@@ -7,9 +7,13 @@
 use common::Fleet;
 use common::KEY;
 use common::Plan;
+use common::from_service;
 use common::is_whole;
+use common::wait;
+use common::write_documents;
 use futures_util::stream;
 use serde_json::Value;
+use snipeusher_fakes::kv::Server;
 use snipeusher_fakes::plain::Fault;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
@@ -26,7 +30,11 @@
 /// Guards against a path, query, method or body that does not arrive as it was sent.
 #[actix_rt::test]
 async fn requests_go_through_unchanged() {
-    let fleet = fleet().await;
+    // The key of a request that must not run twice is claimed in the key-value service.
+    let server = Server::open().expect("a service");
+    write_documents(&server);
+    let fleet = Fleet::start(from_service(&server)).await;
+    wait(async || fleet.status().await["configuration"]["ready"] == true).await;
     let path = "/match/pairings/7?by=name&by=date";
     let part = Bytes::from(vec![b'x'; 9_000]);
     let parts = (0..100).map(move |_| Ok::<_, std::io::Error>(part.clone()));
@@ -120,3 +128,32 @@
     }
     assert_eq!(fleet.count("cut").await, 1);
 }
+
+/// Guards against a service's own answer being taken for a refusal or replaced.
+#[actix_rt::test]
+async fn answers_of_the_service_are_passed_on() {
+    let fleet = fleet().await;
+    fleet.plain[0].inject(Fault::Unavailable);
+    let call = fleet.post("/match/pairings").send_body("a pairing");
+    let mut response = call.await.expect("an answer");
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let body: Value = response.json().await.expect("JSON");
+    assert_eq!(body["title"], "the desk is closed");
+    assert_eq!(fleet.plain[0].calls().len(), 1);
+}
+
+/// Guards against a body that turns out too large while it is sent on being blamed on the
+/// service, run by it, or called `not_run`.
+#[actix_rt::test]
+async fn streamed_body_that_is_too_large_ends() {
+    let fleet = fleet().await;
+    let part = Bytes::from(vec![b'x'; 60_000]);
+    let parts = (0..20).map(move |_| Ok::<_, std::io::Error>(part.clone()));
+    let call = fleet.post("/match").send_stream(stream::iter(parts));
+    let mut response = call.await.expect("an answer");
+    assert_eq!(response.status(), StatusCode::PAYLOAD_TOO_LARGE);
+    let problem: Value = response.json().await.expect("JSON");
+    assert_eq!(problem["type"], "urn:snipeusher:problem:body-too-large");
+    assert_eq!(problem["ran"], "unknown");
+    assert!(fleet.plain[0].calls().is_empty());
+}
--- /dev/null
+++ b/crates/snipeusher/src/machine/mod.rs
@@ -0,0 +1,323 @@
+//! The decisions of one router as one state machine.
+//!
+//! Events go in by [`Machine::handle`], typed actions come out by [`Machine::drain`]. It holds
+//! no socket and reads no clock, so that tests and benches can drive it step by step. See
+//! `docs/design.md#the-state-machine-shape`.
+
+mod action;
+mod event;
+mod failure;
+mod fault;
+mod flow;
+mod refresh;
+mod roster;
+mod settings;
+mod slot;
+
+pub use action::Action;
+pub use action::Reason;
+pub use event::Event;
+pub use event::Outcome;
+pub use event::Ticket;
+pub use fault::Fault;
+pub use settings::Settings;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+
+use crate::board::Board;
+use crate::load;
+use crate::load::Strategy;
+use crate::load::WORK_MAX;
+use crate::name;
+use crate::policy::Policy;
+use crate::prefix::Change;
+use crate::prefix::Holder;
+use crate::request::Attempt;
+use crate::request::Chat;
+use crate::request::Id;
+use crate::request::Target;
+use crate::request::Task;
+use crate::time::Time;
+
+/// Most faults kept until [`Machine::faults`] takes them; the oldest go first.
+const FAULTS_MAX: usize = 64;
+
+/// Something to do at a time.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Refresh,
+    Retry(Id),
+    Slot(Ticket),
+    Reopen(name::Upstream),
+}
+
+/// The decisions of one router, which judges load by the strategy `S`.
+#[derive(Debug)]
+pub struct Machine<S = load::Peers> {
+    board: Board<S>,
+    settings: Settings,
+    rng: Pcg64Mcg,
+    actions: VecDeque<Action>,
+    faults: VecDeque<Fault>,
+    timers: BTreeSet<(Time, Timer)>,
+    backoff: BTreeMap<Id, Task>,
+    slots: slot::Book,
+    next_attempt: u64,
+    refreshing: bool,
+    started: Option<Time>,
+    now: Time,
+}
+
+impl Machine {
+    /// Starts with nothing known and default settings. `first_attempt` must differ between runs
+    /// of a process, so that a late answer to an earlier run is told apart.
+    pub fn new(first_attempt: u64) -> Self {
+        Self::with(Settings {
+            first_attempt,
+            ..Settings::default()
+        })
+    }
+}
+
+impl Default for Machine {
+    fn default() -> Self {
+        Self::with(Settings::default())
+    }
+}
+
+impl<S: Strategy> Machine<S> {
+    /// Starts with nothing known.
+    pub fn with(settings: Settings) -> Self {
+        Self {
+            board: Board::default(),
+            rng: Pcg64Mcg::seed_from_u64(settings.seed),
+            next_attempt: settings.first_attempt,
+            settings,
+            actions: VecDeque::new(),
+            faults: VecDeque::new(),
+            timers: BTreeSet::new(),
+            backoff: BTreeMap::new(),
+            slots: slot::Book::default(),
+            refreshing: false,
+            started: None,
+            now: Time::default(),
+        }
+    }
+
+    /// The settings that it started with.
+    pub const fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// The way it judges load.
+    pub const fn strategy(&self) -> &S {
+        self.board.loads.strategy()
+    }
+
+    /// The shared state, for status pages and tests.
+    pub const fn board(&self) -> &Board<S> {
+        &self.board
+    }
+
+    /// The upstreams that may get new work for a target now.
+    pub fn accepting(&self, target: &Target) -> Vec<name::Upstream> {
+        let kind = self.board.loads.kind(target);
+        let slots = kind.map_or(&[][..], |kind| &kind.slots);
+        let names = slots.iter().map(|slot| &self.board.loads.cell(*slot).name);
+        names.cloned().collect()
+    }
+
+    /// Takes one event at `now`; actions wait in [`Self::drain`].
+    ///
+    /// A time before the latest one seen counts as that and gives a [`Fault::ClockBack`].
+    pub fn handle(&mut self, now: Time, event: Event) {
+        let now = self.advance(now);
+        self.run_due(now);
+        match event {
+            Event::Arrive(request) => self.arrive(now, request),
+            Event::Depart(id) => self.depart(now, id),
+            Event::Sent(attempt) => self.sent(attempt),
+            Event::Output {
+                attempt,
+                tokens,
+                cached,
+            } => self.output(now, attempt, tokens, cached),
+            Event::End { attempt, outcome } => self.end(now, attempt, outcome),
+            Event::Upstream(state) => self.upstream(now, state),
+            Event::Leaving {
+                upstream,
+                incarnation,
+            } => self.leaving(now, upstream, incarnation),
+            Event::Unknown(upstream) => self.unknown(now, upstream),
+            Event::Report { upstream, report } => self.report(now, upstream, &report),
+            Event::Cache { upstream, batch } => self.cache(upstream, &batch),
+            Event::Peer { host, share } => self.peer(now, host, &share),
+            Event::PeerGone(host) => self.peer_gone(now, &host),
+            Event::Routers(hosts) => self.board.routers = hosts,
+            Event::SlotAsked {
+                from,
+                ticket,
+                upstream,
+                work,
+                load_limit,
+            } => self.slot_asked(now, (from, ticket), upstream, work, load_limit),
+            Event::SlotReleased { from, ticket } => self.slot_released(now, &(from, ticket)),
+            Event::SlotAnswered { ticket, granted } => self.slot_answered(now, ticket, granted),
+            Event::SlotUnreachable(ticket) => self.slot_unreachable(now, ticket),
+            Event::Transferred { chat, to, tokens } => self.transferred(chat, to, tokens),
+            Event::Policy(policy) => self.policy(policy),
+            Event::Forget(workspace) => {
+                self.board.policies.remove(&workspace);
+                self.board.budget.forget(&workspace);
+            }
+            Event::Tick => {}
+        }
+        self.schedule_refresh(now);
+    }
+
+    /// Takes the actions that are due, in order.
+    pub fn drain(&mut self) -> impl Iterator<Item = Action> + '_ {
+        self.actions.drain(..)
+    }
+
+    /// Takes the faults met since the last call, in order; at most 64 are kept.
+    pub fn faults(&mut self) -> impl Iterator<Item = Fault> + '_ {
+        self.faults.drain(..)
+    }
+
+    /// When [`Event::Tick`] must come at the latest.
+    pub fn next_wake(&self) -> Time {
+        self.timers.first().map_or(Time::NEVER, |(time, _)| *time)
+    }
+
+    /// The own work in flight and waiting, to be told to the peers.
+    pub fn share(&self) -> load::Share {
+        let cells = self.board.loads.iter();
+        let in_flight = cells
+            .filter(|(_, cell)| cell.own.get() > 0)
+            .map(|(_, cell)| (cell.name.clone(), load::Work(cell.own.get())));
+        load::Share {
+            in_flight: in_flight.collect(),
+            running: self.board.queues.usage().own(),
+            waiting: self.board.queues.waiting(),
+        }
+    }
+
+    fn advance(&mut self, now: Time) -> Time {
+        if now < self.now {
+            let micros = self.now.0 - now.0;
+            self.fault(Fault::ClockBack { micros });
+        }
+        self.now = self.now.max(now);
+        self.started.get_or_insert(self.now);
+        self.now
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        if self.faults.len() == FAULTS_MAX {
+            self.faults.pop_front();
+        }
+        self.faults.push_back(fault);
+    }
+
+    fn run_due(&mut self, now: Time) {
+        while let Some((time, _)) = self.timers.first()
+            && *time <= now
+            && let Some((_, timer)) = self.timers.pop_first()
+        {
+            match timer {
+                Timer::Refresh => self.refresh(now),
+                Timer::Retry(id) => self.retry_due(now, id),
+                Timer::Slot(ticket) => self.slot_timeout(now, ticket),
+                Timer::Reopen(name) => self.reopen(now, &name),
+            }
+        }
+    }
+
+    fn policy(&mut self, policy: Policy) {
+        if policy.limits.usable_load_limit() < policy.limits.load_limit
+            || policy.limits.load_limit.is_nan()
+            || policy.limits.load_limit <= 1.0
+        {
+            let workspace = policy.workspace.clone();
+            self.fault(Fault::LoadLimit { workspace });
+        }
+        self.board.policies.insert(policy.workspace.clone(), policy);
+    }
+
+    fn report(&mut self, now: Time, upstream: name::Upstream, report: &load::Report) {
+        let Some(slot) = self.board.loads.slot(&upstream) else {
+            self.fault(Fault::UnknownUpstream { upstream });
+            return;
+        };
+        if report.work.0 > WORK_MAX {
+            let work = report.work;
+            self.fault(Fault::AbsurdLoad { upstream, work });
+            return;
+        }
+        if !self.board.loads.report(now, slot, report) {
+            self.fault(Fault::OutOfOrder { upstream });
+            return;
+        }
+        self.pump(now);
+    }
+
+    fn peer(&mut self, now: Time, host: name::Host, share: &load::Share) {
+        if host == self.settings.host {
+            return;
+        }
+        self.board.queues.usage_mut().peer(now, &host, share);
+        for upstream in self.board.loads.peer(now, host, share) {
+            self.fault(Fault::UnknownUpstream { upstream });
+        }
+    }
+
+    fn cache(&mut self, upstream: name::Upstream, batch: &crate::prefix::Batch) {
+        let Some(slot) = self.board.loads.slot(&upstream) else {
+            self.fault(Fault::UnknownUpstream { upstream });
+            return;
+        };
+        if self.board.loads.cell(slot).incarnation != batch.incarnation {
+            self.fault(Fault::OutOfOrder { upstream });
+            return;
+        }
+        for change in self.board.prefixes.fresh(slot, batch) {
+            match *change {
+                Change::Stored { chat, tokens } => self.learn(chat, slot, tokens),
+                Change::Evicted(chat) => self.board.prefixes.forget(chat, slot),
+                Change::Cleared => {
+                    let cell = self.board.loads.cell_mut(slot);
+                    cell.epoch = cell.epoch.wrapping_add(1);
+                }
+            }
+        }
+    }
+
+    fn transferred(&mut self, chat: Chat, to: name::Upstream, tokens: u64) {
+        match self.board.loads.slot(&to) {
+            Some(slot) if tokens > 0 => self.learn(chat, slot, tokens),
+            Some(_) => {}
+            None => self.fault(Fault::UnknownUpstream { upstream: to }),
+        }
+    }
+
+    fn learn(&mut self, chat: Chat, slot: load::Slot, tokens: u64) {
+        let holder = Holder {
+            slot,
+            epoch: self.board.loads.cell(slot).epoch,
+            tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+        };
+        self.board.prefixes.learn(chat, holder);
+    }
+
+    fn take_attempt(&mut self) -> Attempt {
+        let attempt = Attempt(self.next_attempt);
+        self.next_attempt = self.next_attempt.wrapping_add(1);
+        attempt
+    }
+}
--- a/crates/snipeusher/tests/order.rs
+++ b/crates/snipeusher/tests/order.rs
@@ -429,7 +429,9 @@
         Step::Crash(2),
         Step::Run(13),
     ];
-    steps.iter().for_each(|step| world.step(step));
+    for step in &steps {
+        world.step(step);
+    }
 }
 
 /// Guards against demand that flaps and moves copies to and fro.
