--- a/crates/dev/src/replay/engine.rs
+++ b/crates/dev/src/replay/engine.rs
@@ -256,10 +256,13 @@
 
     fn start(&mut self, now: Time) {
         self.updated = self.updated.max(now);
-        while self.running.len() < self.slots {
-            let Some((_, job)) = self.queue.pop_first() else {
+        while let Some(entry) = self.queue.first_entry() {
+            // Engines preempt work of a lower priority; here it goes on beside the new work.
+            let above = |run: &Running| run.job.priority < entry.get().priority;
+            if self.running.len() >= self.slots && !self.running.values().any(above) {
                 break;
-            };
+            }
+            let job = entry.remove();
             self.queued -= work(&job, 0);
             let held = job.chat.map_or(0, |chat| self.cache.peek(chat));
             let cached = held.min(job.prompt);
