--- a/crates/dev/src/replay/engine.rs
+++ b/crates/dev/src/replay/engine.rs
@@ -50,6 +50,8 @@
 pub struct Progress {
     /// When.
     pub at: Time,
+    /// When the engine began with it.
+    pub started: Time,
     /// The attempt.
     pub job: Job,
     /// Prompt tokens that were found cached.
@@ -65,6 +67,7 @@
     first: f64,
     end: f64,
     decoding: bool,
+    started: Time,
 }
 
 /// An upstream.
@@ -274,6 +277,7 @@
                 first,
                 end: first + output,
                 decoding: false,
+                started: now,
                 job,
             };
             self.weight += PREFILL_WEIGHT;
@@ -291,6 +295,7 @@
         }
         let progress = Progress {
             at,
+            started: run.started,
             job: run.job.clone(),
             cached: run.cached,
             ended: run.decoding,
--- a/crates/dev/src/replay/mod.rs
+++ b/crates/dev/src/replay/mod.rs
@@ -146,6 +146,7 @@
             zone: header.zones.get(number % zones).cloned(),
             first_attempt: first_attempt(number),
             seed: header.seed + number as u64,
+            ..Settings::default()
         })
     };
     World::new(trace, requests, header.routers, (true, true), make).run()
--- a/crates/dev/src/replay/tally.rs
+++ b/crates/dev/src/replay/tally.rs
@@ -11,8 +11,6 @@
 use snipeusher::request::Ran;
 use snipeusher::time::Time;
 
-use super::engine::DECODE_WORK_PER_S;
-use super::engine::PREFILL_WEIGHT;
 use super::engine::Progress;
 use crate::trace::Request;
 
@@ -91,7 +89,7 @@
     pub beyond_worst: f64,
     /// Fraction of samples with an engine beyond the bound plus one request's work.
     pub excess: f64,
-    /// p99 of the time to the first token beyond the prefill, by workspace.
+    /// p99 of the time from arrival until an engine begins with the request, by workspace.
     pub queue_p99_ms: BTreeMap<name::Workspace, f64>,
     /// p99 of the same over all workspaces without a surge.
     pub others_queue_p99_ms: f64,
@@ -232,9 +230,7 @@
         }
         fate.first = Some(progress.at);
         let taken = progress.at.since(arrived);
-        let uncached = (job.prompt - progress.cached) as f64;
-        let prefill = uncached / (PREFILL_WEIGHT * DECODE_WORK_PER_S);
-        let wait = (taken.as_secs_f64() - prefill).max(0.0);
+        let wait = progress.started.since(arrived).as_secs_f64();
         let waits = self
             .waits
             .entry(workspace.clone())
--- a/crates/dev/src/trace/expect.rs
+++ b/crates/dev/src/trace/expect.rs
@@ -24,7 +24,7 @@
     Unknown,
     /// Requests answered completely.
     Complete,
-    /// p99 of the time to the first token beyond the prefill, in milliseconds.
+    /// p99 of the time from arrival until an engine begins with the request, in milliseconds.
     QueueP99Ms,
     /// p99 of the same over all workspaces without a surge, in milliseconds.
     OthersQueueP99Ms,
