State the routers' part of queueing and the engine capacity that they assume

Cause: in the surge trace the others' queueing rises, and it was not visible where they wait.

Change: others_router_p99_ms is the wait until the router sends the request; the header may set the capacity of machine::Settings.

--- a/crates/dev/src/replay/carry.rs
+++ b/crates/dev/src/replay/carry.rs
@@ -150,6 +150,7 @@
             prompt: found.prompt_tokens,
             output: found.output_tokens,
             priority,
+            sent: self.now,
             work: 0,
         };
         job.work = fleet::work(&self.engines[engine], &job);
--- a/crates/dev/src/replay/engine.rs
+++ b/crates/dev/src/replay/engine.rs
@@ -41,6 +41,8 @@
     pub output: u64,
     /// Higher goes first.
     pub priority: u8,
+    /// When its router sent it.
+    pub sent: Time,
     /// Work that is counted while the attempt is on its way.
     pub work: u64,
 }
--- a/crates/dev/src/replay/mod.rs
+++ b/crates/dev/src/replay/mod.rs
@@ -26,6 +26,7 @@
 use serde::Serialize;
 use snipeusher::load;
 use snipeusher::load::Strategy;
+use snipeusher::load::Work;
 use snipeusher::machine::Machine;
 use snipeusher::machine::Settings;
 use tally::Figures;
@@ -141,12 +142,13 @@
     let header = &trace.header;
     let make = |number: usize| {
         let zones = header.zones.len().max(1);
+        let defaults = Settings::default();
         Machine::<S>::with(Settings {
             host: platform::host(number),
             zone: header.zones.get(number % zones).cloned(),
             first_attempt: first_attempt(number),
             seed: header.seed + number as u64,
-            ..Settings::default()
+            capacity: header.capacity.map_or(defaults.capacity, Work),
         })
     };
     World::new(trace, requests, header.routers, (true, true), make).run()
--- a/crates/dev/src/replay/tally.rs
+++ b/crates/dev/src/replay/tally.rs
@@ -93,6 +93,8 @@
     pub queue_p99_ms: BTreeMap<name::Workspace, f64>,
     /// p99 of the same over all workspaces without a surge.
     pub others_queue_p99_ms: f64,
+    /// The part of it until the router sent the request, by itself.
+    pub others_router_p99_ms: f64,
     /// Longest time until an accepted configuration was in force at a router.
     pub config_ms: u64,
     /// Edits that were not applied.
@@ -134,6 +136,7 @@
     pub holders: u64,
     surging: BTreeSet<name::Workspace>,
     others: Histogram<u64>,
+    others_router: Histogram<u64>,
     taken: BTreeMap<(name::Workspace, String), u32>,
     late_by: BTreeMap<name::Workspace, u64>,
     refused_by: BTreeMap<name::Workspace, u64>,
@@ -166,6 +169,7 @@
             holders: 0,
             surging,
             others: histogram(),
+            others_router: histogram(),
             taken: BTreeMap::new(),
             late_by: BTreeMap::new(),
             refused_by: BTreeMap::new(),
@@ -238,6 +242,8 @@
         waits.saturating_record((wait * 1e6) as u64);
         if !self.surging.contains(workspace) {
             self.others.saturating_record((wait * 1e6) as u64);
+            let router = job.sent.since(arrived).as_micros() as u64;
+            self.others_router.saturating_record(router);
         }
         self.first.saturating_record(taken.as_micros() as u64);
     }
@@ -326,6 +332,7 @@
                 .collect(),
             leave_ms: self.leave_ms,
             others_queue_p99_ms: self.others.value_at_quantile(0.99) as f64 / 1e3,
+            others_router_p99_ms: self.others_router.value_at_quantile(0.99) as f64 / 1e3,
             config_ms: self.config_ms,
             edits_failed: self.edits_failed,
             repeated: self.repeated,
--- a/crates/dev/src/trace/mod.rs
+++ b/crates/dev/src/trace/mod.rs
@@ -90,6 +90,9 @@
     pub load_limit: f64,
     /// Work that an engine does in a second at most.
     pub engine_work_per_s: f64,
+    /// Work that routers let an engine hold before its reports show where it begins to queue; the
+    /// default of `machine::Settings` if absent.
+    pub capacity: Option<u64>,
     /// Requests that an engine runs at once; more wait in its queue.
     pub engine_slots: usize,
     /// Tokens that an engine's prefix cache holds.
@@ -124,6 +127,7 @@
             plain: 3,
             load_limit: 1.25,
             engine_work_per_s: 5_000.0,
+            capacity: None,
             engine_slots: 48,
             cache_tokens: 250_000,
             report_every_ms: 2_000,
--- a/crates/dev/tests/replay.rs
+++ b/crates/dev/tests/replay.rs
@@ -173,6 +173,7 @@
             prompt: 100,
             output: 100,
             priority: 4,
+            sent: Time(0),
             work: 0,
         };
         engine.submit(Time(0), job).unwrap();
