--- a/crates/dev/src/replay/tally.rs
+++ b/crates/dev/src/replay/tally.rs
@@ -11,8 +11,6 @@
 use snipeusher::request::Ran;
 use snipeusher::time::Time;
 
-use super::engine::DECODE_WORK_PER_S;
-use super::engine::PREFILL_WEIGHT;
 use super::engine::Progress;
 use crate::trace::Request;
 
@@ -91,10 +89,12 @@
     pub beyond_worst: f64,
     /// Fraction of samples with an engine beyond the bound plus one request's work.
     pub excess: f64,
-    /// p99 of the time to the first token beyond the prefill, by workspace.
+    /// p99 of the time from arrival until an engine begins with the request, by workspace.
     pub queue_p99_ms: BTreeMap<name::Workspace, f64>,
     /// p99 of the same over all workspaces without a surge.
     pub others_queue_p99_ms: f64,
+    /// The part of it until the router sent the request, by itself.
+    pub others_router_p99_ms: f64,
     /// Longest time until an accepted configuration was in force at a router.
     pub config_ms: u64,
     /// Edits that were not applied.
@@ -136,6 +136,7 @@
     pub holders: u64,
     surging: BTreeSet<name::Workspace>,
     others: Histogram<u64>,
+    others_router: Histogram<u64>,
     taken: BTreeMap<(name::Workspace, String), u32>,
     late_by: BTreeMap<name::Workspace, u64>,
     refused_by: BTreeMap<name::Workspace, u64>,
@@ -168,6 +169,7 @@
             holders: 0,
             surging,
             others: histogram(),
+            others_router: histogram(),
             taken: BTreeMap::new(),
             late_by: BTreeMap::new(),
             refused_by: BTreeMap::new(),
@@ -232,9 +234,7 @@
         }
         fate.first = Some(progress.at);
         let taken = progress.at.since(arrived);
-        let uncached = (job.prompt - progress.cached) as f64;
-        let prefill = uncached / (PREFILL_WEIGHT * DECODE_WORK_PER_S);
-        let wait = (taken.as_secs_f64() - prefill).max(0.0);
+        let wait = progress.started.since(arrived).as_secs_f64();
         let waits = self
             .waits
             .entry(workspace.clone())
@@ -242,6 +242,8 @@
         waits.saturating_record((wait * 1e6) as u64);
         if !self.surging.contains(workspace) {
             self.others.saturating_record((wait * 1e6) as u64);
+            let router = job.sent.since(arrived).as_micros() as u64;
+            self.others_router.saturating_record(router);
         }
         self.first.saturating_record(taken.as_micros() as u64);
     }
@@ -330,6 +332,7 @@
                 .collect(),
             leave_ms: self.leave_ms,
             others_queue_p99_ms: self.others.value_at_quantile(0.99) as f64 / 1e3,
+            others_router_p99_ms: self.others_router.value_at_quantile(0.99) as f64 / 1e3,
             config_ms: self.config_ms,
             edits_failed: self.edits_failed,
             repeated: self.repeated,
