--- a/crates/dev/src/measure/path.rs
+++ b/crates/dev/src/measure/path.rs
@@ -180,7 +180,8 @@
     }
     let entry = router.address();
     println!(
-        "router: {} serving threads and one for decisions; {} fakes of each sort; client: {} threads",
+        "router at {entry}: {} serving threads and one for decisions; {} fakes of each sort; \
+         client: {} threads",
         options.workers, options.fakes, options.clients
     );
     println!(
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -248,21 +248,23 @@
     }
 
     async fn relay(&mut self, first: String) -> Result<(), End> {
-        let mut data = first;
-        loop {
-            let (frames, done) = self.collect(data);
+        // The first event does not wait for others to be joined.
+        let (frames, mut done) = self.collect(first, 0);
+        self.forward(frames).await?;
+        while !done {
+            let data = self.next().await?;
+            let frames;
+            (frames, done) = self.collect(data, JOINED_BYTES);
             self.forward(frames).await?;
-            if done {
-                self.session.output(self.answer.tokens, None);
-                self.session.finish(Outcome::Complete);
-                return Ok(());
-            }
-            data = self.next().await?;
         }
+        self.session.output(self.answer.tokens, None);
+        self.session.finish(Outcome::Complete);
+        Ok(())
     }
 
-    /// Joins an event with those that are there already; returns whether the last one is the end.
-    fn collect(&mut self, first: String) -> (Bytes, bool) {
+    /// Joins an event with those that are there already until `limit` bytes are reached; returns
+    /// whether the last one is the end.
+    fn collect(&mut self, first: String, limit: usize) -> (Bytes, bool) {
         let mut frames = String::with_capacity(first.len() + FRAME_BYTES);
         let mut next = Some(first);
         while let Some(data) = next {
@@ -271,7 +273,7 @@
                 return (frames.into(), true);
             }
             self.note(&data);
-            let is_full = frames.len() >= JOINED_BYTES;
+            let is_full = frames.len() >= limit;
             next = if is_full { None } else { self.events.ready() };
         }
         (frames.into(), false)
