--- a/crates/snipeusher/src/board.rs
+++ b/crates/snipeusher/src/board.rs
@@ -34,6 +34,8 @@
     pub work: Work,
     /// Work counted at the start.
     pub start: Work,
+    /// The upstream's epoch at the start; an answer says nothing of the cache of a later one.
+    pub epoch: u32,
     /// When it was dispatched.
     pub since: Time,
     /// Whether a byte of it may have reached the upstream.
--- a/crates/snipeusher/src/load/table.rs
+++ b/crates/snipeusher/src/load/table.rs
@@ -46,6 +46,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Table<S> {
     strategy: S,
+    capacity: u64,
     slots: BTreeMap<name::Upstream, Slot>,
     cells: Vec<Cell>,
     hot: Vec<Hot>,
@@ -56,6 +57,14 @@
 }
 
 impl<S: Strategy> Table<S> {
+    /// Starts without upstreams; `capacity` is what each may hold until its reports tell.
+    pub fn new(capacity: Work) -> Self {
+        Self {
+            capacity: capacity.0,
+            ..Self::default()
+        }
+    }
+
     /// The way it judges load.
     pub const fn strategy(&self) -> &S {
         &self.strategy
@@ -71,6 +80,12 @@
         &self.cells[slot.0 as usize]
     }
 
+    /// Forgets what only held for an earlier run of an upstream.
+    pub(crate) fn restart(&mut self, slot: Slot, incarnation: name::Incarnation) {
+        let capacity = self.capacity;
+        self.cell_mut(slot).restart(incarnation, capacity);
+    }
+
     /// Lets a caller change what does not touch the estimate.
     pub(crate) fn cell_mut(&mut self, slot: Slot) -> &mut Cell {
         &mut self.cells[slot.0 as usize]
@@ -118,7 +133,8 @@
         if let Some(slot) = self.slot(name) {
             return slot;
         }
-        let cell = Cell::new(name.clone(), hash::bytes(name.as_str().as_bytes()));
+        let node = hash::bytes(name.as_str().as_bytes());
+        let cell = Cell::new(name.clone(), node, self.capacity);
         let hot = Hot {
             estimate: 0,
             capacity: cell.capacity,
@@ -147,7 +163,10 @@
         for told in self.peers.values_mut() {
             told.work.retain(|(other, _)| *other != slot);
         }
-        let name = self.cell(slot).name.clone();
+        let cell = self.cell_mut(slot);
+        // What was learned of its cache must not count for the slot's next user.
+        cell.epoch = cell.epoch.wrapping_add(1);
+        let name = cell.name.clone();
         if self.slots.remove(&name).is_some() {
             self.free.push(slot);
         }
--- a/crates/snipeusher/src/machine/flow.rs
+++ b/crates/snipeusher/src/machine/flow.rs
@@ -144,7 +144,9 @@
     ) {
         self.transfer(&task.request, choice);
         let attempt = self.take_attempt();
-        let upstream = self.board.loads.cell(choice.slot).name.clone();
+        let cell = self.board.loads.cell(choice.slot);
+        let upstream = cell.name.clone();
+        let epoch = cell.epoch;
         let none = Work::default();
         self.board.loads.own(now, choice.slot, choice.work, none);
         let usage = self.board.queues.usage_mut();
@@ -164,6 +166,7 @@
             upstream,
             work: choice.work,
             start: choice.work,
+            epoch,
             since: now,
             sent: false,
             output: None,
