--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -346,6 +346,7 @@
         zone: Some(settings.zone.clone()),
         first_attempt,
         seed: first_attempt,
+        ..machine::Settings::default()
     };
     let log = log.clone();
     Dispatcher::start_in_arbiter(&control.handle(), move |_ctx| {
