--- a/crates/router/tests/configuration.rs
+++ b/crates/router/tests/configuration.rs
@@ -4,15 +4,25 @@
 
 use std::time::Duration;
 
+use actix::Actor;
+use actix::Addr;
+use actix::Context;
+use actix::Handler;
 use common::Fleet;
 use common::change;
 use common::from_service;
 use common::wait;
 use common::write_documents;
 use snipeusher::config::Change;
+use snipeusher::config::Event;
 use snipeusher::config::Name;
 use snipeusher::config::Outcome;
 use snipeusher_fakes::kv::Server;
+use snipeusher_router::configuration::Configuration;
+use snipeusher_router::configuration::Connect;
+use snipeusher_router::configuration::CurrentDigest;
+use snipeusher_router::configuration::Hear;
+use snipeusher_router::configuration::Tell;
 
 async fn status_of(fleet: &Fleet, path: &str) -> u16 {
     let call = fleet.client.get(format!("{}{path}", fleet.base)).send();
@@ -109,3 +119,56 @@
     assert!(matches!(gone, Outcome::Applied(_)));
     wait(async || models(&fleet).await == 401).await;
 }
+
+/// Takes what one router sends to its peers to another router.
+struct Courier {
+    from: &'static str,
+    to: Addr<Configuration>,
+}
+
+impl Actor for Courier {
+    type Context = Context<Self>;
+}
+
+impl Handler<Tell> for Courier {
+    type Result = ();
+
+    fn handle(&mut self, msg: Tell, _ctx: &mut Self::Context) {
+        let event = Event::Exchange(self.from.into(), msg.exchange);
+        self.to.do_send(Hear(event));
+    }
+}
+
+/// Guards against a router that is cut off from the service and does not learn from a peer.
+#[actix_rt::test]
+async fn a_router_without_the_service_learns_from_a_peer() {
+    let server = Server::open().expect("a service");
+    write_documents(&server);
+    let informed = Fleet::start(from_service(&server)).await;
+    wait(async || models(&informed).await == 200).await;
+    let out = Server::open().expect("a service");
+    out.set_faults(|faults| faults.down = true);
+    let cut_off = Fleet::start(from_service(&out)).await;
+    let of = |fleet: &Fleet| fleet.router.configuration().expect("the loop").clone();
+    let (informed, alone) = (of(&informed), of(&cut_off));
+    for (from, own, to) in [
+        ("informed", &informed, &alone),
+        ("alone", &alone, &informed),
+    ] {
+        let courier = Courier {
+            from,
+            to: to.clone(),
+        };
+        own.send(Connect(courier.start().recipient()))
+            .await
+            .expect("the loop");
+    }
+    assert_eq!(status_of(&cut_off, "/readyz").await, 503);
+    wait(async || {
+        let digest = informed.send(CurrentDigest).await.expect("the loop");
+        let event = Event::Digest("informed".into(), digest);
+        alone.send(Hear(event)).await.expect("the loop");
+        models(&cut_off).await == 200 && status_of(&cut_off, "/readyz").await == 200
+    })
+    .await;
+}
