--- a/crates/snipeusher/src/machine/mod.rs
+++ b/crates/snipeusher/src/machine/mod.rs
@@ -94,7 +94,10 @@
     /// Starts with nothing known.
     pub fn with(settings: Settings) -> Self {
         Self {
-            board: Board::default(),
+            board: Board {
+                loads: load::Table::new(settings.capacity),
+                ..Board::default()
+            },
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
             next_attempt: settings.first_attempt,
             settings,
