Keep a surge of one workspace away from the others

A quiet first window of a backlog counted as a rate of zero; half of the workspaces were over an equal share in calm times; and all routers filled the same free room between two rounds of gossip, so that up to 835 requests ran where 352 had room.

Change: an empty window gives no rate before 5 s; a workspace is over its share by its mean use over some seconds; it leaves free what the others used at their recent peak and a quarter more; the capacity check takes peers to have added as much to an upstream as this router since they told last; a workspace within its share may go a quarter beyond the capacity.

Conclusion: the surge waits for itself.

--- a/crates/snipeusher/benches/fleet/mod.rs
+++ b/crates/snipeusher/benches/fleet/mod.rs
@@ -74,6 +74,7 @@
             limit: 1.25,
             capped: true,
             over: false,
+            reserve: 0,
             avoid: None,
         };
         let rng = &mut self.rng;
--- a/crates/snipeusher/src/admission/rate.rs
+++ b/crates/snipeusher/src/admission/rate.rs
@@ -8,6 +8,9 @@
 const WINDOW: Duration = Duration::from_secs(1);
 /// A first measurement of this length is used before the window ends.
 const FIRST: Duration = Duration::from_millis(250);
+/// A queue from which nothing starts for this long has come to a halt; before that, an empty
+/// window only means that the work in flight takes longer than the window.
+const HALT: Duration = Duration::from_secs(5);
 /// Weight of a new window against the earlier ones.
 const WEIGHT: f64 = 0.3;
 
@@ -34,7 +37,7 @@
     pub fn count(&mut self, now: Time, work: u64) {
         self.work = self.work.saturating_add(work);
         let length = now.since(self.since);
-        if length < WINDOW {
+        if length < WINDOW || (self.work == 0 && length < HALT) {
             return;
         }
         let seen = self.work as f64 / length.as_secs_f64();
@@ -46,7 +49,8 @@
     /// Work per second, if it was measured.
     pub fn per_s(&self, now: Time) -> Option<f64> {
         let length = now.since(self.since);
-        let first = (length >= FIRST).then(|| self.work as f64 / length.as_secs_f64());
+        let first =
+            (length >= FIRST && self.work > 0).then(|| self.work as f64 / length.as_secs_f64());
         self.per_s.or(first)
     }
 }
--- a/crates/snipeusher/src/admission/usage.rs
+++ b/crates/snipeusher/src/admission/usage.rs
@@ -12,6 +12,26 @@
 /// A workspace takes part in the shares for this long after its last request.
 const ACTIVE: Duration = Duration::from_secs(10);
 
+/// A workspace is over its share if its mean use is this multiple of an equal share. The mean
+/// is taken over some seconds, since in calm times half of the workspaces are above an equal
+/// share at any moment.
+const OVER_MEAN: f64 = 1.25;
+/// The same for its use at the moment, which catches a sudden surge.
+const OVER_NOW: f64 = 2.0;
+/// Weight of one refresh in the mean use: a time constant of 5 s at 250 ms.
+const MEAN_WEIGHT: f64 = 0.05;
+/// What is left of a peak after one refresh: a time constant of 60 s at 250 ms.
+const PEAK_DECAY: f64 = 0.996;
+/// Room kept beyond the peak; without it the others wait each time that they reach it.
+const PEAK_MARGIN: f64 = 1.25;
+
+/// How the use of one workspace and of the others developed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Trend {
+    mean: f64,
+    others_peak: f64,
+}
+
 /// Work in flight of each workspace, the router's own and what peers told.
 #[derive(Clone, Debug, Default)]
 pub struct Usage {
@@ -20,6 +40,8 @@
     fleet: BTreeMap<name::Workspace, u64>,
     sum: u64,
     active: BTreeMap<name::Workspace, Time>,
+    trends: BTreeMap<name::Workspace, Trend>,
+    means: f64,
 }
 
 impl Usage {
@@ -35,10 +57,27 @@
             .collect()
     }
 
-    /// Whether a workspace has more than an equal share of the work in flight.
+    /// Whether a workspace has well more than an equal share of the work in flight.
     pub fn over(&self, workspace: &name::Workspace) -> bool {
         let active = self.active.len() as u64;
-        active > 1 && self.of(workspace) > self.sum / active
+        if active < 2 {
+            return false;
+        }
+        let share = self.sum as f64 / active as f64;
+        // Means are compared with means: a dip of the sum alone must not put everyone over.
+        let mean = self.trends.get(workspace).map_or(0.0, |trend| trend.mean);
+        mean > self.means / active as f64 * OVER_MEAN
+            || self.of(workspace) as f64 > share * OVER_NOW
+    }
+
+    /// Work that a workspace over its share leaves free, so that the others find the room that
+    /// they used at their recent peak, and some more; zero for a workspace within its share.
+    pub fn reserve(&self, workspace: &name::Workspace) -> u64 {
+        let Some(trend) = self.trends.get(workspace).filter(|_| self.over(workspace)) else {
+            return 0;
+        };
+        let others = self.sum.saturating_sub(self.of(workspace));
+        ((trend.others_peak * PEAK_MARGIN) as u64).saturating_sub(others)
     }
 
     /// Notes that a workspace is active.
@@ -80,6 +119,16 @@
     /// Drops workspaces that are no longer active.
     pub(crate) fn refresh(&mut self, now: Time) {
         self.active.retain(|_, last| now.since(*last) < ACTIVE);
+        self.trends
+            .retain(|workspace, _| self.active.contains_key(workspace));
+        for workspace in self.active.keys() {
+            let used = self.fleet.get(workspace).copied().unwrap_or(0);
+            let others = self.sum.saturating_sub(used) as f64;
+            let trend = self.trends.entry(workspace.clone()).or_default();
+            trend.mean += (used as f64 - trend.mean) * MEAN_WEIGHT;
+            trend.others_peak = others.max(trend.others_peak * PEAK_DECAY);
+        }
+        self.means = self.trends.values().map(|trend| trend.mean).sum();
     }
 
     fn shift(&mut self, workspace: &name::Workspace, add: u64, remove: u64) {
--- a/crates/snipeusher/src/load/table.rs
+++ b/crates/snipeusher/src/load/table.rs
@@ -21,6 +21,9 @@
 /// A peer's work counts for this long after it was told.
 const PEER_TTL: Duration = Duration::from_secs(5);
 
+/// Mean age of what a peer told: it tells every 500 ms.
+const GOSSIP: Duration = Duration::from_millis(500);
+
 /// Index of an upstream in the table, reused after the upstream is forgotten.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Slot(pub u32);
@@ -34,6 +37,11 @@
     pub capacity: u64,
     /// Slow-start factor.
     pub factor: f64,
+    /// Work that peers are taken to have added since they told last: as much as this router.
+    ///
+    /// Without it, all routers that learn of the same free room fill it at once, and the load
+    /// swings about the capacity with each round of gossip.
+    pub unheard: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -139,6 +147,7 @@
             estimate: 0,
             capacity: cell.capacity,
             factor: 1.0,
+            unheard: 0,
         };
         let slot = if let Some(slot) = self.free.pop() {
             let epoch = self.cell(slot).epoch.wrapping_add(1);
@@ -336,12 +345,16 @@
         let view = cell.view(now, &typical, self.routers());
         let factor = cell.factor(now);
         let estimate = self.strategy.estimate(&view).0;
+        let told = Time(now.0.saturating_sub(GOSSIP.as_micros() as u64));
+        let grown = cell.own.get().saturating_sub(cell.own.at(told));
+        let unheard = grown.saturating_mul(u64::from(self.routers() - 1));
         let open = cell.open;
         let hot = &mut self.hot[slot.0 as usize];
         let before = hot.estimate;
         hot.estimate = estimate;
         hot.capacity = (cell.capacity as f64 * factor) as u64;
         hot.factor = factor;
+        hot.unheard = unheard;
         if !open {
             return;
         }
--- a/crates/snipeusher/src/machine/flow.rs
+++ b/crates/snipeusher/src/machine/flow.rs
@@ -78,15 +78,15 @@
         if self.board.queues.is_empty() {
             return;
         }
-        let mut blocked: Vec<(Target, bool)> = Vec::new();
+        let mut blocked: Vec<(Target, u64)> = Vec::new();
         loop {
             let usage = self.board.queues.usage();
             let lane = self.board.queues.next(|lane, head| {
-                // What has no room below the reserve may still have room within it.
-                let over = usage.over(&head.request.workspace);
+                // What has no room beside a reserve may still have room with a smaller one.
+                let reserve = usage.reserve(&head.request.workspace);
                 blocked
                     .iter()
-                    .any(|(target, reserved)| *target == lane.target && (over || !*reserved))
+                    .any(|(target, least)| *target == lane.target && reserve >= *least)
             });
             let Some(lane) = lane else { return };
             let Some(head) = self.board.queues.head(&lane).cloned() else {
@@ -97,21 +97,24 @@
                 self.board.queues.start(now, &lane);
                 self.start(now, head, choice, 0);
             } else {
-                let over = self.board.queues.usage().over(&lane.workspace);
-                blocked.push((lane.target, over));
+                let reserve = self.board.queues.usage().reserve(&lane.workspace);
+                blocked.push((lane.target, reserve));
             }
         }
     }
 
     /// Chooses an upstream for a request that counts against the capacity of engines.
     pub(super) fn decide(&mut self, task: &Task, avoid: Option<Slot>) -> Option<Choice> {
+        let kind = self.board.loads.kind(&task.request.target)?;
+        let usage = self.board.queues.usage();
+        let reserve = usage.reserve(&task.request.workspace);
         let ask = Ask {
             limit: task.terms.load_limit,
             capped: !task.terms.immediate,
-            over: self.board.queues.usage().over(&task.request.workspace),
+            over: usage.over(&task.request.workspace),
+            reserve: reserve / kind.slots.len().max(1) as u64,
             avoid,
         };
-        let kind = self.board.loads.kind(&task.request.target)?;
         placement::choose(
             &self.board.loads,
             &self.board.prefixes,
--- a/crates/snipeusher/src/machine/slot.rs
+++ b/crates/snipeusher/src/machine/slot.rs
@@ -252,6 +252,7 @@
             limit: limits.usable_load_limit(),
             capped: true,
             over: false,
+            reserve: 0,
             avoid: None,
         };
         let kind = &loads.kinds()[*kind as usize];
--- a/crates/snipeusher/src/placement.rs
+++ b/crates/snipeusher/src/placement.rs
@@ -33,8 +33,11 @@
 const EXPECTED: [u64; RANKS] = [12, 8, 4];
 /// The same while holders are known.
 const EXPECTED_BESIDE_HOLDER: [u64; RANKS] = [3, 2, 1];
-/// Part of the capacity, as a fraction of this, that is left to workspaces below their share.
-const RESERVE: u64 = 8;
+/// At most this part of the capacity is kept free for other workspaces.
+const RESERVE_DIVISOR: u64 = 2;
+/// A workspace within its share may go beyond the capacity by this part, so that it starts at
+/// once while others fill the upstreams.
+const SLACK_DIVISOR: u64 = 4;
 /// Fixed cost of a cache transfer in microseconds: set-up at both engines.
 const TRANSFER_US: u64 = 5_000;
 /// Additional cost of a transfer between zones in microseconds.
@@ -51,8 +54,10 @@
     pub limit: f64,
     /// Whether the capacity of engines counts; not for classes that pass at once.
     pub capped: bool,
-    /// Whether the workspace has more than its fair share of the fleet in flight.
+    /// Whether the workspace is over its share of the fleet.
     pub over: bool,
+    /// Work to be left free at each upstream for other workspaces.
+    pub reserve: u64,
     /// An upstream that is taken only if there is no other.
     pub avoid: Option<Slot>,
 }
@@ -90,8 +95,14 @@
     if !ask.capped || hot.estimate == 0 {
         return true;
     }
-    let reserve = if ask.over { hot.capacity / RESERVE } else { 0 };
-    hot.estimate.saturating_add(work.0) <= hot.capacity - reserve
+    let reserve = ask.reserve.min(hot.capacity / RESERVE_DIVISOR);
+    let expected = hot.estimate.saturating_add(hot.unheard);
+    let room = if ask.over {
+        hot.capacity - reserve
+    } else {
+        hot.capacity + hot.capacity / SLACK_DIVISOR
+    };
+    expected.saturating_add(work.0) <= room
 }
 
 /// Chooses an upstream of a kind for a request.
