--- /dev/null
+++ b/crates/dev/src/replay/control.rs
@@ -0,0 +1,135 @@
+//! Control traffic between routers and upstreams, and the samples of the fleet.
+
+use std::time::Duration;
+
+use rand::Rng as _;
+use snipeusher::load::Report;
+use snipeusher::load::Work;
+use snipeusher::machine::Event;
+use snipeusher::name;
+use snipeusher::prefix;
+use snipeusher::time::Time;
+use snipeusher::upstream::Phase;
+
+use super::engine::Engine;
+use super::router::Router;
+use super::tally::SAMPLE_EVERY_MS;
+use super::world::Happening;
+use super::world::World;
+
+/// Bytes of HTTP headers of a probe and its reply together.
+const PROBE_OVERHEAD_BYTES: u64 = 250;
+/// Fraction of the batches of cache events that are lost.
+const CACHE_EVENT_LOSS: f64 = 0.1;
+
+/// Interval at which a router notes what its streams have produced. A real one sees every token.
+const STREAM_EVERY_MS: u64 = 250;
+
+impl<R: Router> World<'_, R> {
+    pub(super) fn probe(&mut self, seat: usize, engine: usize) {
+        if self.is_over() {
+            return;
+        }
+        let every = Duration::from_millis(self.trace.header.report_every_ms);
+        self.plan(self.now + every, Happening::Probe(seat, engine));
+        let upstream = &self.engines[engine];
+        let reached = self.reach(self.seats[seat].zone, upstream.zone);
+        if !reached || matches!(upstream.phase, Phase::Gone | Phase::Joining) {
+            return;
+        }
+        self.seats[seat].reports += 1;
+        let lag = Duration::from_millis(self.trace.header.report_lag_ms) + self.extra_lag;
+        let (running, queued) = upstream.counts();
+        let report = Report {
+            incarnation: name::Incarnation(upstream.incarnation),
+            sequence: self.seats[seat].reports,
+            work: Work(upstream.outstanding(self.now) as u64),
+            running,
+            queued,
+            age_ms: self.trace.header.report_lag_ms as u32,
+        };
+        let body = serde_json::to_vec(&report).map_or(0, |body| body.len() as u64);
+        self.tally.spend("probes", PROBE_OVERHEAD_BYTES + body);
+        let upstream = upstream.name.clone();
+        if self.lose_reports.contains(&upstream) {
+            return;
+        }
+        self.deliver(lag, seat, Event::Report { upstream, report });
+        if self.trace.header.cache_events && self.seats[seat].member.is_some() {
+            self.publish(seat, engine, lag);
+        }
+    }
+
+    /// Carries the changes of a cache since the last probe, some of which are lost.
+    fn publish(&mut self, seat: usize, engine: usize, lag: Duration) {
+        let log = &self.engines[engine].cache_log;
+        let read = self.seats[seat].cache_read.entry(engine).or_default();
+        let first = (*read).min(log.len());
+        let changes = log[first..].to_vec();
+        *read = log.len();
+        if changes.is_empty() {
+            return;
+        }
+        let batch = prefix::Batch {
+            incarnation: name::Incarnation(self.engines[engine].incarnation),
+            first: first as u64 + 1,
+            changes,
+        };
+        let body = serde_json::to_vec(&batch).map_or(0, |body| body.len() as u64);
+        self.tally
+            .spend("cache events", PROBE_OVERHEAD_BYTES + body);
+        if self.rng.random_bool(CACHE_EVENT_LOSS) {
+            return;
+        }
+        let upstream = self.engines[engine].name.clone();
+        self.deliver(lag, seat, Event::Cache { upstream, batch });
+    }
+
+    /// Carries what streams have produced so far to their routers.
+    pub(super) fn stream(&mut self) {
+        if self.is_over() {
+            return;
+        }
+        let every = Duration::from_millis(STREAM_EVERY_MS);
+        self.plan(self.now + every, Happening::Stream);
+        let now = self.now;
+        let mut outputs = Vec::new();
+        for engine in &self.engines {
+            for (seat, attempt, tokens) in engine.streams(now) {
+                if self.reach(self.seats[seat].zone, engine.zone) {
+                    outputs.push((seat, attempt, tokens));
+                }
+            }
+        }
+        for (seat, attempt, tokens) in outputs {
+            let event = Event::Output {
+                attempt,
+                tokens,
+                cached: None,
+            };
+            self.deliver(Duration::ZERO, seat, event);
+        }
+    }
+
+    pub(super) fn sample(&mut self) {
+        if self.now >= Time::from_millis(self.trace.header.duration_ms) {
+            return;
+        }
+        if self.trace.uses_platform() {
+            self.push();
+            self.check_holders();
+        }
+        let now = self.now;
+        self.plan(
+            now + Duration::from_millis(SAMPLE_EVERY_MS),
+            Happening::Sample,
+        );
+        let engines = self.engines.iter().filter(|engine| !engine.plain);
+        let live = |engine: &Engine| (engine.phase == Phase::Live).then(|| engine.load(now) as u64);
+        let loads: Vec<_> = engines.clone().map(live).collect();
+        let is_live = |engine: &&Engine| engine.phase == Phase::Live;
+        let largest: Vec<_> = engines.filter(is_live).map(Engine::largest).collect();
+        let limit = self.trace.header.load_limit;
+        self.tally.sample(now.0 / 1_000, loads, &largest, limit);
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,38 @@
 //! The router: HTTP serving, upstream calls and the control loops.
+//!
+//! [`Router::bind`] starts a router within the running actix system and returns a handle. All
+//! decisions are taken by [`snipeusher::machine::Machine`], which one actor owns; see
+//! [`dispatch`]. The control loops (configuration, claims, gossip, orders) join at three places:
+//! they publish policies through [`directory::Policies`], they tell the machine about upstreams
+//! and peers through [`dispatch::Notify`], and they add their routes in the module `serve`.
+
+pub mod claims;
+pub mod configuration;
+pub mod directory;
+pub mod dispatch;
+pub mod documents;
+pub mod log;
+pub mod problem;
+pub mod settings;
+pub mod tls;
+
+mod attempt;
+mod call;
+mod chat;
+mod clock;
+mod count;
+mod events;
+mod metric;
+mod plain;
+mod probe;
+mod relay;
+mod router;
+mod serve;
+mod session;
+mod shared;
+mod socket;
+mod stream;
+
+pub use crate::router::Error;
+pub use crate::router::Router;
+pub use crate::router::check;
--- /dev/null
+++ b/crates/router/src/router.rs
@@ -0,0 +1,374 @@
+//! A running router.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use actix::Actor as _;
+use actix::Addr;
+use actix_rt::Arbiter;
+use actix_web::dev::ServerHandle;
+use actix_web::web::Data;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use snafu::ResultExt as _;
+use snafu::Snafu;
+use snipeusher::claim::Claims;
+use snipeusher::hash;
+use snipeusher::machine;
+use snipeusher::machine::Machine;
+use snipeusher::name;
+use snipeusher::policy::Policy;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::attempt;
+use crate::attempt::Dial;
+use crate::claims::Claimer;
+use crate::claims::Recording;
+use crate::configuration::Configuration;
+use crate::count::Counts;
+use crate::directory::Policies;
+use crate::dispatch::Dispatcher;
+use crate::dispatch::ReadyEngines;
+use crate::documents;
+use crate::metric::FLUSH_INTERVAL;
+use crate::metric::Metrics;
+use crate::probe::Probe;
+use crate::serve;
+use crate::settings::Settings;
+use crate::shared::Shared;
+use crate::tls;
+
+/// How often shutdown looks whether requests are still open.
+const DRAIN_POLL_MS: u64 = 10;
+
+/// Longest wait for the record of outcomes at shutdown; a key without one is answered as unknown.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Why a router does not start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The listener cannot be opened.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// The address from the settings.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The key-value service cannot be used.
+    #[snafu(display("{source}"))]
+    Service {
+        /// The cause.
+        source: snipeusher_store::Error,
+    },
+    /// Metrics cannot be sent.
+    #[snafu(display("cannot open a socket for metrics: {source}"))]
+    Metrics {
+        /// The cause.
+        source: io::Error,
+    },
+    /// TLS cannot be set up.
+    #[snafu(display("{source}"))]
+    Tls {
+        /// The cause.
+        source: tls::Error,
+    },
+    /// The documents cannot be used.
+    #[snafu(display("{source}"))]
+    Documents {
+        /// The cause.
+        source: documents::Error,
+    },
+}
+
+/// Checks the files that the settings name, without starting anything.
+pub fn check(settings: &Settings) -> Result<(), Error> {
+    read_documents(settings)?;
+    read_tls(settings).map(|_tls| ())
+}
+
+/// A running router; it must be bound within an actix system.
+#[derive(Debug)]
+pub struct Router {
+    address: SocketAddr,
+    shared: Data<Shared>,
+    /// Absent where the configuration loop owns them.
+    policies: Option<Policies>,
+    configuration: Option<Addr<Configuration>>,
+    server: ServerHandle,
+    control: Arbiter,
+    log: Logger,
+}
+
+impl Router {
+    /// Starts a router.
+    pub fn bind(settings: Settings, log: Logger) -> Result<Self, Error> {
+        let policies = read_documents(&settings)?;
+        let (server_tls, client_tls) = read_tls(&settings)?;
+        let dial = Dial {
+            timeout: settings.connect_timeout,
+            tls: client_tls.map(Arc::new),
+        };
+        let metrics = Metrics::open(settings.statsd).context(MetricsSnafu)?;
+        let origin = Instant::now();
+        let first_attempt = first_attempt(&settings);
+        let control = Arbiter::new();
+        let dispatcher = start_dispatcher(&control, &settings, &dial, first_attempt, origin, &log);
+        let (mut publisher, directory) = Policies::new(dispatcher.clone());
+        publisher.put(policies);
+        let incarnation = incarnation();
+        let claimer = start_claimer(&control, &settings, incarnation, origin)?;
+        let mut publisher = Some(publisher);
+        let mut configuration = None;
+        let mut status = None;
+        if !settings.key_value_endpoints.is_empty()
+            && let Some(policies) = publisher.take()
+        {
+            let gateway = gateway(&settings)?;
+            let (sender, receiver) = watch::channel(Arc::default());
+            let seed = first_attempt;
+            let log = log.clone();
+            let address = Configuration::start_in_arbiter(&control.handle(), move |_ctx| {
+                Configuration::new(gateway.open(), origin, seed, policies, sender, log)
+            });
+            configuration = Some(address);
+            status = Some(receiver);
+        }
+        start_probe(&control, &settings, &dial, dispatcher.clone(), &log);
+        start_flush(&control, &metrics);
+        let listen = settings.listen;
+        let shared = Data::new(Shared {
+            settings,
+            dispatcher,
+            claimer,
+            configuration: status,
+            directory,
+            counts: Counts::default(),
+            metrics,
+            origin,
+            dial,
+            log: log.clone(),
+            first_attempt,
+            next_id: AtomicU64::new(0),
+            open: AtomicUsize::new(0),
+            leaving: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
+        });
+        let (address, server) =
+            serve::bind(&shared, server_tls).context(ListenSnafu { address: listen })?;
+        let handle = server.handle();
+        actix_rt::spawn(server);
+        info!(log, "router: listening"; "address" => %address);
+        Ok(Self {
+            address,
+            shared,
+            policies: publisher,
+            configuration,
+            server: handle,
+            control,
+            log,
+        })
+    }
+
+    /// Where callers connect.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The policies in force, unless the configuration loop owns them.
+    pub const fn policies(&mut self) -> Option<&mut Policies> {
+        self.policies.as_mut()
+    }
+
+    /// The configuration loop, where the settings name a key-value service.
+    pub const fn configuration(&self) -> Option<&Addr<Configuration>> {
+        self.configuration.as_ref()
+    }
+
+    /// The actor that owns the claims; the gossip loop tells it about peers.
+    pub fn claimer(&self) -> &Addr<Claimer> {
+        &self.shared.claimer
+    }
+
+    /// The actor that owns the decisions; the control loops tell it what they learn.
+    pub fn dispatcher(&self) -> &Addr<Dispatcher> {
+        &self.shared.dispatcher
+    }
+
+    /// Engines that take work now.
+    pub async fn ready_engines(&self) -> usize {
+        let count = self.shared.dispatcher.send(ReadyEngines).await;
+        count.unwrap_or_default()
+    }
+
+    /// Shuts down: the health check fails first, then new work is refused, then all requests in
+    /// flight end within the drain time. Returns whether all ended.
+    pub async fn stop(self) -> bool {
+        let settings = &self.shared.settings;
+        self.shared.leaving.store(true, Ordering::SeqCst);
+        info!(self.log, "router: leaving"; "open" => self.open());
+        sleep(settings.balancer_delay).await;
+        self.shared.closed.store(true, Ordering::SeqCst);
+        let drained = timeout(settings.drain_timeout, self.drained())
+            .await
+            .is_ok();
+        if !drained {
+            warn!(self.log, "router: requests did not end in time"; "open" => self.open());
+        }
+        self.server.stop(drained).await;
+        if timeout(RECORD_TIMEOUT, self.recorded()).await.is_err() {
+            warn!(
+                self.log,
+                "router: outcomes of idempotency keys are not recorded"
+            );
+        }
+        self.shared.metrics.flush();
+        self.control.stop();
+        info!(self.log, "router: stopped");
+        drained
+    }
+
+    fn open(&self) -> usize {
+        self.shared.open.load(Ordering::SeqCst)
+    }
+
+    async fn recorded(&self) {
+        while self.shared.claimer.send(Recording).await == Ok(true) {
+            sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
+        }
+    }
+
+    async fn drained(&self) {
+        while self.open() > 0 {
+            sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
+        }
+    }
+}
+
+fn read_documents(settings: &Settings) -> Result<Vec<Policy>, Error> {
+    let folder = settings.documents.as_ref();
+    let read = folder.map_or(Ok(Vec::new()), |folder| documents::read(folder));
+    read.context(DocumentsSnafu)
+}
+
+/// Configurations of the listener and of connections to upstreams.
+type Tls = (Option<rustls::ServerConfig>, Option<rustls::ClientConfig>);
+
+fn read_tls(settings: &Settings) -> Result<Tls, Error> {
+    let server = settings.tls.as_ref().map(tls::server).transpose();
+    let authority = settings.upstream_authority.as_deref();
+    let client = authority.map(tls::client).transpose();
+    Ok((server.context(TlsSnafu)?, client.context(TlsSnafu)?))
+}
+
+/// Sends what waits in datagrams that are not full.
+fn start_flush(control: &Arbiter, metrics: &Metrics) {
+    if !metrics.is_on() {
+        return;
+    }
+    let metrics = metrics.clone();
+    control.spawn(async move {
+        loop {
+            sleep(FLUSH_INTERVAL).await;
+            metrics.flush();
+        }
+    });
+}
+
+/// The first attempt id of this run; hosts and runs start far apart.
+///
+/// The top bit stays free, so that ids do not wrap around within the life of a process.
+fn first_attempt(settings: &Settings) -> u64 {
+    let host = hash::bytes(settings.host.as_str().as_bytes());
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let started = since_epoch.unwrap_or_default().as_nanos() as u64;
+    hash::mix(host, started) >> 1
+}
+
+/// The start time of this run in milliseconds since the Unix epoch.
+fn incarnation() -> name::Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    name::Incarnation(since_epoch.unwrap_or_default().as_millis() as u64)
+}
+
+fn start_claimer(
+    control: &Arbiter,
+    settings: &Settings,
+    incarnation: name::Incarnation,
+    origin: Instant,
+) -> Result<Addr<Claimer>, Error> {
+    let gateway = if settings.key_value_endpoints.is_empty() {
+        None
+    } else {
+        Some(gateway(settings)?)
+    };
+    let seed = hash::mix(
+        hash::bytes(settings.host.as_str().as_bytes()),
+        incarnation.0,
+    );
+    let claims = Claims::new(settings.host.clone(), incarnation, seed);
+    Ok(Claimer::start_in_arbiter(&control.handle(), move |_ctx| {
+        Claimer::new(claims, gateway.map(snipeusher_store::Checked::open), origin)
+    }))
+}
+
+fn gateway(settings: &Settings) -> Result<snipeusher_store::Checked, Error> {
+    let settings = snipeusher_store::Settings {
+        endpoints: settings.key_value_endpoints.clone(),
+        timeout: settings.key_value_timeout,
+    };
+    settings.check().context(ServiceSnafu)
+}
+
+fn start_dispatcher(
+    control: &Arbiter,
+    settings: &Settings,
+    dial: &Dial,
+    first_attempt: u64,
+    origin: Instant,
+    log: &Logger,
+) -> Addr<Dispatcher> {
+    let dial = dial.clone();
+    let decisions = machine::Settings {
+        host: settings.host.clone(),
+        zone: Some(settings.zone.clone()),
+        first_attempt,
+        seed: first_attempt,
+        ..machine::Settings::default()
+    };
+    let log = log.clone();
+    Dispatcher::start_in_arbiter(&control.handle(), move |_ctx| {
+        let client = attempt::client(&dial);
+        let machine = Machine::with(decisions);
+        Dispatcher::new(machine, origin, client, log)
+    })
+}
+
+fn start_probe(
+    control: &Arbiter,
+    settings: &Settings,
+    dial: &Dial,
+    dispatcher: Addr<Dispatcher>,
+    log: &Logger,
+) {
+    let settings = settings.clone();
+    let dial = dial.clone();
+    let log = log.clone();
+    Probe::start_in_arbiter(&control.handle(), move |_ctx| {
+        let client = attempt::client(&dial);
+        let interval = settings.probe_interval;
+        Probe::new(settings.upstreams, interval, client, dispatcher, log)
+    });
+}
--- /dev/null
+++ b/crates/router/src/serve.rs
@@ -0,0 +1,126 @@
+//! The HTTP server: callers' paths and the router's own.
+//!
+//! Control loops add their routes in [`routes`].
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+
+use actix_web::App;
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::HttpServer;
+use actix_web::dev::Server;
+use actix_web::web;
+use serde_json::json;
+
+use crate::attempt::Clients;
+use crate::call;
+use crate::chat;
+use crate::claims::Issue;
+use crate::dispatch::Report;
+use crate::plain;
+use crate::problem::Kind;
+use crate::problem::Problem;
+use crate::shared::Shared;
+
+/// Opens the listener and builds the server, which the caller must run.
+pub(crate) fn bind(
+    shared: &web::Data<Shared>,
+    tls: Option<rustls::ServerConfig>,
+) -> io::Result<(SocketAddr, Server)> {
+    let settings = &shared.settings;
+    let data = web::Data::clone(shared);
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::clone(&data))
+            .app_data(web::ThinData(Clients::open(&data.dial)))
+            .configure(routes)
+    })
+    .workers(settings.workers)
+    .keep_alive(settings.keep_alive)
+    .h1_allow_half_closed(false)
+    // Events of a stream are small writes; with delayed acknowledgements each pair takes 40 ms.
+    .tcp_nodelay(true)
+    .disable_signals()
+    .shutdown_timeout(settings.drain_timeout.as_secs().max(1));
+    let server = match tls {
+        Some(tls) => server.bind_rustls_0_23(settings.listen, tls)?,
+        None => server.bind(settings.listen)?,
+    };
+    let address = server.addrs()[0];
+    Ok((address, server.run()))
+}
+
+fn routes(config: &mut web::ServiceConfig) {
+    let resource = |path, route: actix_web::Route| {
+        web::resource(path)
+            .route(route)
+            .default_service(web::to(wrong_method))
+    };
+    config
+        .service(resource("/v1/chat/completions", web::post().to(chat::chat)))
+        .service(resource(
+            "/v1/completions",
+            web::post().to(chat::completion),
+        ))
+        .service(resource("/v1/models", web::get().to(chat::models)))
+        .service(resource("/v1/idempotency-keys", web::post().to(issue)))
+        .service(resource("/healthz", web::get().to(health)))
+        .service(resource("/readyz", web::get().to(ready)))
+        .service(resource("/status", web::get().to(status)))
+        .default_service(web::to(plain::serve));
+}
+
+/// Issues a key that this process alone runs, which works while the key-value service is out.
+async fn issue(request: HttpRequest, shared: web::Data<Shared>) -> Result<HttpResponse, Problem> {
+    call::caller(&shared, &request)?;
+    let key =
+        shared.claimer.send(Issue).await.map_err(|_stopped| {
+            Problem::not_run(Kind::ShuttingDown, "the router takes no new work")
+        })?;
+    Ok(HttpResponse::Ok().json(json!({ "key": key })))
+}
+
+async fn wrong_method() -> Result<HttpResponse, Problem> {
+    let detail = "see the documentation of the path";
+    Err(Problem::not_run(Kind::WrongMethod, detail))
+}
+
+async fn health(shared: web::Data<Shared>) -> HttpResponse {
+    if shared.leaving.load(Ordering::SeqCst) {
+        HttpResponse::ServiceUnavailable().body("leaving\n")
+    } else {
+        HttpResponse::Ok().body("ok\n")
+    }
+}
+
+async fn ready(shared: web::Data<Shared>) -> HttpResponse {
+    let leaving = shared.leaving.load(Ordering::SeqCst);
+    // Without the key-value service, documents of a folder make a router ready.
+    let known = match &shared.configuration {
+        Some(status) => status.borrow().ready,
+        None => !shared.directory.borrow().is_empty(),
+    };
+    if leaving || !known {
+        HttpResponse::ServiceUnavailable().body("not ready\n")
+    } else {
+        HttpResponse::Ok().body("ready\n")
+    }
+}
+
+async fn status(shared: web::Data<Shared>) -> HttpResponse {
+    let Ok(mut report) = shared.dispatcher.send(Report).await else {
+        return HttpResponse::ServiceUnavailable().finish();
+    };
+    report["host"] = json!(shared.settings.host);
+    report["zone"] = json!(shared.settings.zone);
+    report["region"] = json!(shared.settings.region);
+    report["leaving"] = shared.leaving.load(Ordering::SeqCst).into();
+    report["open"] = shared.open.load(Ordering::SeqCst).into();
+    if let Some(status) = &shared.configuration {
+        report["configuration"] = json!(**status.borrow());
+    }
+    report["counts"] = shared.counts.report();
+    HttpResponse::Ok().json(report)
+}
