Run gossip, probes and the host list in the router

Cause: membership was a state machine without sockets.

Change: the actor gossip::Gossip owns member::Member, posts frames to /fleet/v1/gossip, reads the host list and connects the configuration loop, the dispatcher and the claims; probes asks each engine from two routers of its zone; settings [gossip]. Fake host list.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the platform and for upstreams.
 
 pub mod engine;
+pub mod hosts;
 pub mod kv;
 pub mod plain;
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -20,6 +20,7 @@
 use slog::Logger;
 use slog::debug;
 use slog::warn;
+use snipeusher::load;
 use snipeusher::machine::Action;
 use snipeusher::machine::Event;
 use snipeusher::machine::Machine;
@@ -80,6 +81,11 @@
 #[rtype(result = "()")]
 pub struct Notify(pub Event);
 
+/// Asks for this router's own work in flight, which peers are told.
+#[derive(Debug, Message)]
+#[rtype(result = "load::Share")]
+pub(crate) struct CurrentShare;
+
 /// The end of an attempt.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -303,6 +309,14 @@
     }
 }
 
+impl Handler<CurrentShare> for Dispatcher {
+    type Result = MessageResult<CurrentShare>;
+
+    fn handle(&mut self, _msg: CurrentShare, _ctx: &mut Self::Context) -> Self::Result {
+        MessageResult(self.machine.share())
+    }
+}
+
 impl Handler<Finish> for Dispatcher {
     type Result = ();
 
--- /dev/null
+++ b/crates/router/src/gossip.rs
@@ -0,0 +1,374 @@
+//! The gossip loop: frames to and from peers, probes of upstreams and the host list.
+//!
+//! The actor owns [`Member`]; what it learns goes to the dispatcher, the configuration loop and
+//! the claims. See `docs/design.md#membership`.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use actix::Actor;
+use actix::ActorFutureExt as _;
+use actix::Addr;
+use actix::AsyncContext as _;
+use actix::Context;
+use actix::Handler;
+use actix::Message;
+use actix::MessageResult;
+use actix::WrapFuture as _;
+use awc::Client;
+use slog::Logger;
+use slog::debug;
+use slog::info;
+use slog::warn;
+use snipeusher::config;
+use snipeusher::load;
+use snipeusher::machine;
+use snipeusher::member::Action;
+use snipeusher::member::Event;
+use snipeusher::member::Member;
+use snipeusher::member::ROUND;
+use snipeusher::name;
+use snipeusher::time::Time;
+use snipeusher::wire;
+
+use crate::claims;
+use crate::claims::Claimer;
+use crate::configuration::Configuration;
+use crate::configuration::Connect;
+use crate::configuration::CurrentDigest;
+use crate::configuration::Hear;
+use crate::configuration::Tell;
+use crate::dispatch::CurrentShare;
+use crate::dispatch::Dispatcher;
+use crate::dispatch::Notify;
+use crate::hosts;
+use crate::probes;
+
+/// Header with the proof of a frame.
+pub(crate) const PROOF: &str = "x-fleet-proof";
+/// Path of the frames.
+pub(crate) const PATH: &str = "/fleet/v1/gossip";
+/// Longest host list that is read, several times that of the target.
+const LIST_BYTES: usize = 4 << 20;
+/// Longest time for a frame; a slower peer gets the next digest later.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A frame that arrived.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct Receive {
+    pub(crate) body: Vec<u8>,
+    pub(crate) proof: String,
+}
+
+/// What a probe or a call of an upstream tells.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Learn(pub Event);
+
+/// Asks for what the member knows.
+#[derive(Debug, Message)]
+#[rtype(result = "View")]
+pub struct Look;
+
+/// What the status page shows of the member.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct View {
+    /// Routers that are heard from.
+    pub alive: BTreeSet<name::Host>,
+    /// Routers that nobody has heard from for a while.
+    pub suspected: BTreeSet<name::Host>,
+    /// Upstreams with their phases.
+    pub phases: BTreeMap<name::Upstream, snipeusher::upstream::Phase>,
+    /// Refused frames by reason.
+    pub refusals: wire::Refusals,
+    /// Frames sent.
+    pub frames: u64,
+}
+
+/// Where the loop's findings go and what it reads.
+pub(crate) struct Links {
+    pub(crate) dispatcher: Addr<Dispatcher>,
+    pub(crate) claimer: Addr<Claimer>,
+    pub(crate) configuration: Option<Addr<Configuration>>,
+    pub(crate) host_list: Option<String>,
+    pub(crate) list_interval: Duration,
+    pub(crate) probe_interval: Duration,
+}
+
+/// Owns the member.
+pub struct Gossip {
+    pub(crate) member: Member,
+    pub(crate) host: name::Host,
+    pub(crate) place: wire::Place,
+    pub(crate) client: Client,
+    pub(crate) links: Links,
+    pub(crate) log: Logger,
+    origin: Instant,
+    /// Addresses with a frame under way; one that is slow must not pile up frames.
+    under_way: BTreeSet<String>,
+    frames: u64,
+    /// Runs that the claims were told of, which forward requests to the issuer of a key.
+    told: BTreeMap<name::Host, name::Incarnation>,
+}
+
+impl fmt::Debug for Gossip {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Gossip")
+            .field("host", &self.host)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Gossip {
+    pub(crate) const fn new(
+        member: Member,
+        host: name::Host,
+        place: wire::Place,
+        client: Client,
+        links: Links,
+        origin: Instant,
+        log: Logger,
+    ) -> Self {
+        Self {
+            member,
+            host,
+            place,
+            client,
+            links,
+            log,
+            origin,
+            under_way: BTreeSet::new(),
+            frames: 0,
+            told: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn feed(&mut self, event: Event, ctx: &mut Context<Self>) {
+        let now = Time::default() + self.origin.elapsed();
+        self.member.handle(now, event);
+        let actions: Vec<_> = self.member.drain().collect();
+        for action in actions {
+            self.act(action, ctx);
+        }
+    }
+
+    fn act(&mut self, action: Action, ctx: &mut Context<Self>) {
+        let dispatcher = &self.links.dispatcher;
+        match action {
+            Action::Send { to, sealed } => self.send(to, sealed, ctx),
+            Action::Upstream(state) => {
+                dispatcher.do_send(Notify(machine::Event::Upstream(state)));
+            }
+            Action::Share { host, share } => {
+                dispatcher.do_send(Notify(machine::Event::Peer { host, share }));
+            }
+            Action::Digest(host, digest) => self.hear(config::Event::Digest(host, digest)),
+            Action::Exchange(host, exchange) => {
+                self.hear(config::Event::Exchange(host, exchange));
+            }
+            // Cache knowledge of peers is not used by placement yet.
+            Action::Prefixes(_) => {}
+            Action::Suspected(host) => {
+                warn!(self.log, "gossip: peer suspected"; "peer" => host.as_str());
+            }
+            Action::Recovered(host) => {
+                info!(self.log, "gossip: peer back"; "peer" => host.as_str());
+            }
+            Action::Incarnation(incarnation) => {
+                info!(self.log, "gossip: incarnation moved up"; "incarnation" => incarnation.0);
+            }
+        }
+    }
+
+    fn hear(&self, event: config::Event) {
+        if let Some(configuration) = &self.links.configuration {
+            configuration.do_send(Hear(event));
+        }
+    }
+
+    fn send(&mut self, to: String, sealed: wire::Sealed, ctx: &Context<Self>) {
+        if !self.under_way.insert(to.clone()) {
+            return;
+        }
+        self.frames += 1;
+        let request = self
+            .client
+            .post(format!("http://{to}{PATH}"))
+            .insert_header((PROOF, sealed.proof))
+            .timeout(FRAME_TIMEOUT)
+            .send_body(sealed.body);
+        let sent = async move { request.await.is_ok() };
+        let address = ctx.address();
+        actix_rt::spawn(async move {
+            let delivered = sent.await;
+            address.do_send(Sent { to, delivered });
+        });
+    }
+
+    /// Waits for the time that the member names, at most a round.
+    fn tick(&mut self, ctx: &mut Context<Self>) {
+        self.feed(Event::Tick, ctx);
+        let now = Time::default() + self.origin.elapsed();
+        let wait = self.member.next_wake().since(now).min(ROUND);
+        ctx.run_later(wait.max(Duration::from_millis(1)), Self::tick);
+    }
+
+    /// Tells the member what this router's other parts know.
+    fn gather(&mut self, ctx: &mut Context<Self>) {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+        let wall_ms = wall.unwrap_or_default().as_millis() as u64;
+        self.feed(Event::Clock(wall_ms), ctx);
+        self.tell_claims();
+        let share = self.links.dispatcher.send(CurrentShare).into_actor(self);
+        ctx.spawn(share.map(|share: Result<load::Share, _>, this, ctx| {
+            if let Ok(share) = share {
+                this.feed(Event::Share(share), ctx);
+            }
+        }));
+        if let Some(configuration) = &self.links.configuration {
+            let digest = configuration.send(CurrentDigest).into_actor(self);
+            ctx.spawn(digest.map(|digest, this, ctx| {
+                if let Ok(digest) = digest {
+                    this.feed(Event::Digest(digest), ctx);
+                }
+            }));
+        }
+    }
+
+    fn tell_claims(&mut self) {
+        for (host, peer) in self.member.peers() {
+            let met = peer.incarnation > name::Incarnation::default();
+            if !met || self.told.get(host) == Some(&peer.incarnation) {
+                continue;
+            }
+            let Ok(address) = peer.address.parse() else {
+                continue;
+            };
+            self.told.insert(host.clone(), peer.incarnation);
+            self.links.claimer.do_send(claims::Peer {
+                host: host.clone(),
+                incarnation: peer.incarnation,
+                address,
+            });
+        }
+    }
+
+    fn read_list(&self, ctx: &mut Context<Self>) {
+        let Some(url) = &self.links.host_list else {
+            return;
+        };
+        let request = self
+            .client
+            .get(url)
+            .timeout(self.links.list_interval)
+            .send();
+        let log = self.log.clone();
+        let read = async move {
+            let mut response = request.await.ok()?;
+            if !response.status().is_success() {
+                return None;
+            }
+            let body = response.body().limit(LIST_BYTES).await.ok()?;
+            hosts::parse(&body)
+        };
+        ctx.spawn(
+            read.into_actor(self)
+                .map(move |list, this, ctx| match list {
+                    Some(list) => this.feed(Event::Listed(list), ctx),
+                    None => debug!(log, "gossip: host list not read"),
+                }),
+        );
+    }
+}
+
+impl Actor for Gossip {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        if let Some(configuration) = &self.links.configuration {
+            configuration.do_send(Connect(ctx.address().recipient()));
+        }
+        self.read_list(ctx);
+        self.gather(ctx);
+        ctx.run_interval(ROUND, Self::gather);
+        ctx.run_interval(self.links.list_interval, |this, ctx| this.read_list(ctx));
+        ctx.run_interval(self.links.probe_interval, |this, ctx| {
+            probes::round(this, ctx);
+        });
+        self.tick(ctx);
+    }
+}
+
+/// The end of a frame's way.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+struct Sent {
+    to: String,
+    delivered: bool,
+}
+
+impl Handler<Sent> for Gossip {
+    type Result = ();
+
+    fn handle(&mut self, Sent { to, delivered }: Sent, ctx: &mut Self::Context) {
+        self.under_way.remove(&to);
+        if !delivered {
+            self.feed(Event::Undelivered(to), ctx);
+        }
+    }
+}
+
+impl Handler<Receive> for Gossip {
+    type Result = ();
+
+    fn handle(&mut self, Receive { body, proof }: Receive, ctx: &mut Self::Context) {
+        self.feed(Event::Frame { body, proof }, ctx);
+    }
+}
+
+impl Handler<Learn> for Gossip {
+    type Result = ();
+
+    fn handle(&mut self, Learn(event): Learn, ctx: &mut Self::Context) {
+        self.feed(event, ctx);
+    }
+}
+
+impl Handler<Tell> for Gossip {
+    type Result = ();
+
+    fn handle(&mut self, Tell { peer, exchange }: Tell, ctx: &mut Self::Context) {
+        self.feed(Event::Exchange(peer, exchange), ctx);
+    }
+}
+
+impl Handler<Look> for Gossip {
+    type Result = MessageResult<Look>;
+
+    fn handle(&mut self, _msg: Look, _ctx: &mut Self::Context) -> Self::Result {
+        let (mut alive, mut suspected) = (BTreeSet::new(), BTreeSet::new());
+        for (host, peer) in self.member.peers() {
+            // A router of the host list that was never heard from is not known to live.
+            let met = peer.incarnation > name::Incarnation::default();
+            if peer.suspect {
+                suspected.insert(host.clone());
+            } else if met {
+                alive.insert(host.clone());
+            }
+        }
+        let upstreams = self.member.upstreams();
+        MessageResult(View {
+            alive,
+            suspected,
+            phases: upstreams.map(|state| (state.name, state.phase)).collect(),
+            refusals: self.member.refusals().clone(),
+            frames: self.frames,
+        })
+    }
+}
--- /dev/null
+++ b/crates/router/src/probes.rs
@@ -0,0 +1,96 @@
+//! Probes of engines, shared among the routers of a zone.
+//!
+//! Each engine is asked by two routers of its zone, chosen by rendezvous hashing, so that one may
+//! be slow or just gone, and the probes of a router cost its share of the zone only.
+
+use std::time::Duration;
+
+use actix::ActorFutureExt as _;
+use actix::AsyncContext as _;
+use actix::Context;
+use actix::WrapFuture as _;
+use serde::Deserialize;
+use snipeusher::hash;
+use snipeusher::load;
+use snipeusher::machine;
+use snipeusher::member::Event;
+use snipeusher::name;
+use snipeusher::request::Variant;
+use snipeusher::upstream::Kind;
+use snipeusher::upstream::Phase;
+use snipeusher::upstream::State;
+
+use crate::dispatch::Notify;
+use crate::gossip::Gossip;
+
+/// Routers of the zone that ask each engine.
+const PROBERS: usize = 2;
+/// Longest status that is read.
+const STATUS_BYTES: usize = 256 << 10;
+
+#[derive(Debug, Deserialize)]
+struct Status {
+    incarnation: name::Incarnation,
+    phase: Phase,
+    variants: Vec<Variant>,
+    report: load::Report,
+}
+
+/// Asks the engines that are this router's to ask.
+pub(crate) fn round(gossip: &Gossip, ctx: &mut Context<Gossip>) {
+    let engines = gossip.member.upstreams().filter(|state| {
+        matches!(state.kind, Kind::Engine(_))
+            && state.phase < Phase::Gone
+            && state.zone == gossip.place.zone
+    });
+    let engines: Vec<_> = engines
+        .filter(|state| is_prober(gossip, &state.name))
+        .collect();
+    for state in engines {
+        ask(gossip, state, ctx);
+    }
+}
+
+fn is_prober(gossip: &Gossip, upstream: &name::Upstream) -> bool {
+    let key = hash::bytes(upstream.as_str().as_bytes());
+    let score = |host: &name::Host| hash::score(key, hash::bytes(host.as_str().as_bytes()));
+    let own = score(&gossip.host);
+    let peers = gossip.member.peers().iter();
+    let near = peers.filter(|(_, peer)| {
+        let met = peer.incarnation > name::Incarnation::default();
+        met && !peer.suspect && peer.place == gossip.place
+    });
+    near.filter(|(host, _)| score(host) > own).count() < PROBERS
+}
+
+fn ask(gossip: &Gossip, known: State, ctx: &mut Context<Gossip>) {
+    let limit: Duration = gossip.links.probe_interval;
+    let url = format!("http://{}/engine/v1/status", known.address);
+    let request = gossip.client.get(url).timeout(limit).send();
+    let read = async move {
+        let mut response = request.await.ok()?;
+        let body = response.body().limit(STATUS_BYTES).await.ok()?;
+        serde_json::from_slice::<Status>(&body).ok()
+    };
+    let read = async move { tokio::time::timeout(limit, read).await.ok().flatten() };
+    ctx.spawn(read.into_actor(gossip).map(move |status, this, ctx| {
+        let Some(status) = status else {
+            this.feed(Event::Silent(known.name), ctx);
+            return;
+        };
+        let upstream = known.name.clone();
+        let sequence = status.report.sequence;
+        let state = State {
+            incarnation: status.incarnation,
+            phase: status.phase,
+            kind: Kind::Engine(status.variants.into_iter().collect()),
+            ..known
+        };
+        this.feed(Event::Status { state, sequence }, ctx);
+        let report = machine::Event::Report {
+            upstream,
+            report: status.report,
+        };
+        this.links.dispatcher.do_send(Notify(report));
+    }));
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -2,7 +2,9 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
@@ -25,8 +27,11 @@
 use snipeusher::claim::Claims;
 use snipeusher::hash;
 use snipeusher::machine::Machine;
+use snipeusher::member;
+use snipeusher::member::Member;
 use snipeusher::name;
 use snipeusher::policy::Policy;
+use snipeusher::wire;
 use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -41,6 +46,8 @@
 use crate::dispatch::Dispatcher;
 use crate::dispatch::ReadyEngines;
 use crate::documents;
+use crate::gossip::Gossip;
+use crate::gossip::Links;
 use crate::metric::FLUSH_INTERVAL;
 use crate::metric::Metrics;
 use crate::probe::Probe;
@@ -84,6 +91,20 @@
         /// The cause.
         source: tls::Error,
     },
+    /// The fleet key cannot be read.
+    #[snafu(display("cannot read the fleet key {}: {source}", path.display()))]
+    FleetKey {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The settings of gossip cannot be used.
+    #[snafu(display("{source}"))]
+    Gossip {
+        /// The cause.
+        source: member::Error,
+    },
     /// The documents cannot be used.
     #[snafu(display("{source}"))]
     Documents {
@@ -152,6 +173,7 @@
             settings,
             dispatcher,
             claimer,
+            gossip: OnceLock::new(),
             configuration: status,
             directory,
             counts: Counts::default(),
@@ -169,6 +191,15 @@
             serve::bind(&shared, server_tls).context(ListenSnafu { address: listen })?;
         let handle = server.handle();
         actix_rt::spawn(server);
+        if let Some(gossip) = start_gossip(
+            &control,
+            &shared,
+            address,
+            configuration.clone(),
+            incarnation,
+        )? {
+            shared.gossip.get_or_init(|| gossip);
+        }
         info!(log, "router: listening"; "address" => %address);
         Ok(Self {
             address,
@@ -206,6 +237,11 @@
         &self.shared.dispatcher
     }
 
+    /// The gossip loop, where the settings have one.
+    pub fn gossip(&self) -> Option<&Addr<Gossip>> {
+        self.shared.gossip.get()
+    }
+
     /// Engines that take work now.
     pub async fn ready_engines(&self) -> usize {
         let count = self.shared.dispatcher.send(ReadyEngines).await;
@@ -331,6 +367,51 @@
     settings.check().context(ServiceSnafu)
 }
 
+fn start_gossip(
+    control: &Arbiter,
+    shared: &Shared,
+    listener: SocketAddr,
+    configuration: Option<Addr<Configuration>>,
+    incarnation: name::Incarnation,
+) -> Result<Option<Addr<Gossip>>, Error> {
+    let Some(settings) = &shared.settings.gossip else {
+        return Ok(None);
+    };
+    let secret = std::fs::read(&settings.key).context(FleetKeySnafu {
+        path: &settings.key,
+    })?;
+    let host = shared.settings.host.clone();
+    let place = wire::Place {
+        zone: shared.settings.zone.clone(),
+        region: shared.settings.region.clone(),
+    };
+    let member = member::Settings {
+        host: host.clone(),
+        address: settings.address.unwrap_or(listener).to_string(),
+        place: place.clone(),
+        budget_bytes: settings.budget_bytes as u32,
+        seeds: settings.seeds.clone(),
+    };
+    let now = shared.time(Instant::now());
+    let key = wire::Key::new(&secret);
+    let member = Member::new(member, key, now, incarnation.0, shared.first_attempt);
+    let member = member.context(GossipSnafu)?;
+    let links = Links {
+        dispatcher: shared.dispatcher.clone(),
+        claimer: shared.claimer.clone(),
+        configuration,
+        host_list: settings.host_list.clone(),
+        list_interval: settings.list_interval,
+        probe_interval: shared.settings.probe_interval,
+    };
+    let (dial, origin, log) = (shared.dial.clone(), shared.origin, shared.log.clone());
+    let start = move |_ctx: &mut _| {
+        let client = attempt::client(&dial);
+        Gossip::new(member, host, place, client, links, origin, log)
+    };
+    Ok(Some(Gossip::start_in_arbiter(&control.handle(), start)))
+}
+
 fn start_dispatcher(
     control: &Arbiter,
     dial: &Dial,
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -13,12 +13,15 @@
 use actix_web::dev::Server;
 use actix_web::web;
 use serde_json::json;
+use snipeusher::wire::FRAME_BYTES_MAX;
 
 use crate::attempt::Clients;
 use crate::call;
 use crate::chat;
 use crate::claims::Issue;
 use crate::dispatch::Report;
+use crate::gossip;
+use crate::gossip::Receive;
 use crate::plain;
 use crate::problem::Kind;
 use crate::problem::Problem;
@@ -57,6 +60,8 @@
             .default_service(web::to(wrong_method))
     };
     config
+        // Longer frames are refused before they are held in memory.
+        .app_data(web::PayloadConfig::new(FRAME_BYTES_MAX))
         .service(resource("/v1/chat/completions", web::post().to(chat::chat)))
         .service(resource(
             "/v1/completions",
@@ -64,12 +69,33 @@
         ))
         .service(resource("/v1/models", web::get().to(chat::models)))
         .service(resource("/v1/idempotency-keys", web::post().to(issue)))
+        .service(resource(gossip::PATH, web::post().to(receive)))
         .service(resource("/healthz", web::get().to(health)))
         .service(resource("/readyz", web::get().to(ready)))
         .service(resource("/status", web::get().to(status)))
         .default_service(web::to(plain::serve));
 }
 
+/// Takes a frame of a peer. The answer is the same whether it is accepted, so that it tells a
+/// stranger nothing.
+async fn receive(
+    request: HttpRequest,
+    body: web::Bytes,
+    shared: web::Data<Shared>,
+) -> HttpResponse {
+    let proof = request.headers().get(gossip::PROOF);
+    let proof = proof
+        .and_then(|proof| proof.to_str().ok())
+        .unwrap_or_default();
+    if let Some(gossip) = shared.gossip.get() {
+        gossip.do_send(Receive {
+            body: body.to_vec(),
+            proof: proof.to_owned(),
+        });
+    }
+    HttpResponse::NoContent().finish()
+}
+
 /// Issues a key that this process alone runs, which works while the key-value service is out.
 async fn issue(request: HttpRequest, shared: web::Data<Shared>) -> Result<HttpResponse, Problem> {
     call::caller(&shared, &request)?;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -117,10 +117,49 @@
     pub key_value_endpoints: Vec<String>,
     /// Longest time of one call of the key-value service.
     pub key_value_timeout: Duration,
+    /// Gossip with other routers; alone where absent.
+    pub gossip: Option<Gossip>,
     /// Upstreams known from the start.
     pub upstreams: Vec<Upstream>,
 }
 
+/// How a router takes part in its fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Gossip {
+    /// File with the key that all routers of the fleet share.
+    pub key: PathBuf,
+    /// Address at which peers reach this router; that of the listener where absent.
+    pub address: Option<SocketAddr>,
+    /// Most bytes of gossip in any second.
+    pub budget_bytes: usize,
+    /// Addresses of other routers.
+    pub seeds: Vec<String>,
+    /// URL of the platform's host list.
+    pub host_list: Option<String>,
+    /// Time between two reads of the list.
+    pub list_interval: Duration,
+}
+
+impl Gossip {
+    fn read(mut reader: Reader<'_>) -> Option<Self> {
+        let key = reader.required_path("key");
+        let address = reader.optional_address("address");
+        let budget_bytes = reader.count("budget_bytes", 2_000..=1_000_000, 4_000);
+        let seeds = reader.texts("seeds");
+        let host_list = reader.optional_name("host_list");
+        let list_interval = reader.millis("list_interval_ms", 10..=600_000, 5_000);
+        reader.finish();
+        Some(Self {
+            key: key?,
+            address,
+            budget_bytes,
+            seeds,
+            host_list,
+            list_interval,
+        })
+    }
+}
+
 impl Settings {
     /// Reads a file.
     pub fn open(path: &Path) -> Result<Self, Error> {
@@ -168,8 +207,10 @@
         let zone: Option<name::Zone> = zone.map(|text| text.as_str().into());
         let tls = reader.table("tls");
         let upstream_authority = reader.path("upstream_authority");
+        let gossip = reader.table("gossip");
         let tables = reader.tables("upstreams");
         reader.finish();
+        let gossip = gossip.map(|table| Gossip::read(Reader::new("gossip.", table, mistakes)));
         let tls = tls.map(|table| Tls::read(Reader::new("tls.", table, mistakes)));
         let mut upstreams = Vec::new();
         for (index, table) in tables.into_iter().enumerate() {
@@ -201,6 +242,10 @@
             upstream_authority,
             key_value_endpoints,
             key_value_timeout,
+            gossip: match gossip {
+                Some(gossip) => Some(gossip?),
+                None => None,
+            },
             upstreams: upstreams.into_iter().collect::<Option<_>>()?,
         })
     }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -1,6 +1,7 @@
 //! What all serving threads of a router share.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
@@ -19,6 +20,7 @@
 use crate::count::Counts;
 use crate::directory::Directory;
 use crate::dispatch::Dispatcher;
+use crate::gossip::Gossip;
 use crate::metric::Metrics;
 use crate::settings::Settings;
 
@@ -28,6 +30,8 @@
     pub(crate) settings: Settings,
     pub(crate) dispatcher: Addr<Dispatcher>,
     pub(crate) claimer: Addr<Claimer>,
+    /// Set once the listener is open, since peers must be told its address.
+    pub(crate) gossip: OnceLock<Addr<Gossip>>,
     /// Absent where the router runs without the key-value service.
     pub(crate) configuration: Option<watch::Receiver<Arc<Status>>>,
     pub(crate) directory: watch::Receiver<Arc<Directory>>,
