Send a peer that is behind what it lacks, without being asked

Change: a router that hears from a peer with a lower highest revision sends the documents above it, if they are few; with a watch of its own only 250 ms after it learned of them.

--- a/crates/snipeusher/src/config/replica.rs
+++ b/crates/snipeusher/src/config/replica.rs
@@ -34,6 +34,9 @@
 /// How long a peer may be ahead before a router with a watch asks it; the watch usually delivers
 /// the change within milliseconds.
 const WATCH_GRACE: Duration = Duration::from_secs(1);
+/// How long a document has been known before a peer that lacks it is sent it unasked; within this
+/// time the peer's own watch usually delivers it.
+const PUSH_GRACE: Duration = Duration::from_millis(250);
 /// Shortest time between two exchanges that a router begins.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(250);
 /// Documents that are sent without splitting their span further.
@@ -62,6 +65,8 @@
     read_at: Revision,
     /// Since when peers have been ahead of a router with a watch, and its highest revision then.
     behind: Option<(Time, Revision)>,
+    /// When the highest revision last rose.
+    rose_at: Time,
     next_exchange: Time,
     ready: bool,
     calls: CallId,
@@ -77,6 +82,7 @@
             link: Link::Waiting(now),
             read_at: Revision(0),
             behind: None,
+            rose_at: now,
             next_exchange: now,
             ready: false,
             calls: CallId::default(),
@@ -125,6 +131,7 @@
 
     /// Takes one event at `now`; actions wait in [`Self::drain`].
     pub fn handle(&mut self, now: Time, event: Event) {
+        let highest = self.digest().highest;
         match event {
             Event::Reply { id, result } => self.reply(now, id, result),
             Event::Changed {
@@ -141,6 +148,9 @@
             Event::Exchange(peer, exchange) => self.exchange(peer, exchange),
             Event::Tick => {}
         }
+        if self.digest().highest > highest {
+            self.rose_at = now;
+        }
         if let Link::Waiting(at) = self.link
             && now >= at
         {
@@ -203,8 +213,11 @@
             }
             return;
         }
-        // A peer that is behind asks by itself once it sees this router's digest.
         if theirs.highest < own.highest {
+            // Without a watch here, the peer most likely has none either.
+            if !self.is_watching() || now.since(self.rose_at) >= PUSH_GRACE {
+                self.push(peer, theirs.highest);
+            }
             return;
         }
         if self.is_watching() && theirs.highest > own.highest {
@@ -230,6 +243,15 @@
         self.send(peer, Exchange::Ask(span));
     }
 
+    /// Sends what a peer lacks, if it is little; for more the peer asks once it sees this router's
+    /// digest.
+    fn push(&mut self, peer: name::Host, above: Revision) {
+        let documents = self.set.within(above, self.digest().highest);
+        if is_small(&documents) {
+            self.send(peer, Exchange::Documents(documents));
+        }
+    }
+
     fn exchange(&mut self, peer: name::Host, exchange: Exchange) {
         match exchange {
             Exchange::Ask(span) => self.answer(peer, span),
@@ -256,9 +278,7 @@
             return;
         }
         let documents = self.set.within(asked.above, asked.upto);
-        let bytes: usize = documents.iter().map(|document| document.value.len()).sum();
-        let small = documents.len() <= EXCHANGE_DOCUMENTS && bytes <= EXCHANGE_BYTES;
-        if small || documents.len() == 1 {
+        if is_small(&documents) || documents.len() == 1 {
             if !documents.is_empty() {
                 self.send(peer, Exchange::Documents(documents));
             }
@@ -285,3 +305,8 @@
         self.actions.push_back(Action::Exchange(peer, exchange));
     }
 }
+
+fn is_small(documents: &[Document]) -> bool {
+    let bytes: usize = documents.iter().map(|document| document.value.len()).sum();
+    documents.len() <= EXCHANGE_DOCUMENTS && bytes <= EXCHANGE_BYTES
+}
