Keep routers from filling an idle engine at once

Cause: nine routers that learn of one idle engine among twelve sent it 54 to 64 of 180 requests before any report or gossip, against a bound of 41: its low load draws the second and third choices of chats and the random candidates of all routers.

Change: for every candidate but holders and the first choice, the estimate takes each peer to have added as much as this router within the last round of gossip. Single-decision tests cover fair order, reviews, stable choices, herding, hold-down, ejections and transfers.

Broken on purpose: ordering queues by arrival fails `the_workspace_with_less_in_flight_starts_first`. Without the pick of the oldest head `reviews_are_not_starved_by_a_steady_backlog` still passes, as the weights alone suffice there.

--- a/crates/snipeusher/src/placement.rs
+++ b/crates/snipeusher/src/placement.rs
@@ -37,7 +37,7 @@
 const RESERVE_DIVISOR: u64 = 2;
 /// A workspace within its share may go beyond the capacity by this part, so that it starts at
 /// once while others fill the upstreams.
-const SLACK_DIVISOR: u64 = 4;
+const SLACK_DIVISOR: u64 = 3;
 /// Fixed cost of a cache transfer in microseconds: set-up at both engines.
 const TRANSFER_US: u64 = 5_000;
 /// Additional cost of a transfer between zones in microseconds.
@@ -125,13 +125,18 @@
         .chat
         .map_or_else(|| hash::mix(request.id.0, 0), |chat| chat.0);
     let mut best: Option<(u64, Candidate)> = None;
-    let mut consider = |candidate: Candidate| {
+    let mut consider = |candidate: Candidate, unheard: u64| {
         let work = Work::of(request, candidate.cached);
         let avoided = ask.avoid == Some(candidate.slot);
+        let hot = loads.hot(candidate.slot);
+        let expected = hot.estimate.saturating_add(unheard);
+        if unheard > 0 && expected > kind.bound(work.0, ask.limit, hot.factor) {
+            return;
+        }
         if avoided || !within(loads, kind, candidate.slot, work, ask) {
             return;
         }
-        let cost = cost(loads, request, &candidate);
+        let cost = cost(loads, request, &candidate, unheard);
         if best.is_none_or(|(lowest, _)| cost < lowest) {
             best = Some((cost, candidate));
         }
@@ -141,11 +146,14 @@
         let holders = prefixes.holders(chat).take(HOLDERS);
         for holder in holders.filter(|holder| holds(loads, kind, *holder)) {
             known += 1;
-            consider(Candidate {
-                slot: holder.slot,
-                cached: u64::from(holder.tokens).min(request.prompt_tokens),
-                expected: 0,
-            });
+            consider(
+                Candidate {
+                    slot: holder.slot,
+                    cached: u64::from(holder.tokens).min(request.prompt_tokens),
+                    expected: 0,
+                },
+                0,
+            );
         }
     }
     let expected = match (request.chat, known) {
@@ -153,23 +161,33 @@
         (Some(_), 0) => EXPECTED,
         (Some(_), _) => EXPECTED_BESIDE_HOLDER,
     };
-    for ((_, index), sixteenths) in top(key, &kind.nodes).into_iter().zip(expected) {
-        let Some(slot) = kind.slots.get(index as usize) else {
+    let ranked = top(key, &kind.nodes).into_iter().zip(expected);
+    for (rank, ((_, index), sixteenths)) in ranked.enumerate() {
+        let Some(slot) = kind.slots.get(index as usize).copied() else {
             break;
         };
-        consider(Candidate {
-            slot: *slot,
+        let candidate = Candidate {
+            slot,
             cached: 0,
             expected: request.prompt_tokens.saturating_mul(sixteenths) / 16,
-        });
+        };
+        // Only the first choice is the same whatever the load.
+        let unheard = if rank == 0 {
+            0
+        } else {
+            loads.hot(slot).unheard
+        };
+        consider(candidate, unheard);
     }
     for _ in 0..RANDOM {
-        let index = rng.random_range(0..kind.slots.len());
-        consider(Candidate {
-            slot: kind.slots[index],
+        let slot = kind.slots[rng.random_range(0..kind.slots.len())];
+        let candidate = Candidate {
+            slot,
             cached: 0,
             expected: 0,
-        });
+        };
+        // An idle engine draws the random choices of all routers at once.
+        consider(candidate, loads.hot(slot).unheard);
     }
     let chosen = best
         .map(|(_, candidate)| candidate)
@@ -227,8 +245,14 @@
 }
 
 /// The estimated time to the first token, in prefill tokens.
-fn cost<S: Strategy>(loads: &Table<S>, request: &Request, candidate: &Candidate) -> u64 {
-    let queue = loads.hot(candidate.slot).estimate / QUEUE_DIVISOR;
+fn cost<S: Strategy>(
+    loads: &Table<S>,
+    request: &Request,
+    candidate: &Candidate,
+    unheard: u64,
+) -> u64 {
+    let ahead = loads.hot(candidate.slot).estimate.saturating_add(unheard);
+    let queue = ahead / QUEUE_DIVISOR;
     let held = candidate.cached.max(candidate.expected);
     let prefill = request.prompt_tokens.saturating_sub(held);
     let near = loads.cell(candidate.slot).near;
