--- a/crates/snipeusher/src/member/digest.rs
+++ b/crates/snipeusher/src/member/digest.rs
@@ -1,6 +1,8 @@
 //! What goes into a frame, most important first.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::ops::Bound;
 use std::time::Duration;
@@ -8,6 +10,7 @@
 use super::Member;
 use super::peers::Distance;
 use super::upstreams::Record;
+use crate::load::Work;
 use crate::name;
 use crate::upstream::Phase;
 use crate::wire;
@@ -90,6 +93,7 @@
         self.add_fresh(draft, room / 2);
         let room = draft.room();
         if distance < Distance::Far {
+            self.add_usages(draft, room * 3 / 4);
             self.add_loads(draft, room / 2);
         }
         let room = draft.room();
@@ -120,6 +124,29 @@
         self.cursor.fresh = last.or_else(|| self.cursor.fresh.take());
     }
 
+    fn add_usages(&self, draft: &mut Draft, reserve: usize) {
+        let share = &self.share;
+        let work = |map: &BTreeMap<name::Workspace, Work>, name| {
+            map.get(name).copied().unwrap_or_default()
+        };
+        let names: BTreeSet<_> = share.running.keys().chain(share.waiting.keys()).collect();
+        let mut usages: Vec<_> = names
+            .into_iter()
+            .map(|name| wire::Usage {
+                workspace: name.clone(),
+                running: work(&share.running, name),
+                waiting: work(&share.waiting, name),
+            })
+            .collect();
+        usages.sort_by_key(|usage| Reverse(usage.running.0.saturating_add(usage.waiting.0)));
+        draft.start_loads();
+        for usage in usages {
+            if draft.room() < reserve || !draft.usage(usage) {
+                return;
+            }
+        }
+    }
+
     fn add_loads(&self, draft: &mut Draft, reserve: usize) {
         let mut loads: Vec<_> = self.share.in_flight.iter().collect();
         loads.sort_unstable_by(|left, right| right.1.cmp(left.1));
--- a/crates/snipeusher/src/member/receive.rs
+++ b/crates/snipeusher/src/member/receive.rs
@@ -34,8 +34,11 @@
         }
         self.take_peers(&frame);
         self.take_upstreams(&frame);
-        let loads = frame.loads;
-        if let Some(share) = loads.and_then(|loads| self.shares.take(self.now, &from, loads)) {
+        let shares = &mut self.shares;
+        let taken = frame
+            .loads
+            .and_then(|loads| shares.take(self.now, &from, loads, frame.usages));
+        if let Some(share) = taken {
             let host = from.clone();
             self.actions.push_back(Action::Share { host, share });
         }
--- a/crates/snipeusher/src/member/shares.rs
+++ b/crates/snipeusher/src/member/shares.rs
@@ -25,12 +25,17 @@
         now: Time,
         host: &name::Host,
         loads: Vec<wire::Load>,
+        usages: Vec<wire::Usage>,
     ) -> Option<load::Share> {
         let in_flight = loads.into_iter().map(|load| (load.upstream, load.work));
-        let share = load::Share {
+        let mut share = load::Share {
             in_flight: in_flight.collect(),
             ..load::Share::default()
         };
+        for usage in usages {
+            share.running.insert(usage.workspace.clone(), usage.running);
+            share.waiting.insert(usage.workspace, usage.waiting);
+        }
         let known = self.map.insert(host.clone(), (now, share.clone()));
         let old = known.map(|(_, share)| share).unwrap_or_default();
         (old != share).then_some(share)
@@ -41,7 +46,7 @@
         let mut expired = Vec::new();
         self.map.retain(|host, (heard, share)| {
             let keep = now.since(*heard) < EXPIRE_AFTER;
-            if !keep && !share.in_flight.is_empty() {
+            if !keep && *share != load::Share::default() {
                 expired.push(host.clone());
             }
             keep
--- a/crates/snipeusher/src/wire.rs
+++ b/crates/snipeusher/src/wire.rs
@@ -139,6 +139,17 @@
     pub work: Work,
 }
 
+/// What a workspace uses of the sender's requests, which makes shares hold across the fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// The workspace.
+    pub workspace: name::Workspace,
+    /// Work in flight at all upstreams.
+    pub running: Work,
+    /// Work that waits in its queues.
+    pub waiting: Work,
+}
+
 /// A piece of a message that is longer than a frame.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
@@ -189,6 +200,8 @@
     pub upstreams: Vec<Upstream>,
     /// Work that the sender has in flight, largest first; `None` where it is left out.
     pub loads: Option<Vec<Load>>,
+    /// What workspaces use at the sender, largest first; counts with [`Self::loads`].
+    pub usages: Vec<Usage>,
     /// Signs of life of other routers.
     pub beats: Vec<Beat>,
     /// Other routers.
--- a/crates/snipeusher/src/wire/draft.rs
+++ b/crates/snipeusher/src/wire/draft.rs
@@ -11,6 +11,7 @@
 use super::Place;
 use super::Prefix;
 use super::Upstream;
+use super::Usage;
 use super::VERSION;
 use super::encode;
 use crate::config;
@@ -18,7 +19,7 @@
 use crate::upstream;
 
 /// Length headers of the lists may grow from one byte to three.
-const LIST_GROWTH_BYTES: usize = 2 * 10;
+const LIST_GROWTH_BYTES: usize = 2 * 11;
 
 /// Most entries of an index table, since an index is one byte.
 const TABLE_ENTRIES_MAX: usize = 256;
@@ -69,6 +70,7 @@
             marks: Vec::new(),
             upstreams: Vec::new(),
             loads: None,
+            usages: Vec::new(),
             beats: Vec::new(),
             peers: Vec::new(),
             parts: Vec::new(),
@@ -124,6 +126,15 @@
         self.frame.loads.get_or_insert_default();
     }
 
+    /// Adds what a workspace uses.
+    pub fn usage(&mut self, usage: Usage) -> bool {
+        let fits = self.take(cost(&usage));
+        if fits {
+            self.frame.usages.push(usage);
+        }
+        fits
+    }
+
     /// Adds work in flight.
     pub fn load(&mut self, load: Load) -> bool {
         let fits = self.take(cost(&load));
--- a/crates/snipeusher/tests/member.rs
+++ b/crates/snipeusher/tests/member.rs
@@ -313,7 +313,8 @@
     });
     let share = load::Share {
         in_flight: in_flight.collect(),
-        ..load::Share::default()
+        running: [("letters".into(), Work(7))].into(),
+        waiting: [("reviews".into(), Work(9))].into(),
     };
     fleet.event(0, Event::Share(share));
     fleet.run(Duration::from_secs(20));
@@ -321,6 +322,8 @@
         let share = &node.shares["router-0"];
         assert_eq!(share.in_flight.get("engine-77"), Some(&Work(1_000_000)));
         assert!(share.in_flight.len() < 200);
+        assert_eq!(share.running.get("letters"), Some(&Work(7)));
+        assert_eq!(share.waiting.get("reviews"), Some(&Work(9)));
     }
     fleet.nodes[0].up = false;
     fleet.run(Duration::from_secs(15));
