--- a/crates/dev/src/replay/engine.rs
+++ b/crates/dev/src/replay/engine.rs
@@ -41,6 +41,8 @@
     pub output: u64,
     /// Higher goes first.
     pub priority: u8,
+    /// When its router sent it.
+    pub sent: Time,
     /// Work that is counted while the attempt is on its way.
     pub work: u64,
 }
@@ -50,6 +52,8 @@
 pub struct Progress {
     /// When.
     pub at: Time,
+    /// When the engine began with it.
+    pub started: Time,
     /// The attempt.
     pub job: Job,
     /// Prompt tokens that were found cached.
@@ -65,6 +69,7 @@
     first: f64,
     end: f64,
     decoding: bool,
+    started: Time,
 }
 
 /// An upstream.
@@ -256,10 +261,13 @@
 
     fn start(&mut self, now: Time) {
         self.updated = self.updated.max(now);
-        while self.running.len() < self.slots {
-            let Some((_, job)) = self.queue.pop_first() else {
+        while let Some(entry) = self.queue.first_entry() {
+            // Engines preempt work of a lower priority; here it goes on beside the new work.
+            let above = |run: &Running| run.job.priority < entry.get().priority;
+            if self.running.len() >= self.slots && !self.running.values().any(above) {
                 break;
-            };
+            }
+            let job = entry.remove();
             self.queued -= work(&job, 0);
             let held = job.chat.map_or(0, |chat| self.cache.peek(chat));
             let cached = held.min(job.prompt);
@@ -271,6 +279,7 @@
                 first,
                 end: first + output,
                 decoding: false,
+                started: now,
                 job,
             };
             self.weight += PREFILL_WEIGHT;
@@ -288,6 +297,7 @@
         }
         let progress = Progress {
             at,
+            started: run.started,
             job: run.job.clone(),
             cached: run.cached,
             ended: run.decoding,
--- a/crates/snipeusher/src/load/table.rs
+++ b/crates/snipeusher/src/load/table.rs
@@ -21,6 +21,9 @@
 /// A peer's work counts for this long after it was told.
 const PEER_TTL: Duration = Duration::from_secs(5);
 
+/// Mean age of what a peer told: it tells every 500 ms.
+const GOSSIP: Duration = Duration::from_millis(500);
+
 /// Index of an upstream in the table, reused after the upstream is forgotten.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Slot(pub u32);
@@ -34,6 +37,11 @@
     pub capacity: u64,
     /// Slow-start factor.
     pub factor: f64,
+    /// Work that peers are taken to have added since they told last: as much as this router.
+    ///
+    /// Without it, all routers that learn of the same free room fill it at once, and the load
+    /// swings about the capacity with each round of gossip.
+    pub unheard: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -46,6 +54,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Table<S> {
     strategy: S,
+    capacity: u64,
     slots: BTreeMap<name::Upstream, Slot>,
     cells: Vec<Cell>,
     hot: Vec<Hot>,
@@ -56,6 +65,14 @@
 }
 
 impl<S: Strategy> Table<S> {
+    /// Starts without upstreams; `capacity` is what each may hold until its reports tell.
+    pub fn new(capacity: Work) -> Self {
+        Self {
+            capacity: capacity.0,
+            ..Self::default()
+        }
+    }
+
     /// The way it judges load.
     pub const fn strategy(&self) -> &S {
         &self.strategy
@@ -71,6 +88,12 @@
         &self.cells[slot.0 as usize]
     }
 
+    /// Forgets what only held for an earlier run of an upstream.
+    pub(crate) fn restart(&mut self, slot: Slot, incarnation: name::Incarnation) {
+        let capacity = self.capacity;
+        self.cell_mut(slot).restart(incarnation, capacity);
+    }
+
     /// Lets a caller change what does not touch the estimate.
     pub(crate) fn cell_mut(&mut self, slot: Slot) -> &mut Cell {
         &mut self.cells[slot.0 as usize]
@@ -118,11 +141,13 @@
         if let Some(slot) = self.slot(name) {
             return slot;
         }
-        let cell = Cell::new(name.clone(), hash::bytes(name.as_str().as_bytes()));
+        let node = hash::bytes(name.as_str().as_bytes());
+        let cell = Cell::new(name.clone(), node, self.capacity);
         let hot = Hot {
             estimate: 0,
             capacity: cell.capacity,
             factor: 1.0,
+            unheard: 0,
         };
         let slot = if let Some(slot) = self.free.pop() {
             let epoch = self.cell(slot).epoch.wrapping_add(1);
@@ -147,7 +172,10 @@
         for told in self.peers.values_mut() {
             told.work.retain(|(other, _)| *other != slot);
         }
-        let name = self.cell(slot).name.clone();
+        let cell = self.cell_mut(slot);
+        // What was learned of its cache must not count for the slot's next user.
+        cell.epoch = cell.epoch.wrapping_add(1);
+        let name = cell.name.clone();
         if self.slots.remove(&name).is_some() {
             self.free.push(slot);
         }
@@ -317,12 +345,16 @@
         let view = cell.view(now, &typical, self.routers());
         let factor = cell.factor(now);
         let estimate = self.strategy.estimate(&view).0;
+        let told = Time(now.0.saturating_sub(GOSSIP.as_micros() as u64));
+        let grown = cell.own.get().saturating_sub(cell.own.at(told));
+        let unheard = grown.saturating_mul(u64::from(self.routers() - 1));
         let open = cell.open;
         let hot = &mut self.hot[slot.0 as usize];
         let before = hot.estimate;
         hot.estimate = estimate;
         hot.capacity = (cell.capacity as f64 * factor) as u64;
         hot.factor = factor;
+        hot.unheard = unheard;
         if !open {
             return;
         }
--- a/crates/snipeusher/src/machine/failure.rs
+++ b/crates/snipeusher/src/machine/failure.rs
@@ -49,6 +49,7 @@
         flight.work = left;
         let workspace = request.workspace.clone();
         let chat = request.chat.filter(|_| first);
+        let epoch = flight.epoch;
         // The prompt is in the cache once output begins; the upstream's own count also holds
         // for a prompt whose length was estimated too low.
         let prompt = request.prompt_tokens.max(cached.unwrap_or(0));
@@ -61,7 +62,9 @@
             usage.change(&workspace, Work::default(), done);
         }
         self.board.loads.cell_mut(slot).alive = now;
-        if let Some(chat) = chat {
+        if let Some(chat) = chat
+            && self.board.loads.cell(slot).epoch == epoch
+        {
             self.learn(chat, slot, prompt);
         }
     }
@@ -159,7 +162,9 @@
         let time = now.since(flight.since);
         self.board.outliers.success(slot, time, flight.start.0);
         self.board.loads.cell_mut(slot).alive = now;
-        if let Some(chat) = request.chat {
+        if let Some(chat) = request.chat
+            && self.board.loads.cell(slot).epoch == flight.epoch
+        {
             let output = flight.output.unwrap_or(request.output_tokens);
             let tokens = request.prompt_tokens.saturating_add(output);
             self.learn(chat, slot, tokens);
