Send waiting exchanges as soon as they fit

Cause: an exchange of configuration that did not fit waited for the next round, and a short question waited for the room of a whole frame. Change: next_wake includes the time at which the next exchange fits; the room asked for is that of what waits. Conclusion: exchanges wait for the budget only.

--- a/crates/snipeusher/src/member.rs
+++ b/crates/snipeusher/src/member.rs
@@ -102,6 +102,8 @@
     /// Routers that the next urgent frames go to.
     urgent: VecDeque<name::Host>,
     next_urgent: Time,
+    /// When the next waiting exchange fits into the budget.
+    next_message: Time,
     /// Whether the next digest must have room for an upstream that serves very much.
     wide: bool,
     /// The upstream that needed it.
@@ -163,6 +165,7 @@
             rumors: BTreeMap::new(),
             urgent: VecDeque::new(),
             next_urgent: Time::NEVER,
+            next_message: Time::NEVER,
             wide: false,
             oversize: None,
             answers: BTreeMap::new(),
--- a/crates/snipeusher/src/member/messages.rs
+++ b/crates/snipeusher/src/member/messages.rs
@@ -19,6 +19,8 @@
 const WAITING_MAX: usize = 8;
 /// Most bytes of incomplete messages; the oldest are dropped.
 const INCOMPLETE_BYTES_MAX: usize = 8 << 20;
+/// Most bytes that a piece adds to its content.
+const PART_HEAD_BYTES: usize = 24;
 /// Length of a piece. Small enough for the smallest frame.
 const PART_BYTES: usize = 256;
 
@@ -80,6 +82,13 @@
         after.or_else(|| self.outgoing.keys().next()).cloned()
     }
 
+    /// Bytes that wait for a peer, with what each piece adds.
+    pub(super) fn size(&self, host: &name::Host) -> usize {
+        let queue = self.outgoing.get(host).into_iter().flatten();
+        let parts: usize = queue.map(|outgoing| outgoing.parts.len()).sum();
+        parts * (PART_BYTES + PART_HEAD_BYTES)
+    }
+
     /// Forgets what waits for a peer.
     pub(super) fn forget(&mut self, host: &name::Host) {
         self.outgoing.remove(host);
--- a/crates/snipeusher/src/member/send.rs
+++ b/crates/snipeusher/src/member/send.rs
@@ -31,13 +31,15 @@
 const SUSPECT_ROUNDS: u64 = 4;
 /// A seed is tried in one of this many rounds.
 const SEED_ROUNDS: u64 = 8;
+/// Most bytes of a frame without entries; names in it are bounded.
+const HEAD_BYTES: usize = 500;
 /// Most answers that wait.
 const ANSWERS_MAX: usize = 64;
 
 impl Member {
     /// When [`super::Event::Tick`] must come at the latest.
     pub fn next_wake(&self) -> Time {
-        self.next_round.min(self.next_urgent)
+        self.next_round.min(self.next_urgent).min(self.next_message)
     }
 
     /// Sends what is due and fits into the budget.
@@ -233,12 +235,17 @@
 
     fn send_messages(&mut self) {
         // Large frames, since each costs its head and HTTP headers again.
-        let cost = self.wide_bytes();
+        let most = self.wide_bytes();
+        self.next_message = Time::NEVER;
         while let Some(host) = self.messages.next(self.served.as_ref()) {
+            // A short question must not wait for the room of a whole frame.
+            let cost = most.min(OVERHEAD_BYTES + HEAD_BYTES + self.messages.size(&host));
             let free = self
                 .budget
                 .frees_at(self.now, Purpose::Message, cost as u32);
             if free > self.now {
+                // Not later than it fits, since a change must be in force everywhere within 3 s.
+                self.next_message = free;
                 return;
             }
             let Some(peer) = self.peers.map().get(&host) else {
