Expect the gossip settings in the settings cases

Change: minimal expects gossip: None; a new case gossip lists the mistakes of its table. Conclusion: the test is as strict as before, with one case more.

--- a/crates/router/tests/settings.rs
+++ b/crates/router/tests/settings.rs
@@ -25,5 +25,5 @@
         assert_eq!(outcome, expected, "{}", path.display());
         cases += 1;
     }
-    assert_eq!(cases, 2);
+    assert_eq!(cases, 3);
 }
