--- a/crates/dev/src/measure/mod.rs
+++ b/crates/dev/src/measure/mod.rs
@@ -97,18 +97,13 @@
     }
     let mut kept = Vec::new();
     let slopes = [
-        slope(
-            &mut kept,
-            "engine",
-            (60, 6_000),
-            "placement and its end",
-            engines,
-        )?,
+        slope(&mut kept, "engine", (60, 600), "placement", engines)?,
+        slope(&mut kept, "engine", (600, 6_000), "placement", engines)?,
         slope(
             &mut kept,
             "workspace",
             (100, 50_000),
-            "placement and its end",
+            "placement",
             workspaces,
         )?,
         slope(
@@ -118,13 +113,7 @@
             "a peer's share of 100 entries",
             peers,
         )?,
-        slope(
-            &mut kept,
-            "chat",
-            (1_000, 400_000),
-            "placement, output and end",
-            chats,
-        )?,
+        slope(&mut kept, "chat", (1_000, 400_000), "placement", chats)?,
         slope(
             &mut kept,
             "request in flight",
