Tell engines that a surging workspace goes last

Their requests passed the routers at once and waited in the engines' queues, which shares of the routers do not reach. Ruled out by trials: a lower capacity of engines, fresh reports, one router. Change: work of a workspace beyond its share is dispatched with priority 0.

--- a/crates/snipeusher/src/machine/flow.rs
+++ b/crates/snipeusher/src/machine/flow.rs
@@ -30,6 +30,9 @@
 /// When a caller may come back if nothing better is known.
 pub(super) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Engine priority of work of a workspace beyond its share, behind the work of all others.
+const OVER_SHARE_PRIORITY: u8 = 0;
+
 impl<S: Strategy> Machine<S> {
     pub(super) fn arrive(&mut self, now: Time, request: Request) {
         if self.board.requests.contains_key(&request.id) {
@@ -152,6 +155,7 @@
         let epoch = cell.epoch;
         let none = Work::default();
         self.board.loads.own(now, choice.slot, choice.work, none);
+        let priority = self.priority(&task);
         let usage = self.board.queues.usage_mut();
         usage.change(&task.request.workspace, choice.work, none);
         let id = task.request.id;
@@ -162,7 +166,7 @@
             request: id,
             attempt,
             upstream: upstream.clone(),
-            priority: task.terms.priority,
+            priority,
         });
         let flight = Flight {
             task,
@@ -178,6 +182,19 @@
         self.board.attempts.insert(attempt, flight);
     }
 
+    /// The priority that the engine is told.
+    ///
+    /// Engines queue by priority, so a workspace beyond its share delays only itself there. The
+    /// shares of the routers' own queues do not reach what an engine has already accepted.
+    fn priority(&self, task: &Task) -> u8 {
+        let over = self.board.queues.usage().over(&task.request.workspace);
+        if over && !task.terms.immediate {
+            OVER_SHARE_PRIORITY
+        } else {
+            task.terms.priority
+        }
+    }
+
     /// Puts a request into its queue, or refuses it.
     pub(super) fn enqueue(&mut self, now: Time, task: Task) {
         match self.board.queues.refusal(now, &task) {
