Set unreachable upstreams aside beyond the ejection limit

At most a third of a kind is ejected, while routers of the cut zone cannot reach two thirds, so retries went to unreachable engines until the budget was spent. Change: a connection that fails before a byte is sent sets its upstream aside at once, without the limit of a third, for 1 s doubling up to 30 s or until it reports. The request is placed anew without a retry token. A workspace starts with the full burst of 10 retries instead of 1. Non-idempotent work keeps to one attempt.

--- a/crates/snipeusher/src/machine/failure.rs
+++ b/crates/snipeusher/src/machine/failure.rs
@@ -90,12 +90,8 @@
                 let after = retry_after.map_or(RETRY_AFTER, |after| after.min(DECLINED_MAX));
                 self.again(now, flight.task, ran, after);
             }
-            Outcome::Unreachable => {
-                self.count_failure(now, &flight);
-                let ran = ran(flight.sent);
-                self.again(now, flight.task, ran, RETRY_AFTER);
-            }
-            Outcome::Broken => {
+            Outcome::Unreachable if !flight.sent => self.unreachable(now, flight),
+            Outcome::Unreachable | Outcome::Broken => {
                 self.count_failure(now, &flight);
                 self.again(now, flight.task, Ran::Unknown, RETRY_AFTER);
             }
@@ -179,21 +175,54 @@
         }
     }
 
+    /// Sets the upstream aside and places the request anew.
+    ///
+    /// No byte was sent and no upstream did any work, so this takes no retry token and counts as
+    /// no try. Each failure sets one more upstream aside, which bounds it: in a partition a router
+    /// may not reach two thirds of a kind. Non-idempotent work keeps to its one attempt.
+    fn unreachable(&mut self, now: Time, flight: Flight) {
+        if let Some(slot) = self.board.loads.slot(&flight.upstream) {
+            let known = self.board.upstreams.contains_key(&flight.upstream);
+            if let Some(until) = self.board.outliers.unreachable(now, slot).filter(|_| known) {
+                self.board.loads.open(slot, false, true);
+                let reopen = Timer::Reopen(flight.upstream);
+                self.timers.insert((until, reopen));
+            }
+        }
+        let mut task = flight.task;
+        task.tries = task.tries.saturating_sub(1);
+        if task.request.idempotent && self.has_time(now, &task) {
+            self.back_off(now, task);
+        } else {
+            self.give_up(&task, Reason::AttemptsFailed, RETRY_AFTER);
+        }
+    }
+
     /// Tries a request again where that is allowed, or gives it up at once.
     fn again(&mut self, now: Time, mut task: Task, ran: Ran, after: Duration) {
         task.ran = retry::ran(task.ran, ran);
+        let in_time = self.has_time(now, &task);
         let request = &task.request;
-        let due = now + retry::backoff(task.tries, &mut self.rng);
-        let in_time = due < request.deadline && self.is_served(&request.target);
         let ratio = task.terms.retry_ratio;
-        if !in_time
-            || !retry::eligible(&task)
-            || !self.board.budget.withdraw(&request.workspace, ratio)
+        if in_time
+            && retry::eligible(&task)
+            && self.board.budget.withdraw(&request.workspace, ratio)
         {
+            self.back_off(now, task);
+        } else {
             self.give_up(&task, Reason::AttemptsFailed, after);
-            return;
         }
-        let id = request.id;
+    }
+
+    /// Whether a retry after the longest backoff would begin before the deadline.
+    fn has_time(&self, now: Time, task: &Task) -> bool {
+        let due = now + retry::longest(task.tries);
+        due < task.request.deadline && self.is_served(&task.request.target)
+    }
+
+    fn back_off(&mut self, now: Time, task: Task) {
+        let due = now + retry::backoff(task.tries, &mut self.rng);
+        let id = task.request.id;
         self.board.requests.insert(id, Stage::Backoff(due));
         self.timers.insert((due, Timer::Retry(id)));
         self.backoff.insert(id, task);
--- a/crates/snipeusher/src/machine/mod.rs
+++ b/crates/snipeusher/src/machine/mod.rs
@@ -267,6 +267,10 @@
             self.fault(Fault::OutOfOrder { upstream });
             return;
         }
+        if self.board.outliers.reached(slot) {
+            self.reopen(now, &upstream);
+            return;
+        }
         self.pump(now);
     }
 
--- a/crates/snipeusher/src/outlier.rs
+++ b/crates/snipeusher/src/outlier.rs
@@ -25,6 +25,10 @@
 const EJECTION_MAX: Duration = Duration::from_mins(5);
 /// At most one in this many upstreams of a kind is ejected.
 const EJECTED_ONE_IN: u32 = 3;
+/// First time for which an unreachable upstream is set aside; it doubles with each further one.
+const UNREACHABLE: Duration = Duration::from_secs(1);
+/// Longest time for which an unreachable upstream is set aside without a report from it.
+const UNREACHABLE_MAX: Duration = Duration::from_secs(30);
 /// An engine with work in flight and no output for this long has stalled.
 pub const STALL: Duration = Duration::from_secs(10);
 
@@ -41,6 +45,8 @@
     pub ejections: u32,
     /// End of the current ejection.
     pub until: Option<Time>,
+    /// Failed connections that followed each other; zero if it was ejected for its answers.
+    pub unreachable: u32,
 }
 
 /// Scores of all upstreams.
@@ -59,6 +65,7 @@
     pub(crate) fn success(&mut self, slot: Slot, time: Duration, work: u64) {
         let score = self.scores.entry(slot).or_default();
         score.failures = 0;
+        score.unreachable = 0;
         let pace = time.as_micros() as f64 / work.max(1) as f64;
         if score.samples == 0 {
             score.pace = pace;
@@ -104,9 +111,36 @@
         score.until = Some(until);
         score.failures = 0;
         score.samples = 0;
+        score.unreachable = 0;
         until
     }
 
+    /// Sets aside an upstream that no connection reaches; returns until when, or `None` if it is
+    /// set aside already.
+    pub(crate) fn unreachable(&mut self, now: Time, slot: Slot) -> Option<Time> {
+        let score = self.scores.entry(slot).or_default();
+        if score.until.is_some() {
+            return None;
+        }
+        let time = UNREACHABLE.saturating_mul(1 << score.unreachable.min(16));
+        let until = now + time.min(UNREACHABLE_MAX);
+        score.unreachable = score.unreachable.saturating_add(1);
+        score.until = Some(until);
+        Some(until)
+    }
+
+    /// Ends the time aside of an upstream that was unreachable and now reports; true if it was.
+    pub(crate) fn reached(&mut self, slot: Slot) -> bool {
+        let Some(score) = self.scores.get_mut(&slot) else {
+            return false;
+        };
+        let aside = score.unreachable > 0 && score.until.is_some();
+        if aside {
+            score.until = None;
+        }
+        aside
+    }
+
     /// Ends ejections that are over.
     pub(crate) fn restore(&mut self, now: Time, slot: Slot) {
         if let Some(score) = self.scores.get_mut(&slot) {
@@ -120,7 +154,9 @@
     }
 }
 
-/// Whether one more upstream of a kind may be ejected.
+/// Whether one more upstream of a kind may be ejected for its answers.
+///
+/// Unreachable ones are set aside beyond this limit, since work cannot be sent to them anyway.
 pub const fn allowed(kind: &Kind) -> bool {
     (kind.ejected + 1) * EJECTED_ONE_IN <= kind.live
 }
--- a/crates/snipeusher/src/retry.rs
+++ b/crates/snipeusher/src/retry.rs
@@ -13,11 +13,9 @@
 
 /// Most attempts of one request.
 pub const ATTEMPTS_MAX: u32 = 3;
-/// Retries that a workspace may make at once after a quiet time.
+/// Retries that a workspace may make at once, from its first request on. A cut zone breaks all
+/// its streams at one moment, and a single request to a dead engine must not be lost.
 const BURST: f64 = 10.0;
-/// Retries that a workspace may make before any request counted, so that a single request to a
-/// dead engine is not lost.
-const START: f64 = 1.0;
 /// Mean backoff before the first retry is three quarters of this.
 const BACKOFF: Duration = Duration::from_millis(20);
 /// Longest backoff.
@@ -34,7 +32,7 @@
 impl Budget {
     /// Counts a request.
     pub(crate) fn deposit(&mut self, workspace: &name::Workspace, ratio: f64) {
-        let tokens = self.tokens.entry(workspace.clone()).or_insert(START);
+        let tokens = self.tokens.entry(workspace.clone()).or_insert(BURST);
         *tokens = (*tokens + ratio).min(BURST);
     }
 
@@ -68,10 +66,15 @@
     task.request.idempotent && task.tries < ATTEMPTS_MAX
 }
 
-/// The time until the next attempt: exponential, with half of it random.
-pub fn backoff<R: Rng>(tries: u32, rng: &mut R) -> Duration {
+/// The longest time until the next attempt, exponential in the tries so far.
+pub fn longest(tries: u32) -> Duration {
     let doubled = BACKOFF * (1 << tries.saturating_sub(1).min(10));
-    let longest = doubled.min(BACKOFF_MAX).as_micros() as u64;
+    doubled.min(BACKOFF_MAX)
+}
+
+/// The time until the next attempt, of which half is random.
+pub fn backoff<R: Rng>(tries: u32, rng: &mut R) -> Duration {
+    let longest = longest(tries).as_micros() as u64;
     Duration::from_micros(rng.random_range(longest / 2..=longest))
 }
 
