--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -20,7 +20,6 @@
 use actix::Handler;
 use actix::Message;
 use actix::MessageResult;
-use actix::SpawnHandle;
 use actix::WrapFuture as _;
 use snipeusher::claim::Action;
 use snipeusher::claim::Claims;
@@ -36,6 +35,8 @@
 use snipeusher_store::Store as _;
 use tokio::sync::oneshot;
 
+use crate::alarm::Alarm;
+
 pub(crate) use self::guard::Guard;
 pub(crate) use self::guard::key;
 
@@ -134,7 +135,7 @@
     origin: Instant,
     waiting: BTreeMap<Id, oneshot::Sender<Decision>>,
     addresses: BTreeMap<name::Host, SocketAddr>,
-    wake: Option<(Time, SpawnHandle)>,
+    wake: Alarm,
 }
 
 impl fmt::Debug for Claimer {
@@ -153,7 +154,7 @@
             origin,
             waiting: BTreeMap::new(),
             addresses: BTreeMap::new(),
-            wake: None,
+            wake: Alarm::default(),
         }
     }
 
@@ -206,20 +207,10 @@
 
     fn schedule(&mut self, now: Time, ctx: &mut Context<Self>) {
         let due = self.claims.next_wake();
-        if self.wake.is_some_and(|(planned, _)| planned == due) {
-            return;
-        }
-        if let Some((_, handle)) = self.wake.take() {
-            ctx.cancel_future(handle);
-        }
-        if due == Time::NEVER {
-            return;
-        }
-        let handle = ctx.run_later(due.since(now), |this, ctx| {
-            this.wake = None;
+        self.wake.set(now, due, ctx, |this, ctx| {
+            this.wake.clear();
             this.feed(Event::Tick, ctx);
         });
-        self.wake = Some((due, handle));
     }
 }
 
--- a/crates/router/src/configuration.rs
+++ b/crates/router/src/configuration.rs
@@ -19,7 +19,6 @@
 use actix::Message;
 use actix::MessageResult;
 use actix::Recipient;
-use actix::SpawnHandle;
 use actix::WrapFuture as _;
 use futures_util::StreamExt as _;
 use serde::Serialize;
@@ -41,6 +40,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::alarm::Alarm;
 use crate::directory::Policies;
 
 /// What the status page and the readiness check show.
@@ -115,7 +115,7 @@
     followers: Vec<Recipient<Seen>>,
     watch: Option<Watch>,
     watches: u64,
-    wake: Option<(Time, SpawnHandle)>,
+    wake: Alarm,
     log: Logger,
 }
 
@@ -147,7 +147,7 @@
             followers: Vec::new(),
             watch: None,
             watches: 0,
-            wake: None,
+            wake: Alarm::default(),
             log,
         }
     }
@@ -235,20 +235,10 @@
 
     fn schedule(&mut self, now: Time, ctx: &mut Context<Self>) {
         let due = self.replica.next_wake();
-        if self.wake.is_some_and(|(planned, _)| planned == due) {
-            return;
-        }
-        if let Some((_, handle)) = self.wake.take() {
-            ctx.cancel_future(handle);
-        }
-        if due == Time::NEVER {
-            return;
-        }
-        let handle = ctx.run_later(due.since(now), |this, ctx| {
-            this.wake = None;
+        self.wake.set(now, due, ctx, |this, ctx| {
+            this.wake.clear();
             this.feed(Event::Tick, ctx);
         });
-        self.wake = Some((due, handle));
     }
 }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod settings;
 pub mod tls;
 
+mod alarm;
 mod attempt;
 mod call;
 mod chat;
