Close idle connections late in a shutdown and copy cached prompts from their holder

After the balancer has taken it out it now closes idle connections and refuses new streams with a true 503.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -1,5 +1,6 @@
 //! What a platform calls the facts that requests and answers carry in their headers.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix_http::header::HeaderMap;
@@ -47,6 +48,8 @@
     pub workspace: Option<&'a name::Workspace>,
     /// Its rank for engines, zero first.
     pub priority: u8,
+    /// An upstream that may hold more of the prompt, to copy it from.
+    pub source: Option<SocketAddr>,
     /// The last event that the caller has, where the upstream goes on with a stream.
     pub last_event: Option<&'a str>,
 }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -5,6 +5,7 @@
 mod stream;
 
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -73,6 +74,14 @@
     body: Bytes,
 }
 
+/// Where a request goes next.
+struct Placed {
+    upstream: name::Upstream,
+    address: SocketAddr,
+    /// Another upstream that may hold more of its prompt.
+    source: Option<SocketAddr>,
+}
+
 /// What became of one attempt.
 enum Step {
     /// The caller has its answer, whole or broken off.
@@ -100,6 +109,8 @@
     declined: u32,
     unreachable: u32,
     kept: Option<Kept>,
+    /// Status of the answer that was passed on.
+    status: Option<StatusCode>,
 }
 
 impl<'a, P: Platform> Exchange<'a, P> {
@@ -115,6 +126,7 @@
             declined: 0,
             unreachable: 0,
             kept: None,
+            status: None,
         }
     }
 
@@ -137,12 +149,12 @@
     /// Sends the request until an upstream answers or no further attempt is allowed.
     async fn attempts(&mut self, outlet: &mut Outlet<'_>) -> (io::Result<()>, &'static str) {
         loop {
-            let (upstream, address) = match self.place() {
+            let placed = match self.place() {
                 Ok(placed) => placed,
                 Err(refusal) => return (self.refuse(refusal, outlet).await, refusal.reason()),
             };
-            self.tried.push(upstream.clone());
-            match self.attempt(upstream, address, outlet).await {
+            self.tried.push(placed.upstream.clone());
+            match self.attempt(placed, outlet).await {
                 Step::Answered(result) => {
                     let outcome = if result.is_ok() { "answered" } else { "broken" };
                     return (result, outcome);
@@ -160,7 +172,7 @@
     }
 
     /// Chooses where the request goes next, if it may go anywhere.
-    fn place(&mut self) -> Result<(name::Upstream, std::net::SocketAddr), Refusal> {
+    fn place(&mut self) -> Result<Placed, Refusal> {
         let shared = self.shared;
         let now = shared.now();
         if self.runs > 0 && !self.may_run_again() {
@@ -178,11 +190,19 @@
         };
         let mut fleet = shared.fleet.borrow_mut();
         match fleet.choose(now, &ask) {
-            Decision::Send { upstream, address } => {
+            Decision::Send {
+                upstream,
+                address,
+                source,
+            } => {
                 if self.sends > 0 && !fleet.repeat(now, &self.admitted.service) {
                     return Err(self.not_run(self.retry_after()));
                 }
-                Ok((upstream, address))
+                Ok(Placed {
+                    upstream,
+                    address,
+                    source,
+                })
             }
             Decision::Refuse { retry_after } => Err(self.not_run(retry_after)),
         }
@@ -212,8 +232,10 @@
             return broken();
         }
         if let Some(kept) = self.kept.take() {
+            self.status = Some(kept.status);
             return outlet.whole(kept.status, kept.headers, &kept.body).await;
         }
+        self.status = Some(refusal.status());
         refusal.write(outlet).await
     }
 
@@ -235,6 +257,7 @@
             "workspace" => admitted.workspace.as_ref().map(name::Workspace::as_str),
             "upstream" => self.tried.last().map(name::Upstream::as_str),
             "outcome" => outcome,
+            "status" => self.status.map(|status| status.as_u16()),
             "sends" => self.sends,
             "runs" => self.runs,
             "declined" => self.declined,
--- a/crates/edge/src/exchange/admit.rs
+++ b/crates/edge/src/exchange/admit.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use actix_http::Method;
@@ -24,6 +25,9 @@
 use crate::relay;
 use crate::shared::Shared;
 
+/// When a caller whose request met a process that leaves may come back, to another one.
+const RETRY_LEAVING: Duration = Duration::from_millis(20);
+
 /// A request that may pass.
 pub(super) struct Admitted {
     pub(super) call: Call,
@@ -73,6 +77,17 @@
         }
     };
     let route = admission.route;
+    // A stream that begins now would be cut off at the end of the process.
+    if shared.lifecycle.is_out() && route.kind.is_stream() {
+        let refusal = Refusal::NotRun {
+            retry_after: RETRY_LEAVING,
+        };
+        return Err(Rejection {
+            refusal,
+            id: call.id,
+            revision,
+        });
+    }
     let time = call
         .deadline
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -1,6 +1,5 @@
 //! One try of a request at one upstream.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix_http::RequestHead;
@@ -14,6 +13,7 @@
 
 use super::Exchange;
 use super::Kept;
+use super::Placed;
 use super::Step;
 use super::broken;
 use crate::channel;
@@ -46,13 +46,13 @@
     /// Sends the request to an upstream and passes its answer on.
     pub(super) async fn attempt(
         &mut self,
-        upstream: name::Upstream,
-        address: SocketAddr,
+        placed: Placed,
         outlet: &mut Outlet<'_>,
     ) -> Step {
+        let upstream = placed.upstream.clone();
         let shared = std::rc::Rc::clone(self.shared);
         let flight = Flight::start(&shared, upstream.clone());
-        let mut channel = match self.channel(&upstream, address).await {
+        let mut channel = match self.channel(&placed).await {
             Ok(channel) => channel,
             Err(error) => {
                 self.note(&upstream, "unreachable", &error);
@@ -62,7 +62,7 @@
         };
         self.sends += 1;
         self.runs += 1;
-        let head = self.head(&upstream);
+        let head = self.head(&placed);
         if let Err(error) = channel.send(head, &self.admitted.body) {
             self.note(&upstream, "lost", &error);
             flight.end(Outcome::Lost);
@@ -87,25 +87,25 @@
 
     async fn channel(
         &self,
-        upstream: &name::Upstream,
-        address: SocketAddr,
+        placed: &Placed,
     ) -> Result<Channel, channel::Error> {
-        let idle = self.shared.pool.borrow_mut().take(upstream);
+        let idle = self.shared.pool.borrow_mut().take(&placed.upstream);
         if let Some(channel) = idle {
             return Ok(channel);
         }
         let limit = self.shared.settings.connect_timeout;
-        Channel::open(address, limit, &self.shared.http).await
+        Channel::open(placed.address, limit, &self.shared.http).await
     }
 
-    fn head(&self, upstream: &name::Upstream) -> RequestHead {
+    fn head(&self, placed: &Placed) -> RequestHead {
         let admitted = &self.admitted;
         let mut headers = admitted.headers.clone();
         let cover = Cover {
-            upstream,
+            upstream: &placed.upstream,
             deadline: left(admitted.until),
             workspace: admitted.workspace.as_ref(),
             priority: admitted.priority,
+            source: placed.source,
             last_event: self.events.last(),
         };
         self.shared.platform.cover(&cover, &mut headers);
@@ -205,12 +205,14 @@
             if self.may_run_again() {
                 return Step::Failed(kept);
             }
+            self.status = Some(status);
             return Step::Answered(outlet.whole(kept.status, kept.headers, &kept.body).await);
         }
         flight.end(Outcome::Served);
         if outlet.is_begun() {
             return Step::Answered(broken());
         }
+        self.status = Some(status);
         Step::Answered(outlet.whole(status, headers, &body).await)
     }
 
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -82,6 +82,7 @@
                 return self.cut(outlet);
             };
             let Some(events) = events else { continue };
+            self.status.get_or_insert(reply.head.status);
             if let Err(error) = begin(&reply, outlet) {
                 return Step::Answered(Err(error));
             }
--- a/crates/edge/src/inlet.rs
+++ b/crates/edge/src/inlet.rs
@@ -119,7 +119,7 @@
     async fn serve<H: Handler>(&mut self, handler: &H) -> io::Result<()> {
         loop {
             let limits = handler.limits();
-            match self.request(&limits).await {
+            match self.request(handler.lifecycle(), &limits).await {
                 Ok(inbound) => {
                     if !self.answer(handler, inbound, &limits).await? {
                         return Ok(());
@@ -154,8 +154,12 @@
         Ok(outlet.is_reusable())
     }
 
-    async fn request(&mut self, limits: &Limits) -> Result<Inbound, Fault> {
-        self.first_byte(limits).await?;
+    async fn request(
+        &mut self,
+        lifecycle: &Lifecycle,
+        limits: &Limits,
+    ) -> Result<Inbound, Fault> {
+        self.first_byte(lifecycle, limits).await?;
         let head = timeout(limits.head_timeout, self.head(limits)).await;
         let head = head.unwrap_or(Err(Fault::Refused(StatusCode::REQUEST_TIMEOUT)))?;
         let body = self.body(&head, limits).await?;
@@ -168,15 +172,20 @@
 
     /// Waits for a request to begin, at most for the idle time.
     ///
-    /// A process that leaves keeps idle connections until its end, so that a request which
-    /// crosses is still served.
-    async fn first_byte(&mut self, limits: &Limits) -> Result<(), Fault> {
+    /// A process that leaves keeps idle connections as long as the balancer may still send it
+    /// new ones; then it closes them, so that callers go elsewhere before it ends.
+    async fn first_byte(&mut self, lifecycle: &Lifecycle, limits: &Limits) -> Result<(), Fault> {
         if !self.read.is_empty() {
             return Ok(());
         }
-        match timeout(limits.idle_timeout, self.socket.read(&mut self.read)).await {
-            Ok(Ok(count)) if count > 0 => Ok(()),
-            _ => Err(Fault::Gone),
+        let idle = timeout(limits.idle_timeout, self.socket.read(&mut self.read));
+        tokio::select! {
+            biased;
+            count = idle => match count {
+                Ok(Ok(count)) if count > 0 => Ok(()),
+                _ => Err(Fault::Gone),
+            },
+            () = lifecycle.out() => Err(Fault::Gone),
         }
     }
 
--- a/crates/edge/src/lifecycle.rs
+++ b/crates/edge/src/lifecycle.rs
@@ -4,11 +4,18 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use tokio::sync::Notify;
+
+/// Time after which a host that leaves gets no new connections from the balancer, which asks once
+/// a second and takes a host out after two misses.
+pub const BALANCER: Duration = Duration::from_millis(2_600);
+
 /// Where the process is between its start and its end.
 #[derive(Debug, Default)]
 pub struct Lifecycle {
     leaving: Cell<Option<Instant>>,
     open: Cell<usize>,
+    changed: Notify,
 }
 
 impl Lifecycle {
@@ -16,6 +23,7 @@
     pub fn leave(&self) {
         if self.leaving.get().is_none() {
             self.leaving.set(Some(Instant::now()));
+            self.changed.notify_waiters();
         }
     }
 
@@ -29,6 +37,22 @@
         self.leaving.get().map(|since| since.elapsed())
     }
 
+    /// Whether only connections that were open before are left.
+    pub fn is_out(&self) -> bool {
+        self.leaving_for().is_some_and(|time| time >= BALANCER)
+    }
+
+    /// Waits until only connections that were open before are left.
+    pub async fn out(&self) {
+        loop {
+            let changed = self.changed.notified();
+            if let Some(since) = self.leaving.get() {
+                return tokio::time::sleep_until((since + BALANCER).into()).await;
+            }
+            changed.await;
+        }
+    }
+
     /// Requests in progress.
     pub const fn open(&self) -> usize {
         self.open.get()
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -31,8 +31,6 @@
 use crate::peer::Control;
 use crate::shared::Shared;
 
-/// The balancer asks once a second and takes a host out after two misses.
-const BALANCER: Duration = Duration::from_millis(2_600);
 /// How often the end of the last request is looked for.
 const POLL: Duration = Duration::from_millis(50);
 /// Time before the end of the grace period at which the process ends by itself.
@@ -109,7 +107,7 @@
     loop {
         sleep(POLL).await;
         let waited = lifecycle.leaving_for().unwrap_or_default();
-        let is_done = waited >= BALANCER && lifecycle.open() == 0;
+        let is_done = lifecycle.is_out() && lifecycle.open() == 0;
         if is_done || waited >= latest {
             break;
         }
--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -42,6 +42,8 @@
         upstream: name::Upstream,
         /// Where it listens.
         address: SocketAddr,
+        /// Another upstream that may hold more of the prompt.
+        source: Option<SocketAddr>,
     },
     /// Nowhere now.
     Refuse {
@@ -65,6 +67,10 @@
     } else {
         open
     };
+    let source = |chosen: &Cell| {
+        let session = ask.session?;
+        holder(now, cells, ask.service, session, chosen)
+    };
     let chosen = match ask.session {
         Some(session) => by_session(now, &candidates, session),
         None => by_load(now, &candidates, ask.point),
@@ -73,6 +79,7 @@
         Some(cell) => Decision::Send {
             upstream: cell.entry.id.clone(),
             address: cell.entry.address,
+            source: source(cell),
         },
         None => Decision::Refuse {
             retry_after: RETRY_NO_UPSTREAM,
@@ -103,3 +110,20 @@
     });
     best.copied()
 }
+
+/// The upstream that most likely holds the session if the chosen one does not: the first of the
+/// others in its ranking, one that is leaving included.
+fn holder(
+    now: Time,
+    cells: &[Cell],
+    service: &name::Service,
+    session: u64,
+    chosen: &Cell,
+) -> Option<SocketAddr> {
+    let others = cells.iter().filter(|cell| {
+        let is_other = cell.entry.id != chosen.entry.id;
+        is_other && cell.entry.service == *service && cell.health.is_open(now)
+    });
+    let first = others.max_by_key(|cell| hash::score(session, cell.node));
+    first.map(|cell| cell.entry.address)
+}
