--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -44,11 +44,7 @@
 
 impl<P: Platform> Exchange<'_, P> {
     /// Sends the request to an upstream and passes its answer on.
-    pub(super) async fn attempt(
-        &mut self,
-        placed: Placed,
-        outlet: &mut Outlet<'_>,
-    ) -> Step {
+    pub(super) async fn attempt(&mut self, placed: Placed, outlet: &mut Outlet<'_>) -> Step {
         let upstream = placed.upstream.clone();
         let shared = std::rc::Rc::clone(self.shared);
         let flight = Flight::start(&shared, upstream.clone());
@@ -85,10 +81,7 @@
         self.whole(&upstream, channel, reply, flight, outlet).await
     }
 
-    async fn channel(
-        &self,
-        placed: &Placed,
-    ) -> Result<Channel, channel::Error> {
+    async fn channel(&self, placed: &Placed) -> Result<Channel, channel::Error> {
         let idle = self.shared.pool.borrow_mut().take(&placed.upstream);
         if let Some(channel) = idle {
             return Ok(channel);
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -1,4 +1,7 @@
 //! The store's news: the operators' configuration and the entries of upstreams.
+//!
+//! Only routers that `Readers` names read it; the others hear the news from their peers. See
+//! `docs/platform.md#readers`.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -6,12 +9,13 @@
 use futures_util::StreamExt as _;
 use slog::info;
 use slog::warn;
-use snipeusher::fleet::Snapshot;
+use snipeusher::kv;
 use snipeusher::kv::Call;
 use snipeusher::kv::Fault;
 use snipeusher::kv::Range;
 use snipeusher::kv::Reply;
 use snipeusher::kv::Revision;
+use snipeusher::name;
 use snipeusher_store::Change;
 use snipeusher_store::Store;
 use tokio::time::sleep;
@@ -19,51 +23,43 @@
 use crate::dialect::Platform;
 use crate::shared::Shared;
 
+/// One watch covers all keys, since each counts as a call while it waits.
+const ALL: &str = "";
 /// First pause after a call that failed.
 const PAUSE_MS: u64 = 100;
 /// Longest such pause. All routers come back at once after an outage; half of it is random.
 const PAUSE_MAX_MS: u64 = 1_000;
 
-/// What is read below a prefix.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Section {
-    Configuration,
-    Upstreams,
-}
-
-impl Section {
-    const fn name(self) -> &'static str {
-        match self {
-            Self::Configuration => "configuration",
-            Self::Upstreams => "upstreams",
-        }
-    }
-}
+/// How often a router that does not read the store looks whether it has to.
+const LOOK: Duration = Duration::from_millis(250);
 
-/// Follows the operators' configuration for ever.
-pub async fn configuration<P: Platform, S: Store>(shared: Rc<Shared<P>>, store: Rc<S>) {
-    follow(&shared, &*store, Section::Configuration, P::CONFIGURATION).await;
-}
-
-/// Follows the entries of upstreams for ever.
-pub async fn upstreams<P: Platform, S: Store>(shared: Rc<Shared<P>>, store: Rc<S>) {
-    follow(&shared, &*store, Section::Upstreams, P::UPSTREAMS).await;
-}
-
-async fn follow<P: Platform, S: Store>(
-    shared: &Shared<P>,
-    store: &S,
-    section: Section,
-    prefix: &str,
-) {
+/// Reads the store for ever, as long as this router is one of its readers.
+pub async fn run<P: Platform, S: Store>(shared: Rc<Shared<P>>, store: S) {
     let mut pause_ms = PAUSE_MS;
+    let mut needs_list = true;
     loop {
-        match read(shared, store, section, prefix).await {
-            Ok(revision) => {
+        if !reads(&shared) {
+            sleep(LOOK).await;
+            continue;
+        }
+        let listed = if needs_list {
+            list(&shared, &store).await
+        } else {
+            Ok(())
+        };
+        let ended = match listed {
+            Ok(()) => watch(&shared, &store).await,
+            Err(fault) => Err(fault),
+        };
+        // Peers tell what happens until this router reads again, unless the store has forgotten.
+        needs_list = ended.is_err();
+        match ended {
+            Ok(()) => info!(shared.log, "store: others read it"),
+            Err(End::Watch(fault)) => {
+                info!(shared.log, "store: watch lost"; "cause" => cause(fault));
                 pause_ms = PAUSE_MS;
-                watch(shared, store, section, prefix, revision).await;
             }
-            Err(fault) => {
+            Err(End::List(fault)) => {
                 shared.store_answers(false, cause(fault));
                 let random = shared.random() % (pause_ms / 2 + 1);
                 sleep(Duration::from_millis(pause_ms / 2 + random)).await;
@@ -73,107 +69,116 @@
     }
 }
 
-/// Reads all keys below a prefix.
-async fn read<P: Platform, S: Store>(
-    shared: &Shared<P>,
-    store: &S,
-    section: Section,
-    prefix: &str,
-) -> Result<Revision, Fault> {
-    let range = Range::Prefix(prefix.to_owned());
-    let Reply::Range { revision, entries } = store.call(Call::Range(range)).await? else {
-        return Err(Fault::Refused);
-    };
+/// Why the store is not read any more.
+enum End {
+    /// A list failed.
+    List(Fault),
+    /// A watch was cut, or its history is gone.
+    Watch(Fault),
+}
+
+fn reads<P: Platform>(shared: &Shared<P>) -> bool {
+    let now = shared.now();
+    let is_blank = shared.knowledge() == (None, Revision(0));
+    is_blank || shared.readers.borrow_mut().reads(now)
+}
+
+/// Notes that the store answered.
+fn answered<P: Platform>(shared: &Shared<P>) {
     shared.store_answers(true, "");
-    match section {
-        Section::Configuration => {
-            for entry in entries.iter().filter(|entry| entry.key == prefix) {
-                shared.configure(entry.modified, &entry.value, "store");
-            }
-        }
-        Section::Upstreams => {
-            let mut snapshot = Snapshot {
-                revision,
-                entries: Vec::new(),
-            };
-            for entry in &entries {
-                match shared.platform.entry(entry) {
-                    Ok(entry) => snapshot.entries.push(entry),
-                    Err(error) => {
-                        warn!(shared.log, "upstream: entry skipped"; "error" => %error);
-                    }
-                }
+    shared.readers.borrow_mut().answered(shared.now());
+}
+
+/// Reads the configuration and all entries of upstreams.
+async fn list<P: Platform, S: Store>(shared: &Shared<P>, store: &S) -> Result<(), End> {
+    let (revision, entries) = range(store, P::UPSTREAMS).await.map_err(End::List)?;
+    answered(shared);
+    let mut upstreams = Vec::with_capacity(entries.len());
+    for entry in &entries {
+        match shared.platform.entry(entry) {
+            Ok(entry) => upstreams.push(entry),
+            Err(error) => {
+                warn!(shared.log, "upstream: entry skipped"; "error" => %error);
             }
-            info!(shared.log, "upstreams: listed";
-                "count" => snapshot.entries.len(), "revision" => revision.0);
-            shared.fleet.borrow_mut().sync(shared.now(), snapshot);
         }
     }
-    Ok(revision)
+    info!(shared.log, "upstreams: listed";
+        "count" => upstreams.len(), "revision" => revision.0);
+    let now = shared.now();
+    shared.fleet.borrow_mut().list(now, revision, upstreams);
+    // Read last, since the watch goes on from the revision of the upstreams.
+    let (_revision, entries) = range(store, P::CONFIGURATION).await.map_err(End::List)?;
+    for entry in entries.iter().filter(|entry| entry.key == P::CONFIGURATION) {
+        shared.configure(entry.modified, &entry.value, "store");
+    }
+    shared.news.notify_one();
+    Ok(())
 }
 
-/// Takes changes until the watch is lost.
-async fn watch<P: Platform, S: Store>(
-    shared: &Shared<P>,
-    store: &S,
-    section: Section,
-    prefix: &str,
-    from: Revision,
-) {
-    let mut changes = std::pin::pin!(store.watch(prefix, from));
-    while let Some(change) = changes.next().await {
-        match change {
-            Ok(change) => {
-                shared.store_answers(true, "");
-                take(shared, section, prefix, &change);
-            }
-            Err(fault) => {
-                info!(shared.log, "store: watch lost";
-                    "section" => section.name(), "cause" => cause(fault));
-                return;
-            }
-        }
+async fn range<S: Store>(store: &S, prefix: &str) -> Result<(Revision, Vec<kv::Entry>), Fault> {
+    let range = Range::Prefix(prefix.to_owned());
+    match store.call(Call::Range(range)).await? {
+        Reply::Range { revision, entries } => Ok((revision, entries)),
+        _ => Err(Fault::Refused),
     }
 }
 
-fn take<P: Platform>(shared: &Shared<P>, section: Section, prefix: &str, change: &Change) {
-    match section {
-        Section::Configuration => {
-            for entry in change.entries.iter().filter(|entry| entry.key == prefix) {
-                shared.configure(entry.modified, &entry.value, "store");
+/// Takes changes until the watch is lost or others read the store.
+async fn watch<P: Platform, S: Store>(shared: &Shared<P>, store: &S) -> Result<(), End> {
+    let from = shared.fleet.borrow().roster().revision();
+    let mut changes = std::pin::pin!(store.watch(ALL, from));
+    while reads(shared) {
+        match changes.next().await {
+            Some(Ok(change)) => {
+                answered(shared);
+                take(shared, &change);
             }
+            Some(Err(fault)) => return Err(End::Watch(fault)),
+            None => return Err(End::Watch(Fault::Lost)),
         }
-        Section::Upstreams => take_upstreams(shared, change),
     }
+    Ok(())
 }
 
-fn take_upstreams<P: Platform>(shared: &Shared<P>, change: &Change) {
+fn take<P: Platform>(shared: &Shared<P>, change: &Change) {
+    let known = shared.knowledge();
     let now = shared.now();
-    let mut fleet = shared.fleet.borrow_mut();
     for entry in &change.entries {
-        match shared.platform.entry(entry) {
-            Ok(entry) => {
-                info!(shared.log, "upstream: entry";
-                    "upstream" => entry.id.as_str(), "service" => entry.service.as_str(),
-                    "draining" => entry.draining, "revision" => entry.revision.0);
-                fleet.put(now, entry);
-            }
-            Err(error) => {
-                warn!(shared.log, "upstream: entry skipped"; "error" => %error);
-                if let Some(id) = shared.platform.upstream(&entry.key) {
-                    fleet.remove(now, &id, entry.modified);
-                }
-            }
+        if entry.key == P::CONFIGURATION {
+            shared.configure(entry.modified, &entry.value, "store");
+        } else if let Some(id) = shared.platform.upstream(&entry.key) {
+            put(shared, &id, entry);
         }
     }
     for key in &change.deleted {
         if let Some(id) = shared.platform.upstream(key) {
             info!(shared.log, "upstream: entry removed";
                 "upstream" => id.as_str(), "revision" => change.revision.0);
+            let mut fleet = shared.fleet.borrow_mut();
             fleet.remove(now, &id, change.revision);
         }
     }
-    fleet.reached(change.revision);
+    shared.fleet.borrow_mut().reached(change.revision);
+    if shared.knowledge() != known {
+        shared.news.notify_one();
+    }
+}
+
+fn put<P: Platform>(shared: &Shared<P>, id: &name::Upstream, entry: &kv::Entry) {
+    let now = shared.now();
+    let mut fleet = shared.fleet.borrow_mut();
+    match shared.platform.entry(entry) {
+        Ok(entry) => {
+            info!(shared.log, "upstream: entry";
+                "upstream" => id.as_str(), "service" => entry.service.as_str(),
+                "draining" => entry.draining, "revision" => entry.revision.0);
+            fleet.put(now, entry);
+        }
+        Err(error) => {
+            warn!(shared.log, "upstream: entry skipped"; "error" => %error);
+            fleet.remove(now, id, entry.modified);
+        }
+    }
 }
 
 const fn cause(fault: Fault) -> &'static str {
--- a/crates/edge/src/inlet.rs
+++ b/crates/edge/src/inlet.rs
@@ -154,11 +154,7 @@
         Ok(outlet.is_reusable())
     }
 
-    async fn request(
-        &mut self,
-        lifecycle: &Lifecycle,
-        limits: &Limits,
-    ) -> Result<Inbound, Fault> {
+    async fn request(&mut self, lifecycle: &Lifecycle, limits: &Limits) -> Result<Inbound, Fault> {
         self.first_byte(lifecycle, limits).await?;
         let head = timeout(limits.head_timeout, self.head(limits)).await;
         let head = head.unwrap_or(Err(Fault::Refused(StatusCode::REQUEST_TIMEOUT)))?;
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -1,22 +1,24 @@
 //! What routers tell each other.
 //!
-//! Each router exchanges a digest with one peer after the other: how many requests it has at each
-//! upstream, and which revisions of the store's documents it knows. Whoever is behind gets the
-//! documents, so that a router which the store turns away still learns them. See
+//! Each router exchanges a digest with one peer after the other: the loads of upstreams that it
+//! observed or heard of, and which revisions of the store's documents it knows. Whoever is behind
+//! gets the documents, so that few routers have to read the store and a router which the store
+//! turns away still learns them. News is passed on at once. See
 //! `docs/platform.md#peers`.
 
 mod book;
 mod client;
 mod server;
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
 use serde::Serialize;
-use snipeusher::fleet::Snapshot;
+use snipeusher::fleet::Delta;
+use snipeusher::fleet::Observation;
 use snipeusher::kv::Revision;
 use snipeusher::name;
+use snipeusher::reader::Reader;
 
 pub use self::book::Book;
 pub use self::client::run;
@@ -54,9 +56,11 @@
     pub configuration: Option<Revision>,
     /// The revision of the store up to which it knows the upstreams.
     pub upstreams: Revision,
-    /// Its requests in flight at each upstream.
-    pub requests: BTreeMap<name::Upstream, u32>,
-    /// The routers that it knows.
+    /// Loads of upstreams that it observed or heard of.
+    pub loads: Vec<Observation>,
+    /// Routers that read the store.
+    pub readers: Vec<Reader>,
+    /// Some of the routers that it knows.
     pub members: Vec<Member>,
 }
 
@@ -78,31 +82,34 @@
     pub digest: Digest,
     /// The configuration, for a router that is behind.
     pub configuration: Option<Configuration>,
-    /// The upstreams, for a router that is behind.
-    pub upstreams: Option<Snapshot>,
+    /// Changes of the upstreams, for a router that is behind.
+    pub upstreams: Option<Delta>,
 }
 
 /// What this router says of itself.
-fn digest<P: Platform>(shared: &Shared<P>, book: &Book) -> Digest {
+fn digest<P: Platform>(shared: &Shared<P>, book: &mut Book) -> Digest {
+    let now = shared.now();
     let fleet = shared.fleet.borrow();
     Digest {
         host: shared.settings.host.clone(),
         address: shared.settings.control,
         configuration: shared.document().map(|document| document.revision),
         upstreams: fleet.roster().revision(),
-        requests: fleet.own(),
-        members: book.members(shared.now()),
+        loads: fleet.observations(now),
+        readers: shared.readers.borrow().list(now),
+        members: book.members(now),
     }
 }
 
 /// Takes what a peer says of itself.
-fn take<P: Platform>(shared: &Shared<P>, book: &mut Book, digest: Digest) {
+fn take<P: Platform>(shared: &Shared<P>, book: &mut Book, digest: &Digest) {
     if digest.host == shared.settings.host {
         return;
     }
     let now = shared.now();
-    book.heard(now, &digest);
+    book.heard(now, digest);
+    shared.readers.borrow_mut().heard(now, &digest.readers);
     let mut fleet = shared.fleet.borrow_mut();
     fleet.set_routers(book.len(now) + 1);
-    fleet.told(now, digest.host, digest.requests);
+    fleet.observe(now, &digest.loads);
 }
--- a/crates/edge/src/peer/book.rs
+++ b/crates/edge/src/peer/book.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::time::Duration;
 
 use snipeusher::name;
@@ -15,8 +16,8 @@
 const FORGET: Duration = Duration::from_secs(20);
 /// A router counts among those that share the repeats for this time after it was heard of.
 const COUNTED: Duration = Duration::from_secs(12);
-/// Members that a digest names.
-const NAMED_MAX: usize = 32;
+/// Members that a digest names; the next digest names the next ones.
+const NAMED_MAX: usize = 8;
 
 #[derive(Clone, Debug)]
 struct Known {
@@ -31,6 +32,8 @@
     seeds: Vec<SocketAddr>,
     known: BTreeMap<name::Host, Known>,
     turns: VecDeque<SocketAddr>,
+    /// The last member that a digest named.
+    named: Option<name::Host>,
 }
 
 impl Book {
@@ -53,15 +56,30 @@
         counted.max(self.seeds.len())
     }
 
-    /// The routers heard of last, for a digest.
-    pub fn members(&self, now: Time) -> Vec<Member> {
-        let known = self.known.iter().take(NAMED_MAX);
-        let members = known.map(|(host, known)| Member {
-            host: host.clone(),
-            address: known.address,
-            heard_ms: now.since(known.heard).as_millis() as u64,
-        });
-        members.collect()
+    /// Some of the routers, others each time.
+    pub fn members(&mut self, now: Time) -> Vec<Member> {
+        let after = self.named.take();
+        let after = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let rest = self.known.range((after, Bound::Unbounded));
+        let all = rest.chain(&self.known).take(self.known.len());
+        let members: Vec<Member> = all
+            .take(NAMED_MAX)
+            .map(|(host, known)| Member {
+                host: host.clone(),
+                address: known.address,
+                heard_ms: now.since(known.heard).as_millis() as u64,
+            })
+            .collect();
+        self.named = members.last().map(|member| member.host.clone());
+        members
+    }
+
+    /// Some routers to pass news on to; `random` picks them.
+    pub fn some(&self, count: usize, random: u64) -> Vec<SocketAddr> {
+        let start = random as usize % self.known.len().max(1);
+        let from_start = self.known.values().skip(start);
+        let all = from_start.chain(self.known.values()).take(self.known.len());
+        all.take(count).map(|known| known.address).collect()
     }
 
     /// Takes a digest that came from the router itself.
--- a/crates/edge/src/peer/client.rs
+++ b/crates/edge/src/peer/client.rs
@@ -13,6 +13,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::header::HeaderValue;
 use bytes::Bytes;
+use futures_util::future::join_all;
 use slog::debug;
 use snafu::ResultExt as _;
 use snafu::Snafu;
@@ -32,6 +33,10 @@
 
 /// Time between two exchanges.
 const INTERVAL: Duration = Duration::from_millis(250);
+/// Peers that hear news at once; those that had not heard it pass it on to as many.
+const FANOUT: usize = 3;
+/// Pause after an exchange of news, in which further news gathers.
+const GATHER: Duration = Duration::from_millis(30);
 /// Longest time to connect to a peer.
 const CONNECT: Duration = Duration::from_millis(200);
 /// Longest exchange.
@@ -69,26 +74,49 @@
     TimedOut,
 }
 
-/// Exchanges with one peer after the other for ever.
+/// Exchanges with one peer after the other, and at once with some when there is news, for ever.
 pub async fn run<P: Platform>(shared: Rc<Shared<P>>, book: Rc<RefCell<Book>>) {
-    let mut channels: BTreeMap<SocketAddr, Channel> = BTreeMap::new();
+    let channels: Channels = RefCell::default();
+    let mut known = shared.knowledge();
     loop {
-        sleep(INTERVAL).await;
-        let next = book.borrow_mut().next(shared.random());
-        let Some(address) = next else { continue };
-        let idle = channels.remove(&address);
-        let exchange = exchange(&shared, &book, address, idle);
-        match timeout(EXCHANGE, exchange)
-            .await
-            .unwrap_or(Err(Error::TimedOut))
-        {
-            Ok(channel) => {
-                channels.insert(address, channel);
-            }
-            Err(error) => {
-                debug!(shared.log, "peer: exchange failed";
-                    "peer" => %address, "error" => %error);
-            }
+        let is_news = timeout(INTERVAL, shared.news.notified()).await.is_ok();
+        let mut addresses = Vec::new();
+        addresses.extend(book.borrow_mut().next(shared.random()));
+        let knowledge = shared.knowledge();
+        if known != knowledge {
+            known = knowledge;
+            addresses.extend(book.borrow().some(FANOUT, shared.random()));
+        }
+        let exchanges = addresses
+            .into_iter()
+            .map(|address| with(&shared, &book, &channels, address));
+        join_all(exchanges).await;
+        if is_news {
+            sleep(GATHER).await;
+        }
+    }
+}
+
+type Channels = RefCell<BTreeMap<SocketAddr, Channel>>;
+
+async fn with<P: Platform>(
+    shared: &Shared<P>,
+    book: &RefCell<Book>,
+    channels: &Channels,
+    address: SocketAddr,
+) {
+    let idle = channels.borrow_mut().remove(&address);
+    let exchange = exchange(shared, book, address, idle);
+    match timeout(EXCHANGE, exchange)
+        .await
+        .unwrap_or(Err(Error::TimedOut))
+    {
+        Ok(channel) => {
+            channels.borrow_mut().insert(address, channel);
+        }
+        Err(error) => {
+            debug!(shared.log, "peer: exchange failed";
+                "peer" => %address, "error" => %error);
         }
     }
 }
@@ -106,7 +134,7 @@
             .await
             .context(ChannelSnafu)?,
     };
-    let digest = digest(shared, &book.borrow());
+    let digest = digest(shared, &mut book.borrow_mut());
     let body = rmp_serde::to_vec(&digest).context(EncodeSnafu)?;
     let mut headers = HeaderMap::new();
     if let Ok(host) = HeaderValue::try_from(address.to_string()) {
@@ -130,8 +158,9 @@
     }
     if let Some(upstreams) = answer.upstreams {
         let now = shared.now();
-        shared.fleet.borrow_mut().sync(now, upstreams);
+        shared.fleet.borrow_mut().merge(now, upstreams);
+        shared.news.notify_one();
     }
-    take(shared, &mut book.borrow_mut(), answer.digest);
+    take(shared, &mut book.borrow_mut(), &answer.digest);
     Ok(channel)
 }
--- a/crates/edge/src/peer/server.rs
+++ b/crates/edge/src/peer/server.rs
@@ -49,17 +49,20 @@
             warn!(self.shared.log, "peer: digest unreadable"; "error" => %error);
             StatusCode::BAD_REQUEST
         })?;
-        let ours = digest(&self.shared, &self.book.borrow());
+        let ours = digest(&self.shared, &mut self.book.borrow_mut());
         let is_behind = theirs.configuration < ours.configuration;
         let document = self.shared.document().filter(|_| is_behind);
-        let fleet = self.shared.fleet.borrow();
-        let upstreams = (theirs.upstreams < ours.upstreams).then(|| fleet.roster().snapshot());
-        drop(fleet);
+        let upstreams = (theirs.upstreams < ours.upstreams).then(|| {
+            let now = self.shared.now();
+            let fleet = self.shared.fleet.borrow();
+            fleet.roster().since(now, theirs.upstreams)
+        });
         let mut book = self.book.borrow_mut();
         if theirs.configuration > ours.configuration || theirs.upstreams > ours.upstreams {
             book.prefer(theirs.address);
+            self.shared.news.notify_one();
         }
-        take(&self.shared, &mut book, theirs);
+        take(&self.shared, &mut book, &theirs);
         let answer = Answer {
             digest: ours,
             configuration: document.map(|document| Configuration {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -17,9 +17,11 @@
 use snipeusher::fleet::Fleet;
 use snipeusher::kv::Revision;
 use snipeusher::name;
+use snipeusher::reader::Readers;
 use snipeusher::route::Limits;
 use snipeusher::route::Table;
 use snipeusher::time::Time;
+use tokio::sync::Notify;
 
 use crate::clock::Clock;
 use crate::dialect::Platform;
@@ -73,6 +75,10 @@
     pub lifecycle: Lifecycle,
     /// The log.
     pub log: Logger,
+    /// Who reads the store.
+    pub readers: RefCell<Readers>,
+    /// Set when something was learnt that peers may not know.
+    pub news: Notify,
     /// Shared state of the codecs, such as the date.
     pub http: ServiceConfig,
     table: RefCell<Option<Rc<Table>>>,
@@ -90,6 +96,11 @@
             fleet: RefCell::new(Fleet::new(settings.fleet.clone())),
             pool: RefCell::default(),
             lifecycle: Lifecycle::default(),
+            readers: RefCell::new(Readers::new(
+                settings.host.clone(),
+                settings.fleet.zone.clone(),
+            )),
+            news: Notify::new(),
             http: ServiceConfig::default(),
             table: RefCell::default(),
             document: RefCell::default(),
@@ -120,6 +131,13 @@
         self.document.borrow().clone()
     }
 
+    /// Revisions of the configuration and of the upstreams that are known.
+    pub fn knowledge(&self) -> (Option<Revision>, Revision) {
+        let document = self.document.borrow();
+        let configuration = document.as_ref().map(|document| document.revision);
+        (configuration, self.fleet.borrow().roster().revision())
+    }
+
     /// Bounds of what callers may send.
     pub fn limits(&self) -> Limits {
         let table = self.table.borrow();
@@ -152,6 +170,7 @@
                     revision,
                     value: Rc::from(value),
                 });
+                self.news.notify_one();
             }
             Err(error) => {
                 warn!(self.log, "configuration: unreadable, the last one stays in force";
--- a/crates/snipeusher/src/fleet/load.rs
+++ b/crates/snipeusher/src/fleet/load.rs
@@ -2,10 +2,14 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::name;
 use crate::time::Time;
 
-/// A report of this age is preferred to what was counted, where it says more.
-const FRESH: Duration = Duration::from_millis(400);
+/// An observation of this age says nothing any more.
+const STALE: Duration = Duration::from_millis(1_500);
 
 /// Load that an upstream states in an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -18,6 +22,18 @@
     pub slots: u32,
 }
 
+/// The load of an upstream as a router observed it, for its peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Observation {
+    /// Which upstream.
+    pub upstream: name::Upstream,
+    /// Requests at it.
+    pub load: u32,
+    /// How long ago.
+    pub age_ms: u32,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Seen {
     at: Time,
@@ -25,11 +41,10 @@
     own: u32,
 }
 
-/// Requests at one upstream: those of this router exactly, those of the others as last heard.
+/// Requests at one upstream: those of this router exactly, those of the others as last observed.
 #[derive(Clone, Debug, Default)]
 pub struct Load {
     own: u32,
-    told: u32,
     seen: Option<Seen>,
 }
 
@@ -49,31 +64,31 @@
         self.own = self.own.saturating_sub(1);
     }
 
-    /// Takes what the upstream states in an answer to a request that this router still counts.
-    pub fn report(&mut self, now: Time, report: Report) {
-        self.seen = Some(Seen {
-            at: now,
-            load: report.running.saturating_add(report.waiting),
-            own: self.own,
-        });
+    /// Takes what the upstream stated at a time; an older statement than the known one is ignored.
+    pub fn observe(&mut self, at: Time, load: u32) {
+        if self.seen.is_none_or(|seen| seen.at < at) {
+            let own = self.own;
+            self.seen = Some(Seen { at, load, own });
+        }
     }
 
-    /// Replaces what one peer said before of its own requests.
-    pub const fn told(&mut self, before: u32, after: u32) {
-        self.told = self.told.saturating_sub(before).saturating_add(after);
+    /// The last statement, if it still says something.
+    pub fn observed(&self, now: Time) -> Option<(Duration, u32)> {
+        let seen = self.seen?;
+        let age = now.since(seen.at);
+        (age < STALE).then_some((age, seen.load))
     }
 
     /// Requests that are believed to be at the upstream.
     ///
-    /// What is counted is the floor: a stale report never hides this router's own requests.
+    /// This router's own requests are the floor, so that no stale statement hides them.
     pub fn estimate(&self, now: Time) -> u32 {
-        let counted = self.own.saturating_add(self.told);
         match self.seen {
-            Some(seen) if now.since(seen.at) < FRESH => {
-                let reported = seen.load.saturating_add(self.own).saturating_sub(seen.own);
-                counted.max(reported)
+            Some(seen) if now.since(seen.at) < STALE => {
+                let others = seen.load.saturating_sub(seen.own);
+                self.own.saturating_add(others)
             }
-            _ => counted,
+            _ => self.own,
         }
     }
 }
--- a/crates/snipeusher/src/fleet/roster.rs
+++ b/crates/snipeusher/src/fleet/roster.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,6 +16,9 @@
 /// Time after the store's return within which upstreams whose entries lapsed are back. Entries
 /// that are missing until then are kept, since all of them lapse together in a long outage.
 const RETURN: Duration = Duration::from_millis(2_300);
+/// Removals that are remembered for peers that are behind; one that is further behind gets the
+/// whole list.
+const REMOVALS_MAX: usize = 512;
 
 /// An upstream as the store lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,14 +42,30 @@
     pub revision: Revision,
 }
 
-/// All entries at one revision, as a router passes them on.
+/// An upstream that the store no longer lists.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Removal {
+    /// Its identity.
+    pub id: name::Upstream,
+    /// Revision of the removal.
+    pub revision: Revision,
+    /// Milliseconds for which it is still used, since its entry may only have lapsed.
+    pub keep_ms: u64,
+}
+
+/// The changes between two revisions, as a router passes them on.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Snapshot {
-    /// The store's revision.
+pub struct Delta {
+    /// The store's revision after them.
     pub revision: Revision,
+    /// Whether `entries` are all that there are, rather than those that changed.
+    pub complete: bool,
     /// The entries.
     pub entries: Vec<Entry>,
+    /// Upstreams that are no longer listed.
+    pub removed: Vec<Removal>,
 }
 
 #[derive(Clone, Debug)]
@@ -55,11 +75,21 @@
     lapsed: Option<Time>,
 }
 
+#[derive(Clone, Debug)]
+struct Removed {
+    id: name::Upstream,
+    revision: Revision,
+    until: Option<Time>,
+}
+
 /// The upstreams that the store lists, at the highest revision heard from anyone.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     rows: BTreeMap<name::Upstream, Row>,
     revision: Revision,
+    removed: VecDeque<Removed>,
+    /// All removals after this revision are in `removed`.
+    floor: Revision,
     away: bool,
     returned: Option<Time>,
 }
@@ -77,10 +107,7 @@
 
     /// The upstreams that may get new work.
     pub fn ready(&self, now: Time) -> impl Iterator<Item = &Entry> {
-        let rows = self.rows.values().filter(move |row| {
-            let is_listed = row.lapsed.is_none_or(|until| now < until);
-            is_listed && !row.entry.draining
-        });
+        let rows = self.rows.values().filter(move |row| row.is_ready(now));
         rows.map(|row| &row.entry)
     }
 
@@ -89,11 +116,6 @@
         self.rows.values().map(|row| &row.entry)
     }
 
-    /// When an upstream that the store no longer lists is forgotten next.
-    pub fn next_expiry(&self) -> Option<Time> {
-        self.rows.values().filter_map(|row| row.lapsed).min()
-    }
-
     /// One upstream, also if it is leaving.
     pub fn get(&self, id: &name::Upstream) -> Option<&Entry> {
         self.rows.get(id).map(|row| &row.entry)
@@ -101,19 +123,23 @@
 
     /// Whether an upstream may get new work at `now`.
     pub fn is_ready(&self, now: Time, id: &name::Upstream) -> bool {
-        self.rows
-            .get(id)
-            .is_some_and(|row| !row.entry.draining && row.lapsed.is_none_or(|until| now < until))
+        self.rows.get(id).is_some_and(|row| row.is_ready(now))
+    }
+
+    /// When an upstream that the store no longer lists is forgotten next.
+    pub fn next_expiry(&self) -> Option<Time> {
+        self.rows.values().filter_map(|row| row.lapsed).min()
     }
 
     /// The store cannot be reached: entries may lapse although their upstreams live.
-    pub fn store_lost(&mut self) {
+    pub const fn store_lost(&mut self) {
         self.away = true;
     }
 
     /// The store answers again.
-    pub fn store_found(&mut self, now: Time) {
-        if std::mem::take(&mut self.away) {
+    pub const fn store_found(&mut self, now: Time) {
+        if self.away {
+            self.away = false;
             self.returned = Some(now);
         }
     }
@@ -131,12 +157,13 @@
         }
     }
 
-    /// Takes the removal of an entry at a revision.
+    /// Takes the removal of an entry at a revision, as the store tells it.
     pub fn remove(&mut self, now: Time, id: &name::Upstream, revision: Revision) {
         self.revision = self.revision.max(revision);
         let known = self.rows.get(id);
         if known.is_some_and(|row| row.entry.revision <= revision) {
-            self.drop_row(now, id);
+            let until = self.keep_until(now, id);
+            self.drop_row(id.clone(), revision, until);
         }
     }
 
@@ -145,56 +172,131 @@
         self.revision = self.revision.max(revision);
     }
 
-    /// Takes a complete list; an older one than what is known is ignored.
-    pub fn sync(&mut self, now: Time, snapshot: Snapshot) {
-        if snapshot.revision < self.revision {
+    /// Takes the complete list of the store at a revision; an older one than what is known is
+    /// ignored.
+    pub fn list(&mut self, now: Time, revision: Revision, entries: Vec<Entry>) {
+        if revision < self.revision {
             return;
         }
-        let listed = snapshot.entries.iter().map(|entry| entry.id.clone());
-        let listed: BTreeSet<name::Upstream> = listed.collect();
-        let missing = self
-            .rows
-            .iter()
-            .filter(|(id, row)| !listed.contains(*id) && row.entry.revision <= snapshot.revision);
-        let missing: Vec<name::Upstream> = missing.map(|(id, _)| id.clone()).collect();
-        for id in missing {
-            self.drop_row(now, &id);
+        for id in self.missing(revision, &entries) {
+            let until = self.keep_until(now, &id);
+            self.drop_row(id, revision, until);
         }
-        for entry in snapshot.entries {
+        for entry in entries {
             self.put(entry);
         }
-        self.revision = snapshot.revision;
+        self.revision = revision;
+        // What came and went before the list is not known.
+        self.floor = revision;
     }
 
-    /// What is listed, for a peer that is behind.
-    pub fn snapshot(&self) -> Snapshot {
+    /// Takes what a peer knows beyond this router's revision.
+    pub fn merge(&mut self, now: Time, delta: Delta) {
+        if delta.revision <= self.revision {
+            return;
+        }
+        if delta.complete {
+            let kept = delta.removed.iter().filter(|removal| removal.keep_ms > 0);
+            let kept: BTreeSet<name::Upstream> = kept.map(|removal| removal.id.clone()).collect();
+            self.floor = delta.revision;
+            for id in self.missing(delta.revision, &delta.entries) {
+                if !kept.contains(&id) {
+                    self.drop_row(id, delta.revision, None);
+                }
+            }
+        }
+        for removal in delta.removed {
+            let known = self.rows.get(&removal.id);
+            if known.is_some_and(|row| row.entry.revision <= removal.revision) {
+                let keep = Duration::from_millis(removal.keep_ms);
+                let until = (removal.keep_ms > 0).then(|| now + keep);
+                self.drop_row(removal.id, removal.revision, until);
+            }
+        }
+        for entry in delta.entries {
+            self.put(entry);
+        }
+        self.revision = delta.revision;
+    }
+
+    /// What changed after a revision, for a peer that is behind.
+    pub fn since(&self, now: Time, revision: Revision) -> Delta {
+        let complete = revision < self.floor || revision == Revision::default();
         let listed = self.rows.values().filter(|row| row.lapsed.is_none());
-        Snapshot {
+        let newer = listed.filter(|row| complete || row.entry.revision > revision);
+        let removed = self.removed.iter();
+        let removed = removed.filter(|removed| complete || removed.revision > revision);
+        Delta {
             revision: self.revision,
-            entries: listed.map(|row| row.entry.clone()).collect(),
+            complete,
+            entries: newer.map(|row| row.entry.clone()).collect(),
+            removed: removed.map(|removed| removed.tell(now)).collect(),
         }
     }
 
-    /// Upstreams that are no longer known at `now`; they are forgotten.
+    /// Forgets upstreams that did not come back.
     pub fn expire(&mut self, now: Time) {
         self.rows
             .retain(|_, row| row.lapsed.is_none_or(|until| now < until));
     }
 
-    fn drop_row(&mut self, now: Time, id: &name::Upstream) {
-        let until = self.returned.map(|returned| returned + RETURN);
-        let until = until.filter(|until| now < *until);
-        let Some(row) = self.rows.get_mut(id) else {
-            return;
-        };
+    /// Known upstreams that a complete list at a revision does not name.
+    fn missing(&self, revision: Revision, entries: &[Entry]) -> Vec<name::Upstream> {
+        let listed: BTreeSet<&name::Upstream> = entries.iter().map(|entry| &entry.id).collect();
+        let missing = self.rows.values().filter(|row| {
+            row.lapsed.is_none()
+                && row.entry.revision <= revision
+                && !listed.contains(&row.entry.id)
+        });
+        missing.map(|row| row.entry.id.clone()).collect()
+    }
+
+    /// Until when an upstream that is no longer listed is still used: for a while after the
+    /// store's return, unless it was leaving.
+    fn keep_until(&self, now: Time, id: &name::Upstream) -> Option<Time> {
+        let until = self.returned? + RETURN;
+        let is_leaving = self.rows.get(id).is_some_and(|row| row.entry.draining);
+        (now < until && !is_leaving).then_some(until)
+    }
+
+    fn drop_row(&mut self, id: name::Upstream, revision: Revision, until: Option<Time>) {
         match until {
-            // Leaving upstreams stay gone.
-            Some(until) if !row.entry.draining => {
-                row.lapsed.get_or_insert(until);
+            Some(until) => {
+                if let Some(row) = self.rows.get_mut(&id) {
+                    row.lapsed.get_or_insert(until);
+                }
             }
-            _ => {
-                self.rows.remove(id);
+            None => {
+                self.rows.remove(&id);
             }
         }
+        let removed = Removed {
+            id,
+            revision,
+            until,
+        };
+        self.removed.push_back(removed);
+        if self.removed.len() > REMOVALS_MAX
+            && let Some(oldest) = self.removed.pop_front()
+        {
+            self.floor = self.floor.max(oldest.revision);
+        }
+    }
+}
+
+impl Row {
+    fn is_ready(&self, now: Time) -> bool {
+        !self.entry.draining && self.lapsed.is_none_or(|until| now < until)
+    }
+}
+
+impl Removed {
+    fn tell(&self, now: Time) -> Removal {
+        let keep = self.until.map_or(Duration::ZERO, |until| until.since(now));
+        Removal {
+            id: self.id.clone(),
+            revision: self.revision,
+            keep_ms: keep.as_millis() as u64,
+        }
     }
 }
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -1,25 +1,25 @@
 //! What one router believes of all upstreams.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use super::Ask;
 use super::Bounds;
 use super::Budget;
 use super::Decision;
+use super::Delta;
 use super::Entry;
+use super::Observation;
 use super::Outcome;
 use super::Report;
 use super::Roster;
-use super::Snapshot;
 use super::cell::Cell;
 use super::choice;
 use crate::kv::Revision;
 use crate::name;
 use crate::time::Time;
 
-/// What a peer said is void at this age.
-const PEER_STALE: Duration = Duration::from_secs(3);
+/// Observations that a digest holds.
+const OBSERVATIONS_MAX: usize = 48;
 
 /// What a router's beliefs depend on besides events.
 #[derive(Clone, Debug)]
@@ -30,12 +30,6 @@
     pub repeats: Bounds,
 }
 
-#[derive(Clone, Debug)]
-struct Told {
-    at: Time,
-    counts: BTreeMap<name::Upstream, u32>,
-}
-
 /// What one router believes of all upstreams.
 #[derive(Debug)]
 pub struct Fleet {
@@ -47,7 +41,6 @@
     /// When a lapsed entry expires next.
     refresh_at: Option<Time>,
     budgets: BTreeMap<name::Service, Budget>,
-    peers: BTreeMap<name::Host, Told>,
     routers: usize,
 }
 
@@ -62,7 +55,6 @@
             ready: BTreeMap::new(),
             refresh_at: None,
             budgets: BTreeMap::new(),
-            peers: BTreeMap::new(),
             routers: 1,
         }
     }
@@ -114,25 +106,43 @@
         self.roster.reached(revision);
     }
 
-    /// Takes a complete list of the store's entries.
-    pub fn sync(&mut self, now: Time, snapshot: Snapshot) {
-        self.roster.sync(now, snapshot);
+    /// Takes the complete list of the store's entries.
+    pub fn list(&mut self, now: Time, revision: Revision, entries: Vec<Entry>) {
+        self.roster.list(now, revision, entries);
+        self.refresh(now);
+    }
+
+    /// Takes the store's entries as a peer knows them.
+    pub fn merge(&mut self, now: Time, delta: Delta) {
+        self.roster.merge(now, delta);
         self.refresh(now);
     }
 
-    /// Takes what a peer says of its own requests at the upstreams.
-    pub fn told(&mut self, now: Time, host: name::Host, counts: BTreeMap<name::Upstream, u32>) {
-        let before = self.peers.remove(&host);
-        self.replace(before.map(|told| told.counts).unwrap_or_default(), &counts);
-        self.peers.insert(host, Told { at: now, counts });
-        self.forget_stale(now);
+    /// Takes what a peer observed.
+    pub fn observe(&mut self, now: Time, observations: &[Observation]) {
+        for observation in observations {
+            if let Some(cell) = self.cell_mut(&observation.upstream) {
+                let age = u64::from(observation.age_ms) * 1_000;
+                let at = Time(now.0.saturating_sub(age));
+                cell.load.observe(at, observation.load);
+            }
+        }
     }
 
-    /// This router's own requests at the upstreams, for its peers.
-    pub fn own(&self) -> BTreeMap<name::Upstream, u32> {
-        let busy = self.cells.iter().filter(|cell| cell.load.own() > 0);
-        busy.map(|cell| (cell.entry.id.clone(), cell.load.own()))
-            .collect()
+    /// The newest observations, for peers.
+    pub fn observations(&self, now: Time) -> Vec<Observation> {
+        let seen = self.cells.iter().filter_map(|cell| {
+            let (age, load) = cell.load.observed(now)?;
+            Some(Observation {
+                upstream: cell.entry.id.clone(),
+                load,
+                age_ms: age.as_millis() as u32,
+            })
+        });
+        let mut observations: Vec<Observation> = seen.collect();
+        observations.sort_unstable_by_key(|observation| observation.age_ms);
+        observations.truncate(OBSERVATIONS_MAX);
+        observations
     }
 
     /// Counts a caller's request to a service.
@@ -172,7 +182,8 @@
     /// Takes the load that an upstream states.
     pub fn report(&mut self, now: Time, id: &name::Upstream, report: Report) {
         if let Some(cell) = self.cell_mut(id) {
-            cell.load.report(now, report);
+            let load = report.running.saturating_add(report.waiting);
+            cell.load.observe(now, load);
         }
     }
 
@@ -229,11 +240,8 @@
                 self.cells[*slot].update(entry.clone(), &self.settings.zone);
             } else {
                 self.slots.insert(entry.id.clone(), self.cells.len());
-                let mut cell = Cell::new(entry.clone(), &self.settings.zone);
-                let told = self.peers.values();
-                let told = told.filter_map(|told| told.counts.get(&entry.id)).sum();
-                cell.load.told(0, told);
-                self.cells.push(cell);
+                self.cells
+                    .push(Cell::new(entry.clone(), &self.settings.zone));
             }
         }
         self.ready.clear();
@@ -242,32 +250,4 @@
             slots.extend(self.slots.get(&entry.id));
         }
     }
-
-    fn replace(
-        &mut self,
-        before: BTreeMap<name::Upstream, u32>,
-        after: &BTreeMap<name::Upstream, u32>,
-    ) {
-        for (id, count) in before {
-            if let Some(cell) = self.cell_mut(&id) {
-                cell.load.told(count, 0);
-            }
-        }
-        for (id, count) in after {
-            if let Some(cell) = self.cell_mut(id) {
-                cell.load.told(0, *count);
-            }
-        }
-    }
-
-    fn forget_stale(&mut self, now: Time) {
-        let stale = self.peers.iter();
-        let stale = stale.filter(|(_, told)| now.since(told.at) > PEER_STALE);
-        let stale: Vec<name::Host> = stale.map(|(host, _)| host.clone()).collect();
-        for host in stale {
-            if let Some(told) = self.peers.remove(&host) {
-                self.replace(told.counts, &BTreeMap::new());
-            }
-        }
-    }
 }
--- a/crates/snipeusher/src/lib.rs
+++ b/crates/snipeusher/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod placement;
 pub mod policy;
 pub mod prefix;
+pub mod reader;
 pub mod request;
 pub mod retry;
 pub mod route;
--- /dev/null
+++ b/crates/snipeusher/src/reader.rs
@@ -0,0 +1,157 @@
+//! Which routers read the store for the others.
+//!
+//! The store's rates do not grow with the fleet, so only a few routers of each availability zone
+//! watch it and the others hear the news from their peers. Nobody is appointed: a router begins
+//! to read when it has not heard of enough fresh readers in its zone, and stops when enough
+//! readers that rank before it are fresh. A zone that is cut off therefore reads for itself. See
+//! `docs/platform.md#readers`.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::hash;
+use crate::name;
+use crate::time::Time;
+
+/// Readers of each availability zone; the second one covers for the first.
+const PER_ZONE: usize = 2;
+/// A reader that the store answered this long ago counts. A watch without news is answered after
+/// two seconds, and word of it takes up to two more.
+const FRESH: Duration = Duration::from_millis(4_500);
+/// Routers that miss readers begin one after the other within this time, so that few do.
+const SPREAD: Duration = Duration::from_millis(1_500);
+/// The same where no reader is fresh anywhere, so that no news arrives at all.
+const SPREAD_URGENT: Duration = Duration::from_millis(400);
+
+/// A router that reads the store, as routers tell each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Reader {
+    /// Its host.
+    pub host: name::Host,
+    /// Its availability zone.
+    pub zone: name::Zone,
+    /// How long ago the store answered it, in milliseconds.
+    pub age_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    zone: name::Zone,
+    rank: u64,
+    answered: Time,
+}
+
+/// The readers that one router knows, and whether it is one of them.
+#[derive(Clone, Debug)]
+pub struct Readers {
+    host: name::Host,
+    zone: name::Zone,
+    rank: u64,
+    known: BTreeMap<name::Host, Known>,
+    reading: bool,
+    /// Since when readers are missing.
+    short: Option<Time>,
+}
+
+impl Readers {
+    /// Starts as a reader, since nothing is known yet.
+    pub fn new(host: name::Host, zone: name::Zone) -> Self {
+        Self {
+            rank: rank(&host),
+            host,
+            zone,
+            known: BTreeMap::new(),
+            reading: true,
+            short: None,
+        }
+    }
+
+    /// The store answered this router.
+    pub fn answered(&mut self, now: Time) {
+        let known = Known {
+            zone: self.zone.clone(),
+            rank: self.rank,
+            answered: now,
+        };
+        self.known.insert(self.host.clone(), known);
+    }
+
+    /// Takes what a peer says of readers.
+    pub fn heard(&mut self, now: Time, readers: &[Reader]) {
+        for reader in readers.iter().filter(|reader| reader.host != self.host) {
+            let age = reader.age_ms.saturating_mul(1_000);
+            let answered = Time(now.0.saturating_sub(age));
+            let known = self.known.entry(reader.host.clone()).or_insert(Known {
+                zone: reader.zone.clone(),
+                rank: rank(&reader.host),
+                answered,
+            });
+            known.answered = known.answered.max(answered);
+        }
+        self.known
+            .retain(|_, known| now.since(known.answered) < FRESH);
+    }
+
+    /// The fresh readers that rank first in each zone, for peers.
+    pub fn list(&self, now: Time) -> Vec<Reader> {
+        let mut zones: BTreeMap<&name::Zone, Vec<(u64, Reader)>> = BTreeMap::new();
+        for (host, known) in self.fresh(now) {
+            let reader = Reader {
+                host: host.clone(),
+                zone: known.zone.clone(),
+                age_ms: now.since(known.answered).as_millis() as u64,
+            };
+            zones
+                .entry(&known.zone)
+                .or_default()
+                .push((known.rank, reader));
+        }
+        let mut list = Vec::new();
+        for mut readers in zones.into_values() {
+            readers.sort_by_key(|(rank, _)| *rank);
+            let first = readers.into_iter().take(PER_ZONE);
+            list.extend(first.map(|(_, reader)| reader));
+        }
+        list
+    }
+
+    /// Whether this router is to read the store at `now`.
+    pub fn reads(&mut self, now: Time) -> bool {
+        let others = self
+            .fresh(now)
+            .filter(|(host, known)| **host != self.host && known.zone == self.zone);
+        let (ahead, count) = others.fold((0, 0), |(ahead, count), (_, known)| {
+            (ahead + usize::from(known.rank < self.rank), count + 1)
+        });
+        if self.reading {
+            self.reading = ahead < PER_ZONE;
+            self.short = None;
+        } else if count < PER_ZONE {
+            let since = *self.short.get_or_insert(now);
+            self.reading = now.since(since) >= self.delay(now);
+        } else {
+            self.short = None;
+        }
+        self.reading
+    }
+
+    /// How long this router leaves others the chance to read first.
+    fn delay(&self, now: Time) -> Duration {
+        let is_urgent = self.fresh(now).next().is_none();
+        let spread = if is_urgent { SPREAD_URGENT } else { SPREAD };
+        spread.mul_f64(self.rank as f64 / u64::MAX as f64)
+    }
+
+    fn fresh(&self, now: Time) -> impl Iterator<Item = (&name::Host, &Known)> {
+        let known = self.known.iter();
+        known.filter(move |(_, known)| now.since(known.answered) < FRESH)
+    }
+}
+
+fn rank(host: &name::Host) -> u64 {
+    hash::bytes(host.as_str().as_bytes())
+}
