--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -208,6 +208,19 @@
         }
     }
 
+    /// Whether a request that waits at a silent upstream can go to another one.
+    fn has_alternative(&self) -> bool {
+        let ask = Ask {
+            service: &self.admitted.service,
+            session: self.admitted.session,
+            tried: &self.tried,
+            point: 0,
+        };
+        let now = self.shared.now();
+        let mut fleet = self.shared.fleet.borrow_mut();
+        self.may_run_again() && fleet.has_alternative(now, &ask)
+    }
+
     fn not_run(&self, retry_after: Duration) -> Refusal {
         if self.runs > 0 {
             Refusal::Lost
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -105,46 +105,45 @@
         channel::request(admitted.method.clone(), admitted.uri.clone(), headers)
     }
 
-    /// Reads the head of the answer to this request; answers to earlier ones are skipped.
+    /// Reads the head of the answer to this request.
+    ///
+    /// A silent upstream is given up only if another one can take the request.
     async fn reply(&self, upstream: &name::Upstream, channel: &mut Channel) -> Option<Reply> {
-        let read = async {
-            for _ in 0..=FOREIGN_MAX {
-                let head = channel.head().await?;
-                let status = head.status.as_u16();
-                let answer = self.shared.platform.answer(status, &head.headers);
-                if answer.id == self.admitted.call.id || answer.declined && answer.id.is_none() {
-                    return Ok(Reply { head, answer });
+        let patience = self.admitted.route.objective.mul_f64(PATIENCE);
+        let patience = patience.max(PATIENCE_MIN);
+        let read = loop {
+            match timeout(patience, self.own_reply(upstream, channel)).await {
+                Ok(read) => break read,
+                Err(elapsed) if self.has_alternative() => {
+                    self.note(upstream, "silent", &elapsed);
+                    return None;
                 }
-                info!(self.shared.log, "answer: belongs to another request";
-                    "id" => self.admitted.call.id.as_deref(), "upstream" => upstream.as_str(),
-                    "answers" => answer.id);
-                channel.body(BODY_BYTES_MAX).await?;
+                Err(_elapsed) => {}
             }
-            Err(channel::Error::Ended)
         };
-        let read = match self.patience() {
-            Some(patience) => timeout(patience, read).await,
-            None => Ok(read.await),
-        };
-        match read {
-            Ok(Ok(reply)) => Some(reply),
-            Ok(Err(error)) => {
-                self.note(upstream, "lost", &error);
-                None
-            }
-            Err(elapsed) => {
-                self.note(upstream, "silent", &elapsed);
-                None
-            }
-        }
+        read.inspect_err(|error| self.note(upstream, "lost", error))
+            .ok()
     }
 
-    /// How long the upstream may stay silent before another one is tried; `None` if no other may.
-    fn patience(&self) -> Option<Duration> {
-        let route = &self.admitted.route;
-        let again = route.kind.is_repeatable() && self.runs < route.attempts;
-        let patience = route.objective.mul_f64(PATIENCE).max(PATIENCE_MIN);
-        (again && patience * 2 < left(self.admitted.until) + patience).then_some(patience)
+    /// Reads answers until one belongs to this request.
+    async fn own_reply(
+        &self,
+        upstream: &name::Upstream,
+        channel: &mut Channel,
+    ) -> Result<Reply, channel::Error> {
+        for _ in 0..=FOREIGN_MAX {
+            let head = channel.head().await?;
+            let status = head.status.as_u16();
+            let answer = self.shared.platform.answer(status, &head.headers);
+            if answer.id == self.admitted.call.id || answer.declined && answer.id.is_none() {
+                return Ok(Reply { head, answer });
+            }
+            info!(self.shared.log, "answer: belongs to another request";
+                "id" => self.admitted.call.id.as_deref(), "upstream" => upstream.as_str(),
+                "answers" => answer.id);
+            channel.body(BODY_BYTES_MAX).await?;
+        }
+        Err(channel::Error::Ended)
     }
 
     async fn declined(
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -93,25 +93,20 @@
     }
 
     async fn next(&self, channel: &mut Channel) -> Next {
-        let read = match self.stall() {
-            Some(stall) => timeout(stall, channel.chunk()).await,
-            None => Ok(channel.chunk().await),
+        let pause = self.admitted.route.pause.unwrap_or_default();
+        let stall = (pause * STALL_PAUSES).max(STALL_MIN);
+        let read = loop {
+            match timeout(stall, channel.chunk()).await {
+                Ok(read) => break read,
+                Err(_elapsed) if self.has_alternative() => return Next::Silent,
+                Err(_elapsed) => {}
+            }
         };
         match read {
-            Ok(Ok(Some(bytes))) => Next::Bytes(bytes),
-            Ok(Ok(None)) => Next::End,
-            Ok(Err(error)) => Next::Broken(error),
-            Err(_elapsed) => Next::Silent,
-        }
-    }
-
-    /// How long a stream may pause before another upstream goes on with it.
-    fn stall(&self) -> Option<Duration> {
-        if !self.may_run_again() {
-            return None;
+            Ok(Some(bytes)) => Next::Bytes(bytes),
+            Ok(None) => Next::End,
+            Err(error) => Next::Broken(error),
         }
-        let pause = self.admitted.route.pause.unwrap_or_default();
-        Some((pause * STALL_PAUSES).max(STALL_MIN))
     }
 
     /// What follows when an upstream broke a stream off.
--- /dev/null
+++ b/crates/edge/tests/common/caller.rs
@@ -0,0 +1,164 @@
+//! Callers that write and read raw bytes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_rt::net::TcpStream;
+use actix_rt::time::timeout;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+
+/// Longest time that a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// An answer as the caller read it.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+    /// Whether the body ended as its framing says.
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().skip(1).find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            key.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+}
+
+/// A connection to a router.
+pub struct Caller {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl Caller {
+    pub async fn connect(address: SocketAddr) -> Self {
+        Self {
+            stream: TcpStream::connect(address)
+                .await
+                .expect("the router listens"),
+            buffer: Vec::new(),
+        }
+    }
+
+    pub async fn write(&mut self, text: &str) {
+        let written = self.stream.write_all(text.as_bytes()).await;
+        written.expect("the router reads");
+    }
+
+    /// Reads one answer; `None` if the connection ends before one.
+    pub async fn read(&mut self) -> Option<Answer> {
+        let read = timeout(PATIENCE, self.answer()).await;
+        read.expect("the router answers in time")
+    }
+
+    /// Reads until a text has arrived and returns all that has.
+    pub async fn read_to(&mut self, text: &str) -> String {
+        loop {
+            let read = String::from_utf8_lossy(&self.buffer).into_owned();
+            if read.contains(text) {
+                return read;
+            }
+            let more = timeout(PATIENCE, self.more()).await;
+            assert!(matches!(more, Ok(true)), "the router answers in time");
+        }
+    }
+
+    /// Whether the router ended the connection without a further byte.
+    pub async fn is_closed(&mut self) -> bool {
+        let read = timeout(PATIENCE, self.more()).await;
+        self.buffer.is_empty() && matches!(read, Ok(false))
+    }
+
+    async fn answer(&mut self) -> Option<Answer> {
+        let end = loop {
+            if let Some(end) = self.buffer.windows(4).position(|part| part == b"\r\n\r\n") {
+                break end;
+            }
+            if !self.more().await {
+                return None;
+            }
+        };
+        let head: Vec<u8> = self.buffer.drain(..end + 4).collect();
+        let head = String::from_utf8_lossy(&head).into_owned();
+        let mut answer = Answer {
+            status: head[9..12].parse().expect("a status"),
+            head,
+            body: String::new(),
+            whole: true,
+        };
+        if answer.status == 100 {
+            return Some(answer);
+        }
+        if answer.header("transfer-encoding").is_some() {
+            self.chunks(&mut answer).await;
+        } else {
+            let length = answer
+                .header("content-length")
+                .map_or(0, |text| text.parse().expect("a length"));
+            while self.buffer.len() < length && self.more().await {}
+            answer.whole = self.buffer.len() >= length;
+            let length = length.min(self.buffer.len());
+            let body: Vec<u8> = self.buffer.drain(..length).collect();
+            answer.body = String::from_utf8_lossy(&body).into_owned();
+        }
+        Some(answer)
+    }
+
+    async fn chunks(&mut self, answer: &mut Answer) {
+        loop {
+            let line = self.buffer.windows(2).position(|part| part == b"\r\n");
+            let Some(line) = line else {
+                if self.more().await {
+                    continue;
+                }
+                answer.whole = false;
+                return;
+            };
+            let size = String::from_utf8_lossy(&self.buffer[..line]).into_owned();
+            let size = usize::from_str_radix(&size, 16).expect("the size of a chunk");
+            while self.buffer.len() < line + 2 + size + 2 {
+                if !self.more().await {
+                    answer.whole = false;
+                    return;
+                }
+            }
+            let chunk: Vec<u8> = self.buffer.drain(..line + 2 + size + 2).collect();
+            if size == 0 {
+                return;
+            }
+            let text = String::from_utf8_lossy(&chunk[line + 2..line + 2 + size]);
+            answer.body.push_str(&text);
+        }
+    }
+
+    async fn more(&mut self) -> bool {
+        matches!(self.stream.read_buf(&mut self.buffer).await, Ok(count) if count > 0)
+    }
+}
+
+/// The text of a request without a body.
+pub fn get(path: &str, id: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: test.example\r\nT-Id: {id}\r\n\r\n")
+}
+
+/// The text of a request with a body.
+pub fn post(path: &str, id: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: test.example\r\nT-Id: {id}\r\n\
+         Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Sends one request on a connection of its own.
+pub async fn call(address: SocketAddr, text: &str) -> Answer {
+    let mut caller = Caller::connect(address).await;
+    caller.write(text).await;
+    caller.read().await.expect("an answer")
+}
--- /dev/null
+++ b/crates/edge/tests/common/engine.rs
@@ -0,0 +1,198 @@
+//! An upstream that answers as a script says.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::net::TcpListener;
+use actix_rt::net::TcpStream;
+use actix_rt::time::sleep;
+use tokio::io::AsyncReadExt as _;
+use tokio::io::AsyncWriteExt as _;
+
+/// What the script does next.
+#[derive(Clone, Debug)]
+pub enum Act {
+    Write(String),
+    Pause(u64),
+    /// Ends the connection in order.
+    Close,
+    /// Ends the connection with a reset.
+    Reset,
+    /// Waits until the other side ends the connection.
+    Hang,
+}
+
+/// A request as it arrived.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub head: String,
+    pub body: Vec<u8>,
+    /// Number of the connection that it came on.
+    pub connection: usize,
+}
+
+impl Seen {
+    /// The value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().skip(1).find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            key.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+
+    pub fn id(&self) -> &str {
+        self.header("t-id").unwrap_or_default()
+    }
+}
+
+/// An upstream.
+pub struct Engine {
+    pub address: SocketAddr,
+    seen: Rc<RefCell<Vec<Seen>>>,
+    /// Requests whose connection the router ended while the script waited.
+    pub abandoned: Rc<Cell<usize>>,
+}
+
+impl Engine {
+    /// Starts one that answers each request as the script says.
+    pub async fn start(script: impl Fn(&Seen) -> Vec<Act> + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("it is bound");
+        let engine = Self {
+            address,
+            seen: Rc::default(),
+            abandoned: Rc::default(),
+        };
+        let seen = Rc::clone(&engine.seen);
+        let abandoned = Rc::clone(&engine.abandoned);
+        let script = Rc::new(script);
+        actix_rt::spawn(async move {
+            let mut count = 0;
+            while let Ok((stream, _)) = listener.accept().await {
+                let connection = Connection {
+                    stream,
+                    number: count,
+                    seen: Rc::clone(&seen),
+                    abandoned: Rc::clone(&abandoned),
+                };
+                count += 1;
+                let script = Rc::clone(&script);
+                actix_rt::spawn(async move { connection.serve(&*script).await });
+            }
+        });
+        engine
+    }
+
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.borrow().clone()
+    }
+
+    pub fn count(&self) -> usize {
+        self.seen.borrow().len()
+    }
+}
+
+struct Connection {
+    stream: TcpStream,
+    number: usize,
+    seen: Rc<RefCell<Vec<Seen>>>,
+    abandoned: Rc<Cell<usize>>,
+}
+
+impl Connection {
+    async fn serve(mut self, script: &impl Fn(&Seen) -> Vec<Act>) {
+        let mut buffer = Vec::new();
+        while let Some(seen) = self.request(&mut buffer).await {
+            let acts = script(&seen);
+            self.seen.borrow_mut().push(seen);
+            for act in acts {
+                match act {
+                    Act::Write(text) => {
+                        if self.stream.write_all(text.as_bytes()).await.is_err() {
+                            self.abandoned.set(self.abandoned.get() + 1);
+                            return;
+                        }
+                    }
+                    Act::Pause(ms) => sleep(Duration::from_millis(ms)).await,
+                    Act::Close => return,
+                    Act::Reset => {
+                        self.stream
+                            .set_zero_linger()
+                            .expect("the socket takes options");
+                        return;
+                    }
+                    Act::Hang => {
+                        let mut rest = Vec::new();
+                        let _ended = self.stream.read_to_end(&mut rest).await;
+                        self.abandoned.set(self.abandoned.get() + 1);
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn request(&mut self, buffer: &mut Vec<u8>) -> Option<Seen> {
+        loop {
+            if let Some(end) = buffer.windows(4).position(|part| part == b"\r\n\r\n") {
+                let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
+                let seen = Seen {
+                    head,
+                    body: Vec::new(),
+                    connection: self.number,
+                };
+                let length = seen.header("content-length");
+                let length = length.map_or(0, |text| text.parse().expect("a length"));
+                if buffer.len() >= end + 4 + length {
+                    let body = buffer[end + 4..end + 4 + length].to_vec();
+                    buffer.drain(..end + 4 + length);
+                    return Some(Seen { body, ..seen });
+                }
+            }
+            if self.stream.read_buf(buffer).await.ok()? == 0 {
+                return None;
+            }
+        }
+    }
+}
+
+/// A whole answer with a length.
+pub fn answer(id: &str, status: &str, body: &str) -> Act {
+    let length = body.len();
+    Act::Write(format!(
+        "HTTP/1.1 {status}\r\nT-Id: {id}\r\nT-Signature: s\r\nContent-Length: {length}\r\n\r\n{body}"
+    ))
+}
+
+/// An answer that says that the request did not run.
+pub fn not_run(id: &str) -> Act {
+    Act::Write(format!(
+        "HTTP/1.1 503 Busy\r\nT-Id: {id}\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    ))
+}
+
+/// The head of a stream.
+pub fn stream(id: &str) -> Act {
+    Act::Write(format!(
+        "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Signature: s\r\nContent-Type: text/event-stream\r\n\
+         Transfer-Encoding: chunked\r\n\r\n"
+    ))
+}
+
+/// One event in a chunk of its own.
+pub fn event(number: u32) -> Act {
+    chunk(&format!("id: {number}\ndata: part {number}\n\n"))
+}
+
+/// Bytes of a body in a chunk of their own.
+pub fn chunk(text: &str) -> Act {
+    Act::Write(format!("{:x}\r\n{text}\r\n", text.len()))
+}
+
+/// The end of a chunked body.
+pub fn end() -> Act {
+    Act::Write("0\r\n\r\n".to_owned())
+}
--- /dev/null
+++ b/crates/edge/tests/common/mod.rs
@@ -0,0 +1,101 @@
+//! Stand-ins for upstreams, the store and callers, on loopback.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+pub mod caller;
+pub mod engine;
+pub mod store;
+pub mod words;
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::Logger;
+use slog::o;
+use snipeusher::fleet;
+use snipeusher::name;
+use snipeusher_edge::node;
+use snipeusher_edge::shared::Settings;
+use snipeusher_edge::shared::Shared;
+
+use self::store::Store;
+use self::words::Words;
+
+/// A router under test.
+pub struct Node {
+    pub shared: Rc<Shared<Words>>,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    pub control: SocketAddr,
+}
+
+/// An address that nobody listens on.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    listener.local_addr().expect("it is bound")
+}
+
+/// Starts a router.
+pub async fn start(name: &str, store: &Store, seeds: Vec<SocketAddr>) -> Node {
+    let settings = Settings {
+        host: name::Host::from(name),
+        front: free_address(),
+        ready: free_address(),
+        control: free_address(),
+        seeds,
+        connect_timeout: Duration::from_millis(300),
+        grace: Duration::from_secs(8),
+        fleet: fleet::Settings {
+            zone: name::Zone::from("here"),
+            repeats: fleet::Bounds::default(),
+        },
+    };
+    let (front, ready, control) = (settings.front, settings.ready, settings.control);
+    let log = Logger::root(slog::Discard, o!());
+    let shared = Shared::open(Words, settings, log);
+    node::spawn(&shared, store.clone())
+        .await
+        .expect("its addresses are free");
+    Node {
+        shared,
+        front,
+        ready,
+        control,
+    }
+}
+
+/// Waits until a condition holds, at most five seconds.
+pub async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    for _ in 0..500 {
+        if holds() {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("not reached: {what}");
+}
+
+/// The status of the readiness check.
+pub async fn call_ready(node: &Node) -> u16 {
+    caller::call(node.ready, &caller::get("/", "ready"))
+        .await
+        .status
+}
+
+/// A router with one service in the store.
+pub async fn single(engines: &[&engine::Engine]) -> (Node, Store) {
+    let store = Store::new();
+    store.configure(words::DEFAULT);
+    for (index, engine) in engines.iter().enumerate() {
+        store.upstream(&format!("e{index}"), "letters", engine.address, "ready");
+    }
+    let node = start("host-1", &store, Vec::new()).await;
+    let count = engines.len();
+    let shared = Rc::clone(&node.shared);
+    until("the upstreams are known", || {
+        shared.table().is_some() && shared.fleet.borrow().cells().len() == count
+    })
+    .await;
+    (node, store)
+}
--- /dev/null
+++ b/crates/edge/tests/common/store.rs
@@ -0,0 +1,150 @@
+//! A store in memory that can be taken away.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use futures_util::Stream;
+use futures_util::stream;
+use snipeusher::kv;
+use snipeusher::kv::Call;
+use snipeusher::kv::Fault;
+use snipeusher::kv::Range;
+use snipeusher::kv::Reply;
+use snipeusher::kv::Revision;
+use snipeusher_store::Change;
+
+/// How often a waiting watch looks for changes.
+const LOOK: Duration = Duration::from_millis(10);
+
+#[derive(Default)]
+struct State {
+    keys: RefCell<BTreeMap<String, kv::Entry>>,
+    changes: RefCell<Vec<Change>>,
+    calls: Cell<u64>,
+}
+
+/// One host's way to a store in memory.
+#[derive(Clone)]
+pub struct Store {
+    state: Rc<State>,
+    /// Whether this host reaches the store.
+    reachable: Rc<Cell<bool>>,
+}
+
+impl Store {
+    pub fn new() -> Self {
+        Self {
+            state: Rc::default(),
+            reachable: Rc::new(Cell::new(true)),
+        }
+    }
+
+    /// The same store as another host reaches it.
+    pub fn other_way(&self) -> Self {
+        Self {
+            state: Rc::clone(&self.state),
+            reachable: Rc::new(Cell::new(true)),
+        }
+    }
+
+    pub fn cut(&self, is_cut: bool) {
+        self.reachable.set(!is_cut);
+    }
+
+    pub fn calls(&self) -> u64 {
+        self.state.calls.get()
+    }
+
+    pub fn configure(&self, text: &str) {
+        self.put("conf", text);
+    }
+
+    pub fn upstream(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
+        self.put(&format!("up/{id}"), &format!("{service} {address} {state}"));
+    }
+
+    pub fn put(&self, key: &str, value: &str) {
+        let revision = self.next();
+        let entry = kv::Entry {
+            key: key.to_owned(),
+            value: value.as_bytes().to_vec(),
+            created: revision,
+            modified: revision,
+            lease: None,
+        };
+        let mut keys = self.state.keys.borrow_mut();
+        keys.insert(key.to_owned(), entry.clone());
+        self.state.changes.borrow_mut().push(Change {
+            revision,
+            entries: vec![entry],
+            deleted: Vec::new(),
+        });
+    }
+
+    pub fn delete(&self, key: &str) {
+        let revision = self.next();
+        self.state.keys.borrow_mut().remove(key);
+        self.state.changes.borrow_mut().push(Change {
+            revision,
+            entries: Vec::new(),
+            deleted: vec![key.to_owned()],
+        });
+    }
+
+    fn next(&self) -> Revision {
+        Revision(self.state.changes.borrow().len() as u64 + 1)
+    }
+
+    fn revision(&self) -> Revision {
+        Revision(self.state.changes.borrow().len() as u64)
+    }
+}
+
+impl snipeusher_store::Store for Store {
+    async fn call(&self, call: Call) -> Result<Reply, Fault> {
+        self.state.calls.set(self.state.calls.get() + 1);
+        if !self.reachable.get() {
+            return Err(Fault::NotSent);
+        }
+        let Call::Range(Range::Prefix(prefix)) = call else {
+            return Err(Fault::Refused);
+        };
+        let keys = self.state.keys.borrow();
+        let found = keys.values().filter(|entry| entry.key.starts_with(&prefix));
+        Ok(Reply::Range {
+            revision: self.revision(),
+            entries: found.cloned().collect(),
+        })
+    }
+
+    fn watch(&self, prefix: &str, from: Revision) -> impl Stream<Item = Result<Change, Fault>> {
+        assert!(prefix.is_empty(), "one watch covers all keys");
+        self.state.calls.set(self.state.calls.get() + 1);
+        let store = self.clone();
+        stream::unfold((store, from), |(store, from)| async move {
+            // Without news the watch is answered after a second.
+            for _ in 0..100 {
+                if !store.reachable.get() {
+                    return Some((Err(Fault::Lost), (store, from)));
+                }
+                let next = store.state.changes.borrow().get(from.0 as usize).cloned();
+                if let Some(change) = next {
+                    let revision = change.revision;
+                    return Some((Ok(change), (store, revision)));
+                }
+                sleep(LOOK).await;
+            }
+            let nothing = Change {
+                revision: from,
+                entries: Vec::new(),
+                deleted: Vec::new(),
+            };
+            Some((Ok(nothing), (store, from)))
+        })
+    }
+}
--- /dev/null
+++ b/crates/edge/tests/common/words.rs
@@ -0,0 +1,182 @@
+//! The words of a platform that only the tests have.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::header::HeaderMap;
+use actix_http::header::HeaderName;
+use actix_http::header::HeaderValue;
+use snipeusher::fleet;
+use snipeusher::fleet::Report;
+use snipeusher::kv;
+use snipeusher::kv::Revision;
+use snipeusher::name;
+use snipeusher::route::Backend;
+use snipeusher::route::Draft;
+use snipeusher::route::Kind;
+use snipeusher::route::Limits;
+use snipeusher::route::Route;
+use snipeusher::route::Service;
+use snipeusher::route::Table;
+use snipeusher::route::Tenant;
+use snipeusher_edge::dialect::Answer;
+use snipeusher_edge::dialect::Call;
+use snipeusher_edge::dialect::Cover;
+use snipeusher_edge::dialect::Dialect;
+use snipeusher_edge::dialect::Documents;
+use snipeusher_edge::dialect::Unreadable;
+
+/// One line a route: path prefix, kind, attempts, time-out in milliseconds, whether public.
+pub const DEFAULT: &str = "1\n\
+    /read/ idempotent 2 1000 public\n\
+    /write/ once 1 1000 public\n\
+    /chat/ resumable 2 4000 public\n\
+    /review/ stream 1 4000 public\n\
+    /closed/ idempotent 1 1000 keyed\n";
+
+/// The words of the tests.
+pub struct Words;
+
+impl Dialect for Words {
+    fn call(&self, headers: &HeaderMap) -> Call {
+        Call {
+            id: text(headers, "t-id").map(str::to_owned),
+            deadline: text(headers, "t-deadline")
+                .and_then(|text| text.parse().ok())
+                .map(Duration::from_millis),
+            key: text(headers, "t-key").map(str::to_owned),
+            parts: Vec::new(),
+            last_event: text(headers, "t-last").map(str::to_owned),
+        }
+    }
+
+    fn is_reserved(&self, name: &HeaderName) -> bool {
+        ["t-key", "t-deadline", "t-workspace", "t-upstream"].contains(&name.as_str())
+    }
+
+    fn cover(&self, cover: &Cover<'_>, headers: &mut HeaderMap) {
+        let deadline = cover.deadline.as_millis().to_string();
+        let workspace = cover.workspace.map(name::Workspace::as_str);
+        let texts = [
+            ("t-deadline", Some(deadline.as_str())),
+            ("t-upstream", Some(cover.upstream.as_str())),
+            ("t-workspace", workspace),
+            ("t-last", cover.last_event),
+        ];
+        for (name, value) in texts {
+            if let Some(value) = value.and_then(|value| HeaderValue::from_str(value).ok()) {
+                headers.insert(HeaderName::from_static(name), value);
+            }
+        }
+    }
+
+    fn answer(&self, status: u16, headers: &HeaderMap) -> Answer {
+        Answer {
+            id: text(headers, "t-id").map(str::to_owned),
+            declined: headers.contains_key("t-not-run") || status == 421,
+            signed: headers.contains_key("t-signature"),
+            load: text(headers, "t-load")
+                .and_then(|text| text.parse().ok())
+                .map(|running| Report {
+                    running,
+                    waiting: 0,
+                    slots: 8,
+                }),
+        }
+    }
+}
+
+impl Documents for Words {
+    const CONFIGURATION: &'static str = "conf";
+    const UPSTREAMS: &'static str = "up/";
+
+    fn table(&self, revision: Revision, value: &[u8]) -> Result<Table, Unreadable> {
+        let unreadable = |reason: &str| Unreadable {
+            key: Self::CONFIGURATION.to_owned(),
+            reason: reason.to_owned(),
+        };
+        let text = std::str::from_utf8(value).map_err(|_error| unreadable("no text"))?;
+        let mut lines = text.lines();
+        let version = lines.next().and_then(|line| line.parse().ok());
+        let version = version.ok_or_else(|| unreadable("no version"))?;
+        let mut draft = Draft::new(revision, version);
+        draft.limits = Limits {
+            head_bytes: 2_000,
+            body_bytes: 10_000,
+            head_timeout: Duration::from_millis(400),
+            idle_timeout: Duration::from_secs(2),
+        };
+        let service = Service {
+            connections: 10,
+            engine: false,
+        };
+        draft.services = BTreeMap::from([(name::Service::from("letters"), service)]);
+        let tenant = Arc::new(Tenant {
+            workspace: name::Workspace::from("reading-circle"),
+            priority: None,
+        });
+        draft.keys = Some(BTreeMap::from([(Arc::from("secret-key"), tenant)]));
+        for line in lines {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            let [prefix, kind, attempts, timeout, access] = words[..] else {
+                return Err(unreadable("a route has five words"));
+            };
+            let added = draft.route(
+                "test.example",
+                prefix,
+                route(prefix, kind, attempts, timeout, access),
+            );
+            added.map_err(|error| unreadable(&error.to_string()))?;
+        }
+        Ok(draft.compile())
+    }
+
+    fn entry(&self, entry: &kv::Entry) -> Result<fleet::Entry, Unreadable> {
+        let text = String::from_utf8_lossy(&entry.value).into_owned();
+        let words: Vec<&str> = text.split_whitespace().collect();
+        let unreadable = || Unreadable {
+            key: entry.key.clone(),
+            reason: "not an entry".to_owned(),
+        };
+        let [service, address, state] = words[..] else {
+            return Err(unreadable());
+        };
+        Ok(fleet::Entry {
+            id: self.upstream(&entry.key).ok_or_else(unreadable)?,
+            service: name::Service::from(service),
+            address: address.parse().map_err(|_error| unreadable())?,
+            zone: name::Zone::from("here"),
+            slots: None,
+            draining: state == "draining",
+            incarnation: name::Incarnation(1),
+            revision: entry.modified,
+        })
+    }
+}
+
+fn route(prefix: &str, kind: &str, attempts: &str, timeout: &str, access: &str) -> Route {
+    Route {
+        name: Arc::from(prefix),
+        kind: match kind {
+            "idempotent" => Kind::Idempotent,
+            "once" => Kind::NonIdempotent,
+            "resumable" => Kind::Stream { resumable: true },
+            _ => Kind::Stream { resumable: false },
+        },
+        timeout: Duration::from_millis(timeout.parse().expect("a number")),
+        objective: Duration::from_millis(100),
+        pause: Some(Duration::from_millis(100)),
+        priority: 0,
+        backends: vec![Backend {
+            service: name::Service::from("letters"),
+            weight: 1,
+        }],
+        attempts: attempts.parse().expect("a number"),
+        public: access == "public",
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/edge/tests/retry.rs
@@ -0,0 +1,167 @@
+//! What is sent again, and what a refusal promises.
+
+mod common;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use common::caller::call;
+use common::caller::get;
+use common::caller::post;
+use common::engine::Act;
+use common::engine::Engine;
+use common::engine::answer;
+use common::engine::not_run;
+use common::free_address;
+use common::single;
+use rstest::rstest;
+
+fn failing(act: &'static str) -> impl Fn(&common::engine::Seen) -> Vec<Act> {
+    move |seen| match act {
+        "declines" => vec![not_run(seen.id())],
+        "fails" => vec![answer(seen.id(), "500 Failed", "failed")],
+        "promises" => vec![answer(seen.id(), "503 Busy", "busy")],
+        "resets" => vec![Act::Reset],
+        _ => vec![Act::Hang],
+    }
+}
+
+async fn sound() -> Engine {
+    Engine::start(|seen| vec![answer(seen.id(), "200 OK", "fine")]).await
+}
+
+/// Guards against a request that may not be repeated running twice, and against a refusal that
+/// says that it has not run although it may have.
+#[rstest]
+#[case("declines", 503, 3)]
+#[case("fails", 500, 1)]
+#[case("promises", 502, 1)]
+#[case("resets", 502, 1)]
+#[case("hangs", 504, 1)]
+#[actix_rt::test]
+async fn a_request_that_may_run_once_is_sent_again_only_if_it_has_not_run(
+    #[case] act: &'static str,
+    #[case] status: u16,
+    #[case] sent: usize,
+) {
+    let engines = [
+        Engine::start(failing(act)).await,
+        Engine::start(failing(act)).await,
+        Engine::start(failing(act)).await,
+    ];
+    let (node, _store) = single(&engines.each_ref()).await;
+    let answered = call(node.front, &post("/write/", "r1", "x")).await;
+    assert_eq!(answered.status, status);
+    let count: usize = engines.iter().map(Engine::count).sum();
+    assert_eq!(count, sent);
+    assert_eq!(answered.header("retry-after").is_some(), status == 503);
+}
+
+/// Guards against a caller that gets a failure although another upstream would have served it.
+#[rstest]
+#[case("declines")]
+#[case("fails")]
+#[case("promises")]
+#[case("resets")]
+#[case("hangs")]
+#[actix_rt::test]
+async fn a_repeatable_request_goes_to_another_upstream(#[case] act: &'static str) {
+    for round in 0..4 {
+        let (bad, good) = (Engine::start(failing(act)).await, sound().await);
+        let (node, _store) = single(&[&bad, &good]).await;
+        let answered = call(node.front, &get("/read/", "r1")).await;
+        assert_eq!(
+            (answered.status, answered.body.as_str()),
+            (200, "fine"),
+            "round {round}"
+        );
+    }
+}
+
+/// Guards against a request that is lost because an upstream is gone without a word.
+#[rstest]
+#[case("/read/")]
+#[case("/write/")]
+#[actix_rt::test]
+async fn an_unreachable_upstream_costs_no_request(#[case] path: &str) {
+    let good = sound().await;
+    let (node, store) = single(&[&good]).await;
+    store.upstream("dead", "letters", free_address(), "ready");
+    let shared = std::rc::Rc::clone(&node.shared);
+    common::until("it is known", || shared.fleet.borrow().cells().len() == 2).await;
+    for index in 0..8 {
+        let answered = call(node.front, &post(path, &format!("r{index}"), "x")).await;
+        assert_eq!(answered.status, 200);
+    }
+}
+
+/// Guards against more upstreams running a request than its route allows.
+#[actix_rt::test]
+async fn attempts_are_bounded_by_the_route() {
+    let engines = [
+        Engine::start(failing("fails")).await,
+        Engine::start(failing("fails")).await,
+        Engine::start(failing("fails")).await,
+    ];
+    let (node, _store) = single(&engines.each_ref()).await;
+    let answered = call(node.front, &get("/read/", "r1")).await;
+    assert_eq!((answered.status, answered.body.as_str()), (500, "failed"));
+    let count: usize = engines.iter().map(Engine::count).sum();
+    assert_eq!(count, 2);
+}
+
+/// Guards against a final answer that is held back until the caller's time is up.
+#[actix_rt::test]
+async fn a_request_that_cannot_be_served_is_refused_at_once() {
+    let (node, store) = single(&[]).await;
+    store.configure(common::words::DEFAULT);
+    let began = Instant::now();
+    let answered = call(node.front, &get("/read/", "r1")).await;
+    assert_eq!(answered.status, 503);
+    let after: f64 = answered
+        .header("retry-after")
+        .unwrap_or_default()
+        .parse()
+        .unwrap_or(0.0);
+    assert!(after > 0.0 && after < 1.0, "{after}");
+    assert!(began.elapsed() < Duration::from_millis(300));
+}
+
+/// Guards against an answer that comes later than the route's time-out.
+#[actix_rt::test]
+async fn a_time_out_is_answered_in_time() {
+    let engine = Engine::start(failing("hangs")).await;
+    let (node, _store) = single(&[&engine]).await;
+    let began = Instant::now();
+    let answered = call(node.front, &post("/write/", "r1", "x")).await;
+    let elapsed = began.elapsed();
+    assert_eq!(answered.status, 504);
+    assert!(elapsed > Duration::from_millis(950) && elapsed < Duration::from_millis(1_400));
+    let abandoned = std::rc::Rc::clone(&engine.abandoned);
+    common::until("the engine is told", || abandoned.get() == 1).await;
+}
+
+/// Guards against an upstream that is handed more time than the caller has left.
+#[actix_rt::test]
+async fn a_repeat_carries_the_time_that_is_left() {
+    let engines = [
+        Engine::start(failing("hangs")).await,
+        Engine::start(failing("hangs")).await,
+    ];
+    let (node, _store) = single(&engines.each_ref()).await;
+    let text = "GET /read/ HTTP/1.1\r\nHost: test.example\r\nT-Id: r1\r\nT-Deadline: 900\r\n\r\n";
+    assert_eq!(call(node.front, text).await.status, 504);
+    let seen = engines.iter().flat_map(Engine::seen);
+    let mut left: Vec<u64> = seen
+        .map(|seen| {
+            seen.header("t-deadline")
+                .unwrap_or_default()
+                .parse()
+                .unwrap_or(0)
+        })
+        .collect();
+    left.sort_unstable();
+    assert_eq!(left.len(), 2);
+    assert!(left[1] <= 900 && left[1] > 850, "{left:?}");
+    assert!(left[0] < 700, "{left:?}");
+}
--- a/crates/snipeusher/src/fleet/budget.rs
+++ b/crates/snipeusher/src/fleet/budget.rs
@@ -58,16 +58,21 @@
     ///
     /// `routers` is how many routers share the slack.
     pub fn repeat(&mut self, now: Time, bounds: &Bounds, routers: usize) -> bool {
+        let allowed = self.allows(now, bounds, routers);
+        if allowed {
+            self.bucket(now).repeats += 1;
+        }
+        allowed
+    }
+
+    /// Whether a repeat would be allowed.
+    pub fn allows(&mut self, now: Time, bounds: &Bounds, routers: usize) -> bool {
         self.expire(now, bounds.window);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let repeats: u32 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
         let slack = bounds.slack / routers.max(1) as f64;
         let allowed = MARGIN * (bounds.ratio * f64::from(requests) + slack);
-        if f64::from(repeats + 1) > allowed {
-            return false;
-        }
-        self.bucket(now).repeats += 1;
-        true
+        f64::from(repeats + 1) <= allowed
     }
 
     fn bucket(&mut self, now: Time) -> &mut Bucket {
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -171,6 +171,17 @@
         self.budget(service).repeat(now, &bounds, routers)
     }
 
+    /// Whether another upstream would take a request that waits at one, within the budget.
+    pub fn has_alternative(&mut self, now: Time, ask: &Ask<'_>) -> bool {
+        let ready = self.ready.get(ask.service).map_or(&[][..], Vec::as_slice);
+        let cells = ready.iter().map(|slot| &self.cells[*slot]);
+        let mut others = cells.filter(|cell| !ask.tried.contains(&cell.entry.id));
+        let bounds = self.settings.repeats;
+        let routers = self.routers;
+        others.any(|cell| cell.health.is_open(now))
+            && self.budget(ask.service).allows(now, &bounds, routers)
+    }
+
     /// Counts a request that is sent to an upstream.
     pub fn start(&mut self, id: &name::Upstream) {
         if let Some(cell) = self.cell_mut(id) {
--- /dev/null
+++ b/crates/snipeusher/tests/fleet_view.rs
@@ -0,0 +1,361 @@
+//! What one router believes of the upstreams: who they are, which it chooses, how often it repeats.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rstest::rstest;
+use snipeusher::fleet::Ask;
+use snipeusher::fleet::Bounds;
+use snipeusher::fleet::Budget;
+use snipeusher::fleet::Decision;
+use snipeusher::fleet::Delta;
+use snipeusher::fleet::Entry;
+use snipeusher::fleet::Fleet;
+use snipeusher::fleet::Health;
+use snipeusher::fleet::Observation;
+use snipeusher::fleet::Outcome;
+use snipeusher::fleet::Roster;
+use snipeusher::fleet::Settings;
+use snipeusher::kv::Revision;
+use snipeusher::name;
+use snipeusher::time::Time;
+
+const SERVICE: &str = "letters";
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn entry(index: u16, revision: u64) -> Entry {
+    Entry {
+        id: name::Upstream::from(format!("e{index}")),
+        service: name::Service::from(SERVICE),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000 + index)),
+        zone: name::Zone::from(if index.is_multiple_of(2) {
+            "even"
+        } else {
+            "odd"
+        }),
+        slots: Some(8),
+        draining: false,
+        incarnation: name::Incarnation(1),
+        revision: Revision(revision),
+    }
+}
+
+fn fleet(count: u16) -> Fleet {
+    let mut fleet = Fleet::new(Settings {
+        zone: name::Zone::from("even"),
+        repeats: Bounds::default(),
+    });
+    let entries = (0..count).map(|index| entry(index, 1)).collect();
+    fleet.list(at(0), Revision(1), entries);
+    fleet
+}
+
+fn choose(
+    fleet: &mut Fleet,
+    now: Time,
+    session: Option<u64>,
+    tried: &[name::Upstream],
+) -> Decision {
+    let service = name::Service::from(SERVICE);
+    let ask = Ask {
+        service: &service,
+        session,
+        tried,
+        point: 5,
+    };
+    fleet.choose(now, &ask)
+}
+
+fn chosen(decision: Decision) -> name::Upstream {
+    match decision {
+        Decision::Send { upstream, .. } => upstream,
+        Decision::Refuse { .. } => panic!("the request is refused"),
+    }
+}
+
+/// Guards against routers that send one session to different engines.
+#[rstest]
+fn all_routers_choose_the_same_engine_for_a_session() {
+    for session in 0..50 {
+        let first = chosen(choose(&mut fleet(12), at(1), Some(session), &[]));
+        let second = chosen(choose(&mut fleet(12), at(9_999), Some(session), &[]));
+        assert_eq!(first, second);
+    }
+}
+
+/// Guards against a popular session that buries its engine.
+#[rstest]
+fn a_busy_engine_passes_its_sessions_on() {
+    let mut fleet = fleet(4);
+    let first = chosen(choose(&mut fleet, at(1), Some(1), &[]));
+    for _ in 0..8 {
+        fleet.start(&first);
+    }
+    let second = chosen(choose(&mut fleet, at(1), Some(1), &[]));
+    assert_ne!(first, second);
+}
+
+/// Guards against a stale report that hides requests which this router has sent since.
+#[rstest]
+fn own_requests_count_beyond_a_report() {
+    let mut fleet = fleet(2);
+    let id = name::Upstream::from("e0");
+    let idle = [Observation {
+        upstream: id.clone(),
+        load: 0,
+        age_ms: 0,
+    }];
+    fleet.observe(at(1), &idle);
+    for _ in 0..5 {
+        fleet.start(&id);
+    }
+    let cell = fleet.cell(&id).expect("the engine is known");
+    assert_eq!(cell.load.estimate(at(2)), 5);
+}
+
+/// Guards against what peers say long ago that keeps an engine looking busy.
+#[rstest]
+fn observations_go_stale() {
+    let mut fleet = fleet(2);
+    let id = name::Upstream::from("e0");
+    let busy = [Observation {
+        upstream: id.clone(),
+        load: 40,
+        age_ms: 0,
+    }];
+    fleet.observe(at(1_000), &busy);
+    let cell = fleet.cell(&id).expect("the engine is known");
+    assert_eq!(cell.load.estimate(at(1_100)), 40);
+    assert_eq!(cell.load.estimate(at(3_000)), 0);
+    assert_eq!(fleet.observations(at(1_100)).len(), 1);
+    assert!(fleet.observations(at(3_000)).is_empty());
+}
+
+/// Guards against a prompt that is read again although the engine of before still holds it.
+#[rstest]
+fn a_session_that_moves_names_the_engine_that_holds_it() {
+    let mut fleet = fleet(4);
+    let first = chosen(choose(&mut fleet, at(1), Some(3), &[]));
+    let held = fleet
+        .cell(&first)
+        .expect("the engine is known")
+        .entry
+        .address;
+    let mut leaving = fleet.roster().get(&first).expect("it is listed").clone();
+    leaving.draining = true;
+    leaving.revision = Revision(2);
+    fleet.put(at(2), leaving);
+    match choose(&mut fleet, at(3), Some(3), &[]) {
+        Decision::Send {
+            upstream, source, ..
+        } => {
+            assert_ne!(upstream, first);
+            assert_eq!(source, Some(held));
+        }
+        Decision::Refuse { .. } => panic!("three engines are left"),
+    }
+}
+
+#[rstest]
+fn a_request_is_not_sent_twice_to_one_upstream() {
+    let mut fleet = fleet(2);
+    let first = chosen(choose(&mut fleet, at(1), None, &[]));
+    let second = chosen(choose(
+        &mut fleet,
+        at(1),
+        None,
+        std::slice::from_ref(&first),
+    ));
+    assert_ne!(first, second);
+    let none = choose(&mut fleet, at(1), None, &[first, second]);
+    assert!(matches!(none, Decision::Refuse { .. }));
+}
+
+/// Guards against work for an engine that leaves, whichever way the word comes.
+#[rstest]
+#[case(true)]
+#[case(false)]
+fn an_engine_that_leaves_gets_no_new_work(#[case] is_told: bool) {
+    let mut fleet = fleet(2);
+    let id = name::Upstream::from("e0");
+    if is_told {
+        let mut leaving = entry(0, 5);
+        leaving.draining = true;
+        fleet.put(at(10), leaving);
+    } else {
+        fleet.remove(at(10), &id, Revision(5));
+    }
+    assert!(!fleet.is_ready(at(10), &id));
+    for point in 0..20 {
+        assert_ne!(chosen(choose(&mut fleet, at(11), Some(point), &[])), id);
+    }
+}
+
+/// Guards against late news that brings an engine back which is gone.
+#[rstest]
+fn an_older_revision_does_not_undo_a_removal() {
+    let mut roster = Roster::default();
+    roster.put(entry(0, 3));
+    roster.remove(at(1), &name::Upstream::from("e0"), Revision(4));
+    let stale = Delta {
+        revision: Revision(3),
+        complete: true,
+        entries: vec![entry(0, 3)],
+        removed: Vec::new(),
+    };
+    roster.merge(at(2), stale);
+    assert_eq!(roster.ready(at(2)).count(), 0);
+}
+
+/// Guards against an empty fleet after an outage in which all leases ran out.
+#[rstest]
+fn entries_that_lapsed_in_an_outage_are_kept_for_a_while() {
+    let mut roster = Roster::default();
+    let mut leaving = entry(1, 2);
+    leaving.draining = true;
+    roster.put(entry(0, 1));
+    roster.put(leaving);
+    roster.store_lost();
+    roster.store_found(at(1_000));
+    roster.list(at(1_000), Revision(9), Vec::new());
+    let ready: Vec<&str> = roster.ready(at(1_500)).map(|e| e.id.as_str()).collect();
+    assert_eq!(ready, ["e0"], "only the one that was not leaving");
+    assert_eq!(roster.ready(at(3_400)).count(), 0);
+    roster.put(entry(0, 10));
+    roster.expire(at(3_400));
+    assert_eq!(roster.ready(at(3_400)).count(), 1, "it came back");
+}
+
+/// Guards against a peer that drops at once what its reader still keeps.
+#[rstest]
+fn peers_keep_lapsed_entries_as_long_as_the_reader() {
+    let mut reader = Roster::default();
+    reader.put(entry(0, 1));
+    let mut peer = Roster::default();
+    peer.merge(at(0), reader.since(at(0), Revision(0)));
+    assert_eq!(peer.ready(at(0)).count(), 1);
+    reader.store_lost();
+    reader.store_found(at(1_000));
+    reader.remove(at(1_000), &name::Upstream::from("e0"), Revision(2));
+    peer.merge(at(1_100), reader.since(at(1_100), peer.revision()));
+    assert_eq!(peer.ready(at(1_200)).count(), 1);
+    assert_eq!(peer.ready(at(3_500)).count(), 0);
+}
+
+/// Guards against a peer that misses a removal because it was told only of changed entries.
+#[rstest]
+fn a_peer_that_is_behind_hears_of_removals() {
+    let mut reader = Roster::default();
+    for index in 0..4 {
+        reader.put(entry(index, 1 + u64::from(index)));
+    }
+    let mut peer = Roster::default();
+    peer.merge(at(0), reader.since(at(0), Revision(0)));
+    reader.remove(at(1), &name::Upstream::from("e1"), Revision(7));
+    let delta = reader.since(at(1), peer.revision());
+    assert!(!delta.complete);
+    assert!(delta.entries.is_empty());
+    peer.merge(at(2), delta);
+    assert_eq!(peer.ready(at(2)).count(), 3);
+    assert_eq!(peer.revision(), Revision(7));
+}
+
+/// Guards against a delta of a router that never heard of a removal before its own list.
+#[rstest]
+fn a_list_makes_older_deltas_complete() {
+    let mut peer = Roster::default();
+    peer.put(entry(0, 1));
+    peer.put(entry(1, 2));
+    let mut reader = Roster::default();
+    reader.list(at(0), Revision(9), vec![entry(1, 2)]);
+    let delta = reader.since(at(0), peer.revision());
+    assert!(delta.complete);
+    peer.merge(at(1), delta);
+    assert_eq!(peer.ready(at(1)).count(), 1);
+}
+
+/// Guards against more repeats over all routers than the fleet may send.
+#[rstest]
+#[case(1)]
+#[case(9)]
+#[case(83)]
+fn repeats_of_all_routers_keep_to_the_bound(#[case] routers: usize) {
+    let bounds = Bounds {
+        ratio: 0.2,
+        slack: 58.0,
+        window: Duration::from_secs(10),
+    };
+    let mut budgets = vec![Budget::default(); routers];
+    let mut requests = Vec::new();
+    let mut repeats = Vec::new();
+    for ms in (0..30_000).step_by(10) {
+        // All requests reach one router; all of them ask for as many repeats as they can get.
+        budgets[0].request(at(ms));
+        requests.push(ms);
+        for budget in &mut budgets {
+            while budget.repeat(at(ms), &bounds, routers) {
+                repeats.push(ms);
+            }
+        }
+        let count = |times: &[u64]| times.iter().filter(|time| ms - **time < 10_000).count() as f64;
+        let allowed = bounds.ratio * count(&requests) + bounds.slack;
+        assert!(count(&repeats) <= allowed, "at {ms} ms");
+    }
+    assert!(
+        repeats.len() > 100,
+        "the allowance is used: {}",
+        repeats.len()
+    );
+}
+
+/// Guards against an upstream that fails on and on while others serve.
+#[rstest]
+#[case(Outcome::Lost, 2)]
+#[case(Outcome::Unreachable, 1)]
+fn a_dead_upstream_is_set_aside(#[case] outcome: Outcome, #[case] needed: u32) {
+    let mut health = Health::default();
+    for count in 1..=needed {
+        health.start();
+        assert_eq!(health.end(at(1), outcome, 0.0), count == needed);
+    }
+    assert!(!health.is_open(at(2)));
+    assert!(health.is_open(at(1_000)), "it is tried again");
+    health.start();
+    assert!(!health.is_open(at(1_000)), "with one request at a time");
+    health.end(at(1_050), Outcome::Served, 0.0);
+    assert!(health.is_open(at(1_060)));
+    assert!(!health.is_aside());
+}
+
+/// Guards against a service whose requests fail by nature being set aside.
+#[rstest]
+fn failures_count_against_what_is_usual() {
+    let mut usual = Health::default();
+    let mut failing = Health::default();
+    for count in 0..40 {
+        let outcome = if count % 4 == 0 {
+            Outcome::Failed
+        } else {
+            Outcome::Served
+        };
+        assert!(!usual.end(at(count), outcome, 0.25));
+    }
+    let set_aside = (0..10).any(|count| failing.end(at(count), Outcome::Failed, 0.25));
+    assert!(set_aside);
+}
+
+/// Guards against refusing all when every upstream of a service is set aside.
+#[rstest]
+fn requests_still_go_somewhere_when_all_are_set_aside() {
+    let mut fleet = fleet(3);
+    for index in 0..3 {
+        let id = name::Upstream::from(format!("e{index}"));
+        fleet.start(&id);
+        assert!(fleet.end(at(1), &id, Outcome::Unreachable));
+    }
+    let decision = choose(&mut fleet, at(2), Some(1), &[]);
+    assert!(matches!(decision, Decision::Send { .. }));
+}
