--- a/crates/edge/src/channel.rs
+++ b/crates/edge/src/channel.rs
@@ -78,6 +78,9 @@
         /// The cause.
         source: PayloadError,
     },
+    /// The answer belongs to no request that is known.
+    #[snafu(display("the answer does not name the request"))]
+    Foreign,
     /// The answer is longer than allowed.
     #[snafu(display("the answer is longer than {limit} bytes"))]
     TooLong {
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -138,12 +138,15 @@
             if answer.id == self.admitted.call.id || answer.declined && answer.id.is_none() {
                 return Ok(Reply { head, answer });
             }
+            if answer.id.is_none() {
+                break;
+            }
             info!(self.shared.log, "answer: belongs to another request";
                 "id" => self.admitted.call.id.as_deref(), "upstream" => upstream.as_str(),
                 "answers" => answer.id);
             channel.body(BODY_BYTES_MAX).await?;
         }
-        Err(channel::Error::Ended)
+        Err(channel::Error::Foreign)
     }
 
     async fn declined(
