Fetch configurations apart from exchanges between peers

A router that hears of a newer one now reads it from the store, or from the peer with a time-out of its own; exchanges carry only changes of upstreams.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -34,7 +34,7 @@
 const LOOK: Duration = Duration::from_millis(250);
 
 /// Reads the store for ever, as long as this router is one of its readers.
-pub async fn run<P: Platform, S: Store>(shared: Rc<Shared<P>>, store: S) {
+pub async fn run<P: Platform, S: Store>(shared: Rc<Shared<P>>, store: Rc<S>) {
     let mut pause_ms = PAUSE_MS;
     let mut needs_list = true;
     loop {
@@ -43,12 +43,12 @@
             continue;
         }
         let listed = if needs_list {
-            list(&shared, &store).await
+            list(&shared, &*store).await
         } else {
             Ok(())
         };
         let ended = match listed {
-            Ok(()) => watch(&shared, &store).await,
+            Ok(()) => watch(&shared, &*store).await,
             Err(fault) => Err(fault),
         };
         // Peers tell what happens until this router reads again, unless the store has forgotten.
@@ -107,11 +107,20 @@
     let now = shared.now();
     shared.fleet.borrow_mut().list(now, revision, upstreams);
     // Read last, since the watch goes on from the revision of the upstreams.
-    let (_revision, entries) = range(store, P::CONFIGURATION).await.map_err(End::List)?;
+    configuration(shared, store).await.map_err(End::List)?;
+    shared.news.notify_one();
+    Ok(())
+}
+
+/// Reads the configuration.
+pub(crate) async fn configuration<P: Platform, S: Store>(
+    shared: &Shared<P>,
+    store: &S,
+) -> Result<(), Fault> {
+    let (_revision, entries) = range(store, P::CONFIGURATION).await?;
     for entry in entries.iter().filter(|entry| entry.key == P::CONFIGURATION) {
         shared.configure(entry.modified, &entry.value, "store");
     }
-    shared.news.notify_one();
     Ok(())
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod lifecycle;
 pub mod log;
 pub mod node;
-mod outlet;
+pub mod outlet;
 pub mod peer;
 pub mod pool;
 mod refusal;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -88,7 +88,9 @@
     let control = Control::new(Rc::clone(shared), Rc::clone(&book));
     listen(shared, settings.control, control).await?;
     listen(shared, settings.front, Front(Rc::clone(shared))).await?;
-    actix_rt::spawn(follow::run(Rc::clone(shared), store));
+    let store = Rc::new(store);
+    actix_rt::spawn(follow::run(Rc::clone(shared), Rc::clone(&store)));
+    actix_rt::spawn(peer::fetch(Rc::clone(shared), store));
     actix_rt::spawn(peer::run(Rc::clone(shared), book));
     actix_rt::spawn(sweep(Rc::clone(shared)));
     info!(shared.log, "node: started";
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -2,16 +2,19 @@
 //!
 //! Each router exchanges a digest with one peer after the other: the loads of upstreams that it
 //! observed or heard of, and which revisions of the store's documents it knows. Whoever is behind
-//! gets the documents, so that few routers have to read the store and a router which the store
-//! turns away still learns them. News is passed on at once. See
+//! gets the changes of the upstreams, and fetches a configuration from the store or, where the
+//! store does not answer, from the peer. So few routers have to read the store, and a router
+//! which the store turns away still learns all. News is passed on at once. See
 //! `docs/platform.md#peers`.
 
 mod book;
 mod client;
+mod fetch;
 mod server;
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 use snipeusher::fleet::Delta;
@@ -22,13 +25,18 @@
 
 pub use self::book::Book;
 pub use self::client::run;
+pub use self::fetch::Wanted;
+pub use self::fetch::fetch;
 pub use self::server::Control;
 
 use crate::dialect::Platform;
 use crate::shared::Shared;
 
 /// Path of the exchange.
-const PATH: &str = "/fleet/v2/exchange";
+const EXCHANGE_PATH: &str = "/fleet/v2/exchange";
+/// Path of the configuration, which is asked for apart: it may be far larger than a digest, and
+/// nothing else must wait for it.
+const CONFIGURATION_PATH: &str = "/fleet/v2/configuration";
 /// Most bytes of a digest or an answer.
 const BYTES_MAX: usize = 4 << 20;
 
@@ -71,7 +79,7 @@
     /// Its revision.
     pub revision: Revision,
     /// Its bytes.
-    pub value: Vec<u8>,
+    pub value: Bytes,
 }
 
 /// The answer to a digest.
@@ -80,8 +88,6 @@
 pub struct Answer {
     /// What the answering router says of itself.
     pub digest: Digest,
-    /// The configuration, for a router that is behind.
-    pub configuration: Option<Configuration>,
     /// Changes of the upstreams, for a router that is behind.
     pub upstreams: Option<Delta>,
 }
@@ -109,6 +115,9 @@
     let now = shared.now();
     book.heard(now, digest);
     shared.readers.borrow_mut().heard(now, &digest.readers);
+    if digest.configuration > shared.knowledge().0 {
+        shared.wanted.tell(digest.configuration, digest.address);
+    }
     let mut fleet = shared.fleet.borrow_mut();
     fleet.set_routers(book.len(now) + 1);
     fleet.observe(now, &digest.loads);
--- a/crates/edge/src/peer/client.rs
+++ b/crates/edge/src/peer/client.rs
@@ -23,7 +23,7 @@
 use super::Answer;
 use super::BYTES_MAX;
 use super::Book;
-use super::PATH;
+use super::EXCHANGE_PATH;
 use super::digest;
 use super::take;
 use crate::channel;
@@ -38,13 +38,14 @@
 /// Pause after an exchange of news, in which further news gathers.
 const GATHER: Duration = Duration::from_millis(30);
 /// Longest time to connect to a peer.
-const CONNECT: Duration = Duration::from_millis(200);
+pub(super) const CONNECT: Duration = Duration::from_millis(200);
 /// Longest exchange.
 const EXCHANGE: Duration = Duration::from_millis(500);
 
 /// Why an exchange failed.
 #[derive(Debug, Snafu)]
-enum Error {
+#[snafu(visibility(pub(super)))]
+pub(super) enum Error {
     /// The connection failed.
     #[snafu(display("{source}"))]
     Channel {
@@ -121,26 +122,19 @@
     }
 }
 
-async fn exchange<P: Platform>(
-    shared: &Shared<P>,
-    book: &RefCell<Book>,
+/// Sends a request to a peer and reads its answer.
+pub(super) async fn call(
+    channel: &mut Channel,
     address: SocketAddr,
-    idle: Option<Channel>,
-) -> Result<Channel, Error> {
-    let idle = idle.and_then(|mut channel| channel.is_silent().then_some(channel));
-    let mut channel = match idle {
-        Some(channel) => channel,
-        None => Channel::open(address, CONNECT, &shared.http)
-            .await
-            .context(ChannelSnafu)?,
-    };
-    let digest = digest(shared, &mut book.borrow_mut());
-    let body = rmp_serde::to_vec(&digest).context(EncodeSnafu)?;
+    method: Method,
+    path: &'static str,
+    body: Vec<u8>,
+) -> Result<Bytes, Error> {
     let mut headers = HeaderMap::new();
     if let Ok(host) = HeaderValue::try_from(address.to_string()) {
         headers.insert(header::HOST, host);
     }
-    let head = channel::request(Method::POST, Uri::from_static(PATH), headers);
+    let head = channel::request(method, Uri::from_static(path), headers);
     channel
         .send(head, &Bytes::from(body))
         .context(ChannelSnafu)?;
@@ -152,10 +146,26 @@
         }
         .fail();
     }
+    Ok(body)
+}
+
+async fn exchange<P: Platform>(
+    shared: &Shared<P>,
+    book: &RefCell<Book>,
+    address: SocketAddr,
+    idle: Option<Channel>,
+) -> Result<Channel, Error> {
+    let idle = idle.and_then(|mut channel| channel.is_silent().then_some(channel));
+    let mut channel = match idle {
+        Some(channel) => channel,
+        None => Channel::open(address, CONNECT, &shared.http)
+            .await
+            .context(ChannelSnafu)?,
+    };
+    let digest = digest(shared, &mut book.borrow_mut());
+    let body = rmp_serde::to_vec(&digest).context(EncodeSnafu)?;
+    let body = call(&mut channel, address, Method::POST, EXCHANGE_PATH, body).await?;
     let answer: Answer = rmp_serde::from_slice(&body).context(DecodeSnafu)?;
-    if let Some(configuration) = &answer.configuration {
-        shared.configure(configuration.revision, &configuration.value, "peer");
-    }
     if let Some(upstreams) = answer.upstreams {
         let now = shared.now();
         shared.fleet.borrow_mut().merge(now, upstreams);
--- a/crates/edge/src/peer/server.rs
+++ b/crates/edge/src/peer/server.rs
@@ -7,15 +7,17 @@
 use actix_http::StatusCode;
 use actix_http::header::HeaderMap;
 use bytes::Bytes;
+use serde::Serialize;
 use slog::warn;
 use snipeusher::route::Limits;
 
 use super::Answer;
 use super::BYTES_MAX;
 use super::Book;
+use super::CONFIGURATION_PATH;
 use super::Configuration;
 use super::Digest;
-use super::PATH;
+use super::EXCHANGE_PATH;
 use super::digest;
 use super::take;
 use crate::dialect::Platform;
@@ -50,28 +52,34 @@
             StatusCode::BAD_REQUEST
         })?;
         let ours = digest(&self.shared, &mut self.book.borrow_mut());
-        let is_behind = theirs.configuration < ours.configuration;
-        let document = self.shared.document().filter(|_| is_behind);
         let upstreams = (theirs.upstreams < ours.upstreams).then(|| {
             let now = self.shared.now();
             let fleet = self.shared.fleet.borrow();
             fleet.roster().since(now, theirs.upstreams)
         });
         let mut book = self.book.borrow_mut();
-        if theirs.configuration > ours.configuration || theirs.upstreams > ours.upstreams {
+        if theirs.upstreams > ours.upstreams {
             book.prefer(theirs.address);
             self.shared.news.notify_one();
         }
         take(&self.shared, &mut book, &theirs);
         let answer = Answer {
             digest: ours,
-            configuration: document.map(|document| Configuration {
-                revision: document.revision,
-                value: document.value.to_vec(),
-            }),
             upstreams,
         };
-        rmp_serde::to_vec(&answer).map_err(|error| {
+        self.encode(&answer)
+    }
+
+    fn configuration(&self) -> Result<Vec<u8>, StatusCode> {
+        let document = self.shared.document().ok_or(StatusCode::NOT_FOUND)?;
+        self.encode(&Configuration {
+            revision: document.revision,
+            value: document.value,
+        })
+    }
+
+    fn encode<T: Serialize>(&self, answer: &T) -> Result<Vec<u8>, StatusCode> {
+        rmp_serde::to_vec(answer).map_err(|error| {
             warn!(self.shared.log, "peer: answer cannot be encoded"; "error" => %error);
             StatusCode::INTERNAL_SERVER_ERROR
         })
@@ -91,10 +99,10 @@
     }
 
     async fn handle(&self, inbound: Inbound, outlet: &mut Outlet<'_>) -> io::Result<()> {
-        let answered = if inbound.head.path() == PATH {
-            self.answer(&inbound.body)
-        } else {
-            Err(StatusCode::NOT_FOUND)
+        let answered = match inbound.head.path() {
+            EXCHANGE_PATH => self.answer(&inbound.body),
+            CONFIGURATION_PATH => self.configuration(),
+            _ => Err(StatusCode::NOT_FOUND),
         };
         match answered {
             Ok(body) => {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use actix_http::ServiceConfig;
+use bytes::Bytes;
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -26,6 +27,7 @@
 use crate::clock::Clock;
 use crate::dialect::Platform;
 use crate::lifecycle::Lifecycle;
+use crate::peer::Wanted;
 use crate::pool::Pool;
 
 /// What the process needs to know of itself and of its host.
@@ -55,7 +57,7 @@
     /// Its revision.
     pub revision: Revision,
     /// Its bytes.
-    pub value: Rc<[u8]>,
+    pub value: Bytes,
 }
 
 /// What all tasks of the process share.
@@ -79,6 +81,8 @@
     pub readers: RefCell<Readers>,
     /// Set when something was learnt that peers may not know.
     pub news: Notify,
+    /// A configuration that a peer has and this router has not.
+    pub wanted: Wanted,
     /// Shared state of the codecs, such as the date.
     pub http: ServiceConfig,
     table: RefCell<Option<Rc<Table>>>,
@@ -101,6 +105,7 @@
                 settings.fleet.zone.clone(),
             )),
             news: Notify::new(),
+            wanted: Wanted::default(),
             http: ServiceConfig::default(),
             table: RefCell::default(),
             document: RefCell::default(),
@@ -168,7 +173,7 @@
                 *self.table.borrow_mut() = Some(Rc::new(table));
                 *self.document.borrow_mut() = Some(Document {
                     revision,
-                    value: Rc::from(value),
+                    value: Bytes::copy_from_slice(value),
                 });
                 self.news.notify_one();
             }
@@ -179,6 +184,11 @@
         }
     }
 
+    /// Whether the store did not answer this router's last call.
+    pub const fn store_is_lost(&self) -> bool {
+        self.store_is_lost.get()
+    }
+
     /// Notes whether the store answers.
     pub fn store_answers(&self, answers: bool, cause: &str) {
         if self.store_is_lost.replace(!answers) != answers {
--- /dev/null
+++ b/crates/edge/tests/bulk.rs
@@ -0,0 +1,134 @@
+//! A large configuration takes its time between peers, and nothing waits for it.
+
+mod common;
+
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::ServiceConfig;
+use actix_http::StatusCode;
+use actix_http::header::HeaderMap;
+use bytes::Bytes;
+use common::engine::Engine;
+use common::engine::answer;
+use common::free_address;
+use common::start;
+use common::store::Store;
+use common::until;
+use common::words::DEFAULT;
+use snipeusher::fleet::Delta;
+use snipeusher::kv::Revision;
+use snipeusher::name;
+use snipeusher::route::Limits;
+use snipeusher_edge::inlet;
+use snipeusher_edge::inlet::Handler;
+use snipeusher_edge::inlet::Inbound;
+use snipeusher_edge::lifecycle::Lifecycle;
+use snipeusher_edge::outlet::Outlet;
+use snipeusher_edge::peer::Answer;
+use snipeusher_edge::peer::Configuration;
+use snipeusher_edge::peer::Digest;
+
+/// Time that the peer's link takes for the configuration.
+const TRANSFER: Duration = Duration::from_millis(1_200);
+
+/// A peer behind a slow link.
+struct Peer {
+    address: std::net::SocketAddr,
+    upstreams: Rc<Cell<u64>>,
+    entry: snipeusher::fleet::Entry,
+    lifecycle: Lifecycle,
+}
+
+impl Peer {
+    fn digest(&self) -> Answer {
+        let revision = Revision(self.upstreams.get());
+        Answer {
+            digest: Digest {
+                host: name::Host::from("slow"),
+                address: self.address,
+                configuration: Some(Revision(1)),
+                upstreams: revision,
+                loads: Vec::new(),
+                readers: Vec::new(),
+                members: Vec::new(),
+            },
+            upstreams: (revision.0 > 0).then(|| Delta {
+                revision,
+                complete: true,
+                entries: vec![self.entry.clone()],
+                removed: Vec::new(),
+            }),
+        }
+    }
+}
+
+impl Handler for Peer {
+    fn limits(&self) -> Limits {
+        Limits::default()
+    }
+
+    fn lifecycle(&self) -> &Lifecycle {
+        &self.lifecycle
+    }
+
+    async fn handle(&self, inbound: Inbound, outlet: &mut Outlet<'_>) -> io::Result<()> {
+        let body = if inbound.head.path().ends_with("configuration") {
+            actix_rt::time::sleep(TRANSFER).await;
+            rmp_serde::to_vec(&Configuration {
+                revision: Revision(1),
+                value: Bytes::from_static(DEFAULT.as_bytes()),
+            })
+        } else {
+            rmp_serde::to_vec(&self.digest())
+        };
+        let body = Bytes::from(body.expect("it can be encoded"));
+        outlet.whole(StatusCode::OK, HeaderMap::new(), &body).await
+    }
+}
+
+/// Guards against a configuration that never arrives since its transfer takes longer than an
+/// exchange, and against departures that wait for it.
+#[actix_rt::test]
+async fn a_slow_transfer_arrives_and_holds_nothing_up() {
+    let engine = Engine::start(|seen| vec![answer(seen.id(), "200 OK", seen.id())]).await;
+    let upstreams = Rc::new(Cell::new(0));
+    let address = free_address();
+    let peer = Peer {
+        address,
+        upstreams: Rc::clone(&upstreams),
+        entry: snipeusher::fleet::Entry {
+            id: name::Upstream::from("e0"),
+            service: name::Service::from("letters"),
+            address: engine.address,
+            zone: name::Zone::from("here"),
+            slots: None,
+            draining: false,
+            incarnation: name::Incarnation(1),
+            revision: Revision(2),
+        },
+        lifecycle: Lifecycle::default(),
+    };
+    let listener = inlet::bind(address).await.expect("it is free");
+    actix_rt::spawn(inlet::accept(
+        listener,
+        Rc::new(peer),
+        ServiceConfig::default(),
+    ));
+    let store = Store::new();
+    store.cut(true);
+    let node = start("host-1", &store, vec![address]).await;
+    actix_rt::time::sleep(Duration::from_millis(600)).await;
+    assert!(node.shared.table().is_none(), "the transfer takes longer");
+    upstreams.set(2);
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(
+        node.shared.fleet.borrow().cells().len(),
+        1,
+        "news came meanwhile"
+    );
+    let shared = Rc::clone(&node.shared);
+    until("the configuration is in force", || shared.table().is_some()).await;
+}
