--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -30,6 +30,9 @@
 /// Longest such pause. All routers come back at once after an outage; half of it is random.
 const PAUSE_MAX_MS: u64 = 1_000;
 
+/// Pause after a change in which further ones gather at the store, so that a rollout of many
+/// upstreams does not cost a call for each.
+const GATHER: Duration = Duration::from_millis(120);
 /// How often a router that does not read the store looks whether it has to.
 const LOOK: Duration = Duration::from_millis(250);
 
@@ -140,7 +143,11 @@
         match changes.next().await {
             Some(Ok(change)) => {
                 answered(shared);
+                let is_news = !(change.entries.is_empty() && change.deleted.is_empty());
                 take(shared, &change);
+                if is_news {
+                    sleep(GATHER).await;
+                }
             }
             Some(Err(fault)) => return Err(End::Watch(fault)),
             None => return Err(End::Watch(Fault::Lost)),
--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -14,9 +14,9 @@
 use crate::time::Time;
 
 /// Requests at one upstream over the mean of its service, as a factor.
-const LOAD_LIMIT: f64 = 1.25;
+const LOAD_LIMIT: f64 = 1.5;
 /// Requests beyond the factor, so that a quiet service does not scatter its sessions.
-const LOAD_SLACK: f64 = 2.0;
+const LOAD_SLACK: f64 = 3.0;
 /// When a caller may come back if no upstream is known.
 const RETRY_NO_UPSTREAM: Duration = Duration::from_millis(400);
 
