Avoid silent upstreams and dark availability zones

Cause: in a partition each far upstream had to fail by itself, twice, and each trial afterwards cost one more request that could not be repeated. The test of an unreachable upstream now asks for a connection before the next request, which is stricter.

--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -68,6 +68,7 @@
             flight.end(Outcome::Lost);
             return Step::Lost;
         };
+        flight.heard();
         let now = shared.now();
         if let Some(load) = reply.answer.load {
             shared.fleet.borrow_mut().report(now, &upstream, load);
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -54,7 +54,10 @@
         }
         loop {
             let bytes = match self.next(&mut channel).await {
-                Next::Bytes(bytes) => bytes,
+                Next::Bytes(bytes) => {
+                    flight.heard();
+                    bytes
+                }
                 Next::End if self.events.is_whole() => {
                     self.shared.pool.borrow_mut().put(upstream, channel);
                     flight.end(Outcome::Served);
--- a/crates/edge/src/flight.rs
+++ b/crates/edge/src/flight.rs
@@ -18,7 +18,8 @@
 
 impl<'a, P: Platform> Flight<'a, P> {
     pub(crate) fn start(shared: &'a Shared<P>, upstream: name::Upstream) -> Self {
-        shared.fleet.borrow_mut().start(&upstream);
+        let now = shared.now();
+        shared.fleet.borrow_mut().start(now, &upstream);
         Self {
             shared,
             upstream,
@@ -26,6 +27,12 @@
         }
     }
 
+    /// The upstream said something.
+    pub(crate) fn heard(&self) {
+        let now = self.shared.now();
+        self.shared.fleet.borrow_mut().heard(now, &self.upstream);
+    }
+
     pub(crate) fn end(mut self, outcome: Outcome) {
         self.outcome = outcome;
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod outlet;
 pub mod peer;
 pub mod pool;
+mod reach;
 mod refusal;
 mod relay;
 pub mod shared;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -29,6 +29,7 @@
 use crate::peer;
 use crate::peer::Book;
 use crate::peer::Control;
+use crate::reach;
 use crate::shared::Shared;
 
 /// How often the end of the last request is looked for.
@@ -92,6 +93,7 @@
     actix_rt::spawn(follow::run(Rc::clone(shared), Rc::clone(&store)));
     actix_rt::spawn(peer::fetch(Rc::clone(shared), store));
     actix_rt::spawn(peer::run(Rc::clone(shared), book));
+    actix_rt::spawn(reach::run(Rc::clone(shared)));
     actix_rt::spawn(sweep(Rc::clone(shared)));
     info!(shared.log, "node: started";
         "host" => settings.host.as_str(), "front" => %settings.front);
--- a/crates/snipeusher/src/fleet.rs
+++ b/crates/snipeusher/src/fleet.rs
@@ -11,6 +11,7 @@
 mod load;
 mod roster;
 mod view;
+mod zone;
 
 pub use self::budget::Bounds;
 pub use self::budget::Budget;
@@ -28,3 +29,4 @@
 pub use self::roster::Roster;
 pub use self::view::Fleet;
 pub use self::view::Settings;
+pub use self::zone::Zone;
--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -53,20 +53,19 @@
 }
 
 /// Chooses among the ready upstreams of a service.
-pub(super) fn choose(now: Time, cells: &[Cell], ready: &[usize], ask: &Ask<'_>) -> Decision {
-    let is_new = |slot: &&usize| !ask.tried.contains(&cells[**slot].entry.id);
-    let open = ready
-        .iter()
-        .filter(is_new)
-        .filter(|slot| cells[**slot].health.is_open(now));
-    let open: Vec<&Cell> = open.map(|slot| &cells[*slot]).collect();
-    // Where all are set aside, a request is still better sent than refused.
-    let candidates = if open.is_empty() {
-        let rest = ready.iter().filter(is_new);
-        rest.map(|slot| &cells[*slot]).collect()
-    } else {
-        open
-    };
+pub(super) fn choose(
+    now: Time,
+    cells: &[Cell],
+    ready: &[usize],
+    is_dark: impl Fn(&name::Zone) -> bool,
+    ask: &Ask<'_>,
+) -> Decision {
+    let all = ready.iter().map(|slot| &cells[*slot]);
+    let new = all.filter(|cell| !ask.tried.contains(&cell.entry.id));
+    let new: Vec<&Cell> = new.collect();
+    let open = only(&new, |cell| cell.health.is_open(now));
+    let lit = only(&open, |cell| !is_dark(&cell.entry.zone));
+    let candidates = only(&lit, |cell| !cell.is_silent(now));
     let source = |chosen: &Cell| {
         let session = ask.session?;
         holder(now, cells, ask.service, session, chosen)
@@ -87,6 +86,17 @@
     }
 }
 
+/// The cells for which a condition holds, or all where it holds for none: a request is better
+/// sent than refused.
+fn only<'a>(cells: &[&'a Cell], holds: impl Fn(&Cell) -> bool) -> Vec<&'a Cell> {
+    let held: Vec<&Cell> = cells.iter().copied().filter(|cell| holds(cell)).collect();
+    if held.is_empty() {
+        cells.to_vec()
+    } else {
+        held
+    }
+}
+
 /// The first in the ranking of the session that is within the load limit.
 fn by_session<'a>(now: Time, candidates: &[&'a Cell], session: u64) -> Option<&'a Cell> {
     let total: u64 = candidates
--- a/crates/snipeusher/src/fleet/health.rs
+++ b/crates/snipeusher/src/fleet/health.rs
@@ -17,6 +17,11 @@
 /// Longest time aside.
 const ASIDE_MAX: Duration = Duration::from_secs(6);
 
+/// Time after which a connection to an unreachable upstream is tried again; doubled each time.
+const REACH: Duration = Duration::from_millis(250);
+/// Longest such time.
+const REACH_MAX: Duration = Duration::from_secs(2);
+
 /// How a request at an upstream ended, as far as it speaks of the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -43,6 +48,9 @@
     aside: u32,
     until: Option<Time>,
     trial: bool,
+    /// When a connection is tried next, while none can be opened.
+    reach_at: Option<Time>,
+    reaches: u32,
 }
 
 impl Health {
@@ -53,12 +61,31 @@
 
     /// Whether it takes requests at `now`; after its time aside it takes one as a trial.
     pub fn is_open(&self, now: Time) -> bool {
-        self.until.is_none_or(|until| until <= now && !self.trial)
+        let is_back = self.until.is_none_or(|until| until <= now && !self.trial);
+        self.reach_at.is_none() && is_back
+    }
+
+    /// Whether a connection is to be tried at `now`.
+    pub fn is_due(&self, now: Time) -> bool {
+        self.reach_at.is_some_and(|at| at <= now)
+    }
+
+    /// A connection could be opened, so requests may go there again.
+    pub const fn reached(&mut self) {
+        self.reach_at = None;
+        self.reaches = 0;
+    }
+
+    /// No connection could be opened.
+    pub fn unreached(&mut self, now: Time) {
+        let time = REACH * (1 << self.reaches.min(4));
+        self.reach_at = Some(now + time.min(REACH_MAX));
+        self.reaches += 1;
     }
 
     /// Whether it is set aside, a trial included.
     pub const fn is_aside(&self) -> bool {
-        self.until.is_some()
+        self.until.is_some() || self.reach_at.is_some()
     }
 
     /// Counts a request that is sent; if it is aside, this is the trial.
@@ -83,7 +110,11 @@
                 return false;
             }
             Outcome::Failed | Outcome::Declined => self.count(1.0),
-            Outcome::Unreachable => self.lost = LOST_MAX,
+            Outcome::Unreachable => {
+                let is_first = self.reach_at.is_none();
+                self.unreached(now);
+                return is_first;
+            }
             Outcome::Lost => {
                 self.count(1.0);
                 self.lost += 1;
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -1,6 +1,7 @@
 //! What one router believes of all upstreams.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use super::Ask;
 use super::Bounds;
@@ -14,6 +15,7 @@
 use super::Roster;
 use super::cell::Cell;
 use super::choice;
+use super::zone::Zone;
 use crate::kv::Revision;
 use crate::name;
 use crate::time::Time;
@@ -41,6 +43,7 @@
     /// When a lapsed entry expires next.
     refresh_at: Option<Time>,
     budgets: BTreeMap<name::Service, Budget>,
+    zones: BTreeMap<name::Zone, Zone>,
     routers: usize,
 }
 
@@ -55,6 +58,7 @@
             ready: BTreeMap::new(),
             refresh_at: None,
             budgets: BTreeMap::new(),
+            zones: BTreeMap::new(),
             routers: 1,
         }
     }
@@ -155,8 +159,68 @@
         if self.refresh_at.is_some_and(|at| at <= now) {
             self.refresh(now);
         }
+        self.count_silent(now);
         let ready = self.ready.get(ask.service).map_or(&[][..], Vec::as_slice);
-        choice::choose(now, &self.cells, ready, ask)
+        let is_dark = |zone: &name::Zone| self.zones.get(zone).is_some_and(Zone::is_dark);
+        choice::choose(now, &self.cells, ready, is_dark, ask)
+    }
+
+    /// Upstreams to which a connection is to be tried now, since requests avoid them.
+    pub fn due(&mut self, now: Time) -> Vec<(name::Upstream, SocketAddr)> {
+        let mut due = Vec::new();
+        for cell in &mut self.cells {
+            let zone = self.zones.get_mut(&cell.entry.zone);
+            let is_dark = zone.is_some_and(|zone| zone.take_due(now));
+            if is_dark || cell.health.is_due(now) {
+                due.push((cell.entry.id.clone(), cell.entry.address));
+            }
+        }
+        due
+    }
+
+    /// Takes whether a connection to an upstream could be opened; true if that is news.
+    pub fn tried(&mut self, now: Time, id: &name::Upstream, is_reached: bool) -> bool {
+        let Some(cell) = self.cell_mut(id) else {
+            return false;
+        };
+        if is_reached {
+            let was_aside = cell.health.is_due(now);
+            cell.health.reached();
+            let zone = cell.entry.zone.clone();
+            let zone = self.zones.entry(zone).or_default();
+            let was_dark = zone.is_dark();
+            zone.heard();
+            return was_aside || was_dark;
+        }
+        if cell.health.is_due(now) {
+            cell.health.unreached(now);
+        }
+        false
+    }
+
+    /// An upstream said something.
+    pub fn heard(&mut self, now: Time, id: &name::Upstream) {
+        let Some(cell) = self.cell_mut(id) else {
+            return;
+        };
+        cell.heard(now);
+        let zone = cell.entry.zone.clone();
+        if let Some(zone) = self.zones.get_mut(&zone) {
+            zone.heard();
+        }
+    }
+
+    /// Counts upstreams that fell silent against their availability zones, each once.
+    fn count_silent(&mut self, now: Time) {
+        for cell in &mut self.cells {
+            if !cell.is_counted && cell.is_silent(now) {
+                cell.is_counted = true;
+                self.zones
+                    .entry(cell.entry.zone.clone())
+                    .or_default()
+                    .lost();
+            }
+        }
     }
 
     /// Whether an upstream may get new work.
@@ -183,10 +247,11 @@
     }
 
     /// Counts a request that is sent to an upstream.
-    pub fn start(&mut self, id: &name::Upstream) {
+    pub fn start(&mut self, now: Time, id: &name::Upstream) {
         if let Some(cell) = self.cell_mut(id) {
             cell.load.start();
             cell.health.start();
+            cell.silent.get_or_insert(now);
         }
     }
 
@@ -205,7 +270,15 @@
             return false;
         };
         cell.load.end();
-        cell.health.end(now, outcome, usual)
+        if cell.load.own() == 0 {
+            cell.silent = None;
+        }
+        let set_aside = cell.health.end(now, outcome, usual);
+        if outcome == Outcome::Unreachable {
+            let zone = cell.entry.zone.clone();
+            self.zones.entry(zone).or_default().lost();
+        }
+        set_aside
     }
 
     /// The share of failures over the other upstreams of the same service.
