--- a/crates/snipeusher/src/fleet/health.rs
+++ b/crates/snipeusher/src/fleet/health.rs
@@ -10,6 +10,9 @@
 const OUTCOMES_MIN: u32 = 5;
 /// Share of failures beyond that of the service that sets an upstream aside.
 const EXCESS: f64 = 0.3;
+/// Standard deviations of the usual failures that are allowed beyond that, since a service whose
+/// requests often fail by nature scatters more.
+const SCATTER: f64 = 2.0;
 /// Silent or broken ends in a row that set an upstream aside.
 const LOST_MAX: u32 = 2;
 /// Time aside after the first failure; doubled each time.
@@ -120,7 +123,9 @@
                 self.lost += 1;
             }
         }
-        let is_failing = self.outcomes >= OUTCOMES_MIN && self.failures > usual + EXCESS;
+        let scatter = (usual * (1.0 - usual) * WEIGHT / (2.0 - WEIGHT)).sqrt();
+        let allowed = usual + EXCESS + SCATTER * scatter;
+        let is_failing = self.outcomes >= OUTCOMES_MIN && self.failures > allowed;
         let set_aside = is_trial || self.lost >= LOST_MAX || is_failing;
         if set_aside {
             let time = ASIDE * (1 << self.aside.min(4));
--- a/crates/snipeusher/tests/fleet_view.rs
+++ b/crates/snipeusher/tests/fleet_view.rs
@@ -345,6 +345,21 @@
     assert!(set_aside);
 }
 
+/// Guards against an upstream of such a service being set aside for two failures in a row.
+#[rstest]
+fn failures_by_nature_scatter() {
+    let mut health = Health::default();
+    for count in 0..200 {
+        // One in seven fails, three in a row.
+        let outcome = if count % 21 < 3 {
+            Outcome::Failed
+        } else {
+            Outcome::Served
+        };
+        assert!(!health.end(at(count), outcome, 0.14), "after {count}");
+    }
+}
+
 /// Guards against refusing all when every upstream of a service is set aside.
 #[rstest]
 fn requests_still_go_somewhere_when_all_are_set_aside() {
