--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -33,6 +33,7 @@
     Param(ParamArgs),
     Check(CheckArgs),
     Status(StatusArgs),
+    Explain(ExplainArgs),
 }
 
 /// Write and read templates.
@@ -194,6 +195,29 @@
     pub(crate) files: Vec<PathBuf>,
 }
 
+/// Print the story of a request, or of a host, from the logs of routers.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "explain",
+    example = "{command_name} 9c41d07be2a35f68 front-1.log front-2.log",
+    example = "{command_name} --host front-1 --from 01:51:30 --to 01:51:40 all.log"
+)]
+pub(crate) struct ExplainArgs {
+    /// the request's id, where no host is given; then log files, standard input if there is none
+    #[argh(positional)]
+    pub(crate) words: Vec<String>,
+    /// print what this host logged instead
+    #[argh(option)]
+    pub(crate) host: Option<String>,
+    /// leave out what was logged before this time of day (HH:MM:SS)
+    #[argh(option)]
+    pub(crate) from: Option<String>,
+    /// leave out what was logged after this time of day (HH:MM:SS)
+    #[argh(option)]
+    pub(crate) to: Option<String>,
+}
+
 /// Show which configuration each router has in force.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "status")]
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod document;
 mod edit;
 mod error;
+mod explain;
 mod output;
 mod routers;
 mod run;
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -25,6 +25,7 @@
 use crate::error::ReadSnafu;
 use crate::error::RefusedSnafu;
 use crate::error::UsageSnafu;
+use crate::explain;
 use crate::output::Printed;
 use crate::routers;
 use crate::settings::Settings;
@@ -45,6 +46,9 @@
     if let Command::Check(check) = &args.command {
         return check::check(&check.files);
     }
+    if let Command::Explain(wanted) = &args.command {
+        return explain::explain(wanted);
+    }
     let session = Session::open(&args.settings)?;
     match args.command {
         Command::Template(template) => session.act(Kind::Template, template.action).await,
@@ -55,6 +59,7 @@
         }
         Command::Status(_) => session.status().await,
         Command::Check(check) => check::check(&check.files),
+        Command::Explain(wanted) => explain::explain(&wanted),
     }
 }
 
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -95,8 +95,7 @@
     actix_rt::spawn(peer::run(Rc::clone(shared), book));
     actix_rt::spawn(reach::run(Rc::clone(shared)));
     actix_rt::spawn(sweep(Rc::clone(shared)));
-    info!(shared.log, "node: started";
-        "host" => settings.host.as_str(), "front" => %settings.front);
+    info!(shared.log, "node: started"; "front" => %settings.front);
     Ok(())
 }
 
