--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -58,6 +58,7 @@
                 exchange.run(outlet).await
             }
             Err(rejection) => {
+                self.0.metrics.rejection(rejection.refusal.reason());
                 info!(self.0.log, "request: rejected";
                     "id" => rejection.id, "reason" => rejection.refusal.reason(),
                     "configuration" => rejection.revision.0);
@@ -111,6 +112,8 @@
     kept: Option<Kept>,
     /// Status of the answer that was passed on.
     status: Option<StatusCode>,
+    /// When its first byte was passed on.
+    first: Option<Instant>,
 }
 
 impl<'a, P: Platform> Exchange<'a, P> {
@@ -127,6 +130,7 @@
             unreachable: 0,
             kept: None,
             status: None,
+            first: None,
         }
     }
 
@@ -264,6 +268,10 @@
     fn settle(&self, outcome: &'static str) {
         let admitted = &self.admitted;
         let elapsed = Instant::now().saturating_duration_since(admitted.received);
+        let first = self.first.map(|first| first - admitted.received);
+        let workspace = admitted.workspace.as_ref();
+        let metrics = &self.shared.metrics;
+        metrics.request(admitted.route.kind, workspace, outcome, first, elapsed);
         info!(self.shared.log, "request: settled";
             "id" => admitted.call.id.as_deref(),
             "route" => &*admitted.route.name,
@@ -276,6 +284,7 @@
             "declined" => self.declined,
             "unreachable" => self.unreachable,
             "events" => self.events.count(),
+            "first_ms" => first.map(|first| first.as_millis() as u64),
             "ms" => elapsed.as_millis() as u64,
             "configuration" => admitted.revision.0);
     }
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -1,6 +1,7 @@
 //! One try of a request at one upstream.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use actix_http::RequestHead;
 use actix_http::ResponseHead;
@@ -209,6 +210,7 @@
             return Step::Answered(broken());
         }
         self.status = Some(status);
+        self.first = Some(Instant::now());
         Step::Answered(outlet.whole(status, headers, &body).await)
     }
 
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -1,6 +1,7 @@
 //! Streams: events pass on as they arrive, and go on at another upstream where they may.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use slog::info;
 use snipeusher::fleet::Outcome;
@@ -86,6 +87,7 @@
             };
             let Some(events) = events else { continue };
             self.status.get_or_insert(reply.head.status);
+            self.first.get_or_insert_with(Instant::now);
             if let Err(error) = begin(&reply, outlet) {
                 return Step::Answered(Err(error));
             }
--- a/crates/edge/src/flight.rs
+++ b/crates/edge/src/flight.rs
@@ -40,6 +40,7 @@
 
 impl<P: Platform> Drop for Flight<'_, P> {
     fn drop(&mut self) {
+        self.shared.metrics.attempt(self.outcome);
         let now = self.shared.now();
         let mut fleet = self.shared.fleet.borrow_mut();
         if fleet.end(now, &self.upstream, self.outcome) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod inlet;
 pub mod lifecycle;
 pub mod log;
+pub mod metrics;
 pub mod node;
 pub mod outlet;
 pub mod peer;
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,272 @@
+//! Counters and histograms, served as text for a collector to fetch.
+//!
+//! Labels come from bounded sets: outcomes, kinds of routes and the workspaces of the
+//! configuration. A caller's words never become labels. See `docs/OPERATIONS.md#metrics`.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use actix_http::header;
+use actix_http::header::HeaderMap;
+use actix_http::header::HeaderValue;
+use bytes::Bytes;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use slog::warn;
+use snipeusher::fleet::Outcome;
+use snipeusher::name;
+use snipeusher::route::Kind;
+use snipeusher::route::Limits;
+
+use crate::dialect::Platform;
+use crate::inlet::Handler;
+use crate::inlet::Inbound;
+use crate::lifecycle::Lifecycle;
+use crate::outlet::Outlet;
+use crate::shared::Shared;
+
+/// Upper bounds of the buckets in seconds, around the objectives of 0.1 to 0.8 s.
+const BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0];
+/// Label of requests without a workspace.
+const NO_WORKSPACE: &str = "";
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    kind: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabels {
+    kind: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WorkspaceLabels {
+    workspace: String,
+}
+
+/// Counters and histograms of a router.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    rejections: Family<OutcomeLabels, Counter>,
+    attempts: Family<OutcomeLabels, Counter>,
+    first: Family<WorkspaceLabels, Histogram>,
+    whole: Family<KindLabels, Histogram>,
+    open: Gauge,
+    configuration: Gauge,
+    upstreams: Gauge,
+    aside: Gauge,
+    store_lost: Gauge,
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(BUCKETS_S)
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("snipeusher");
+        let requests = Family::default();
+        registry.register(
+            "requests",
+            "Requests that were admitted, by how they ended",
+            requests.clone(),
+        );
+        let rejections = Family::default();
+        registry.register(
+            "rejections",
+            "Requests that were not admitted, by reason",
+            rejections.clone(),
+        );
+        let attempts = Family::default();
+        registry.register(
+            "attempts",
+            "Sends to upstreams, by how they ended",
+            attempts.clone(),
+        );
+        let first = Family::new_with_constructor(histogram as fn() -> Histogram);
+        registry.register(
+            "time_to_first_byte_seconds",
+            "From arrival to the first byte of the answer",
+            first.clone(),
+        );
+        let whole = Family::new_with_constructor(histogram as fn() -> Histogram);
+        registry.register(
+            "time_whole_seconds",
+            "From arrival to the end of the answer",
+            whole.clone(),
+        );
+        let gauges = [
+            ("open_requests", "Requests in progress"),
+            (
+                "configuration_revision",
+                "Revision of the configuration in force",
+            ),
+            ("upstreams", "Upstreams that are known"),
+            ("upstreams_aside", "Upstreams that are set aside"),
+            (
+                "store_lost",
+                "1 while the store does not answer this router",
+            ),
+        ];
+        let gauges = gauges.map(|(name, help)| {
+            let gauge = Gauge::<i64>::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        });
+        let [open, configuration, upstreams, aside, store_lost] = gauges;
+        Self {
+            registry,
+            requests,
+            rejections,
+            attempts,
+            first,
+            whole,
+            open,
+            configuration,
+            upstreams,
+            aside,
+            store_lost,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts a request that was admitted and ended.
+    pub(crate) fn request(
+        &self,
+        kind: Kind,
+        workspace: Option<&name::Workspace>,
+        outcome: &'static str,
+        first: Option<Duration>,
+        whole: Duration,
+    ) {
+        let kind = word(kind);
+        let labels = RequestLabels { kind, outcome };
+        self.requests.get_or_create(&labels).inc();
+        let labels = KindLabels { kind };
+        self.whole
+            .get_or_create(&labels)
+            .observe(whole.as_secs_f64());
+        let Some(first) = first else { return };
+        let workspace = workspace.map_or(NO_WORKSPACE, name::Workspace::as_str);
+        let labels = WorkspaceLabels {
+            workspace: workspace.to_owned(),
+        };
+        self.first
+            .get_or_create(&labels)
+            .observe(first.as_secs_f64());
+    }
+
+    /// Counts a request that was not admitted.
+    pub(crate) fn rejection(&self, outcome: &'static str) {
+        self.rejections
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+
+    /// Counts the end of an attempt.
+    pub(crate) fn attempt(&self, outcome: Outcome) {
+        let outcome = match outcome {
+            Outcome::Served => "served",
+            Outcome::Failed => "failed",
+            Outcome::Declined => "declined",
+            Outcome::Unreachable => "unreachable",
+            Outcome::Lost => "lost",
+            Outcome::Abandoned => "abandoned",
+        };
+        self.attempts
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+}
+
+fn level(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+/// A word for a kind of route.
+const fn word(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Idempotent => "idempotent",
+        Kind::NonIdempotent => "non_idempotent",
+        Kind::Stream { resumable: true } => "resumable_stream",
+        Kind::Stream { resumable: false } => "stream",
+    }
+}
+
+/// Serves the metrics.
+pub(crate) struct Exposition<P> {
+    shared: Rc<Shared<P>>,
+    lifecycle: Lifecycle,
+}
+
+impl<P: Platform> Exposition<P> {
+    pub(crate) fn new(shared: Rc<Shared<P>>) -> Self {
+        Self {
+            shared,
+            lifecycle: Lifecycle::default(),
+        }
+    }
+
+    fn text(&self) -> Result<String, std::fmt::Error> {
+        let metrics = &self.shared.metrics;
+        let fleet = self.shared.fleet.borrow();
+        let cells = fleet.cells();
+        let aside = cells.iter().filter(|cell| cell.health.is_aside()).count();
+        metrics.upstreams.set(level(cells.len()));
+        metrics.aside.set(level(aside));
+        metrics.open.set(level(self.shared.lifecycle.open()));
+        metrics
+            .store_lost
+            .set(i64::from(self.shared.store_is_lost()));
+        let revision = self.shared.table().map_or(0, |table| table.revision().0);
+        metrics.configuration.set(revision.cast_signed());
+        let mut text = String::new();
+        text::encode(&mut text, &metrics.registry)?;
+        Ok(text)
+    }
+}
+
+impl<P: Platform> Handler for Exposition<P> {
+    fn limits(&self) -> Limits {
+        Limits::default()
+    }
+
+    fn lifecycle(&self) -> &Lifecycle {
+        &self.lifecycle
+    }
+
+    async fn handle(&self, _inbound: Inbound, outlet: &mut Outlet<'_>) -> io::Result<()> {
+        let mut headers = HeaderMap::new();
+        match self.text() {
+            Ok(text) => {
+                let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+                headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+                outlet
+                    .whole(StatusCode::OK, headers, &Bytes::from(text))
+                    .await
+            }
+            Err(error) => {
+                warn!(self.shared.log, "metrics: cannot be encoded"; "error" => %error);
+                let status = StatusCode::INTERNAL_SERVER_ERROR;
+                outlet.whole(status, headers, &Bytes::new()).await
+            }
+        }
+    }
+}
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -25,6 +25,7 @@
 use crate::inlet::Handler;
 use crate::inlet::Inbound;
 use crate::lifecycle::Lifecycle;
+use crate::metrics::Exposition;
 use crate::outlet::Outlet;
 use crate::peer;
 use crate::peer::Book;
@@ -89,6 +90,9 @@
     let control = Control::new(Rc::clone(shared), Rc::clone(&book));
     listen(shared, settings.control, control).await?;
     listen(shared, settings.front, Front(Rc::clone(shared))).await?;
+    if let Some(address) = settings.metrics {
+        listen(shared, address, Exposition::new(Rc::clone(shared))).await?;
+    }
     let store = Rc::new(store);
     actix_rt::spawn(follow::run(Rc::clone(shared), Rc::clone(&store)));
     actix_rt::spawn(peer::fetch(Rc::clone(shared), store));
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -27,6 +27,7 @@
 use crate::clock::Clock;
 use crate::dialect::Platform;
 use crate::lifecycle::Lifecycle;
+use crate::metrics::Metrics;
 use crate::peer::Wanted;
 use crate::pool::Pool;
 
@@ -41,6 +42,8 @@
     pub ready: SocketAddr,
     /// Where peers connect.
     pub control: SocketAddr,
+    /// Where counters and histograms are fetched; `None` serves none.
+    pub metrics: Option<SocketAddr>,
     /// Control addresses of some peers, which may be out of date.
     pub seeds: Vec<SocketAddr>,
     /// Longest time to open a connection to an upstream.
@@ -75,6 +78,8 @@
     pub pool: RefCell<Pool>,
     /// Whether the process is leaving.
     pub lifecycle: Lifecycle,
+    /// Counters and histograms.
+    pub metrics: Metrics,
     /// The log.
     pub log: Logger,
     /// Who reads the store.
@@ -100,6 +105,7 @@
             fleet: RefCell::new(Fleet::new(settings.fleet.clone())),
             pool: RefCell::default(),
             lifecycle: Lifecycle::default(),
+            metrics: Metrics::default(),
             readers: RefCell::new(Readers::new(
                 settings.host.clone(),
                 settings.fleet.zone.clone(),
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -43,6 +43,7 @@
         front: free_address(),
         ready: free_address(),
         control: free_address(),
+        metrics: Some(free_address()),
         seeds,
         connect_timeout: Duration::from_millis(300),
         grace: Duration::from_secs(8),
