--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -182,9 +182,11 @@
         if self.runs > 0 && !self.may_run_again() {
             return Err(Refusal::Lost);
         }
-        let is_exhausted = self.declined > DECLINED_MAX || self.unreachable >= UNREACHABLE_MAX;
-        if is_exhausted {
-            return Err(self.not_run(self.retry_after()));
+        if self.declined > DECLINED_MAX {
+            return Err(self.not_run("declined", self.retry_after()));
+        }
+        if self.unreachable >= UNREACHABLE_MAX {
+            return Err(self.not_run("unreachable", self.retry_after()));
         }
         let ask = Ask {
             service: &self.admitted.service,
@@ -200,7 +202,7 @@
                 source,
             } => {
                 if self.sends > 0 && !fleet.repeat(now, &self.admitted.service) {
-                    return Err(self.not_run(self.retry_after()));
+                    return Err(self.not_run("budget", self.retry_after()));
                 }
                 Ok(Placed {
                     upstream,
@@ -208,7 +210,7 @@
                     source,
                 })
             }
-            Decision::Refuse { retry_after } => Err(self.not_run(retry_after)),
+            Decision::Refuse { retry_after } => Err(self.not_run("no_upstream", retry_after)),
         }
     }
 
@@ -225,11 +227,11 @@
         self.may_run_again() && fleet.has_alternative(now, &ask)
     }
 
-    fn not_run(&self, retry_after: Duration) -> Refusal {
+    fn not_run(&self, cause: &'static str, retry_after: Duration) -> Refusal {
         if self.runs > 0 {
             Refusal::Lost
         } else {
-            Refusal::NotRun { retry_after }
+            Refusal::NotRun { cause, retry_after }
         }
     }
 
@@ -260,7 +262,7 @@
         let refusal = if self.runs > 0 {
             Refusal::TimedOut
         } else {
-            self.not_run(self.retry_after())
+            self.not_run("too_late", self.retry_after())
         };
         self.refuse(refusal, outlet).await
     }
--- a/crates/edge/src/exchange/admit.rs
+++ b/crates/edge/src/exchange/admit.rs
@@ -80,6 +80,7 @@
     // A stream that begins now would be cut off at the end of the process.
     if shared.lifecycle.is_out() && route.kind.is_stream() {
         let refusal = Refusal::NotRun {
+            cause: "leaving",
             retry_after: RETRY_LEAVING,
         };
         return Err(Rejection {
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -200,6 +200,7 @@
                 body,
             };
             if self.may_run_again() {
+                self.note(upstream, "failed", &status);
                 return Step::Failed(kept);
             }
             self.status = Some(status);
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -24,6 +24,8 @@
     UnknownKey,
     /// It has not run and will not; the caller may come back.
     NotRun {
+        /// Why, as a word for logs and metrics.
+        cause: &'static str,
         /// When.
         retry_after: Duration,
     },
@@ -55,7 +57,7 @@
             Self::NoIdentity => "no_identity",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
-            Self::NotRun { .. } => "not_run",
+            Self::NotRun { cause, .. } => cause,
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
         }
@@ -64,7 +66,7 @@
     const fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NotConfigured => Some(Duration::from_millis(300)),
-            Self::NotRun { retry_after } => Some(retry_after),
+            Self::NotRun { retry_after, .. } => Some(retry_after),
             _ => None,
         }
     }
