Count silence against an upstream and drop the channels kept to it

Cause: after connections went silent for good, each kept one cost a request that may run once, since a request that ran out of time said nothing of its upstream (connections_that_went_silent_are_not_used_one_after_the_other fails before).

--- a/crates/edge/src/flight.rs
+++ b/crates/edge/src/flight.rs
@@ -40,9 +40,17 @@
 
 impl<P: Platform> Drop for Flight<'_, P> {
     fn drop(&mut self) {
-        self.shared.metrics.attempt(self.outcome);
         let now = self.shared.now();
         let mut fleet = self.shared.fleet.borrow_mut();
+        // Whoever gave up on a silent upstream, the silence counts against it, and the channels
+        // that are kept to it may be as silent as this one.
+        let cell = fleet.cell(&self.upstream);
+        let is_silent = cell.is_some_and(|cell| cell.is_silent(now));
+        if self.outcome == Outcome::Abandoned && is_silent {
+            self.outcome = Outcome::Lost;
+            self.shared.pool.borrow_mut().close(&self.upstream);
+        }
+        self.shared.metrics.attempt(self.outcome);
         if fleet.end(now, &self.upstream, self.outcome) {
             warn!(self.shared.log, "upstream: set aside";
                 "upstream" => self.upstream.as_str(), "outcome" => ?self.outcome);
--- a/crates/edge/tests/retry.rs
+++ b/crates/edge/tests/retry.rs
@@ -165,3 +165,32 @@
     assert!(left[1] <= 900 && left[1] > 850, "{left:?}");
     assert!(left[0] < 700, "{left:?}");
 }
+
+/// Guards against one request after the other that is lost on kept connections which all went
+/// silent at once, while new ones work.
+#[actix_rt::test]
+async fn connections_that_went_silent_are_not_used_one_after_the_other() {
+    let served = std::rc::Rc::new(std::cell::RefCell::new(Vec::new()));
+    let engine = Engine::start(move |seen| {
+        let mut served = served.borrow_mut();
+        if served.contains(&seen.connection) && seen.connection < 2 {
+            return vec![Act::Hang];
+        }
+        served.push(seen.connection);
+        vec![Act::Pause(100), answer(seen.id(), "200 OK", "fine")]
+    })
+    .await;
+    let (node, _store) = single(&[&engine]).await;
+    let first = post("/write/", "r1", "x");
+    let second = post("/write/", "r2", "x");
+    let (first, second) = tokio::join!(call(node.front, &first), call(node.front, &second));
+    assert_eq!((first.status, second.status), (200, 200));
+    assert_eq!(
+        call(node.front, &post("/write/", "r3", "x")).await.status,
+        504
+    );
+    assert_eq!(
+        call(node.front, &post("/write/", "r4", "x")).await.status,
+        200
+    );
+}
