Tell an outage of the store apart from a partition of one router

A router now asks whether the store has answered another reader all the while; then nothing has lapsed. Ruled out: a lost delta, since the removal had arrived at 25.0 s. a_departure_after_a_partition_counts_at_once fails before.

--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -92,7 +92,8 @@
     pub http: ServiceConfig,
     table: RefCell<Option<Rc<Table>>>,
     document: RefCell<Option<Document>>,
-    store_is_lost: Cell<bool>,
+    /// Since when the store does not answer this router.
+    store_lost: Cell<Option<Time>>,
     rng: RefCell<SmallRng>,
 }
 
@@ -115,7 +116,7 @@
             http: ServiceConfig::default(),
             table: RefCell::default(),
             document: RefCell::default(),
-            store_is_lost: Cell::new(false),
+            store_lost: Cell::new(None),
             rng: RefCell::new(SmallRng::from_os_rng()),
             settings,
             log,
@@ -192,20 +193,26 @@
 
     /// Whether the store did not answer this router's last call.
     pub const fn store_is_lost(&self) -> bool {
-        self.store_is_lost.get()
+        self.store_lost.get().is_some()
     }
 
     /// Notes whether the store answers.
     pub fn store_answers(&self, answers: bool, cause: &str) {
-        if self.store_is_lost.replace(!answers) != answers {
-            return;
-        }
-        if answers {
-            info!(self.log, "store: regained");
-            self.fleet.borrow_mut().store_found(self.now());
-        } else {
-            warn!(self.log, "store: lost"; "cause" => cause);
-            self.fleet.borrow_mut().store_lost();
+        let now = self.now();
+        match (answers, self.store_lost.get()) {
+            (true, Some(since)) => {
+                self.store_lost.set(None);
+                let was_down = !self.readers.borrow().is_steady_elsewhere(now, since);
+                info!(self.log, "store: regained"; "was_down" => was_down);
+                self.fleet.borrow_mut().store_found(now, was_down);
+            }
+            (false, None) => {
+                self.store_lost.set(Some(now));
+                warn!(self.log, "store: lost"; "cause" => cause);
+                self.readers.borrow_mut().lost();
+                self.fleet.borrow_mut().store_lost();
+            }
+            _ => {}
         }
     }
 }
--- a/crates/edge/tests/news.rs
+++ b/crates/edge/tests/news.rs
@@ -96,6 +96,38 @@
     .await;
 }
 
+/// Guards against work for an upstream that leaves just after a router alone had lost the store:
+/// no entry has lapsed, so nothing is to be kept.
+#[actix_rt::test]
+async fn a_departure_after_a_partition_counts_at_once() {
+    let engine = engine().await;
+    let store = Store::new();
+    store.configure(DEFAULT);
+    store.upstream("e0", "letters", engine.address, "ready");
+    let first = start("host-1", &store, Vec::new()).await;
+    let way = store.other_way();
+    let second = start("host-2", &way, vec![first.control]).await;
+    let shared = Rc::clone(&second.shared);
+    until("it is ready", || shared.is_ready()).await;
+    actix_rt::time::sleep(std::time::Duration::from_millis(1_200)).await;
+    way.cut(true);
+    until("it has lost the store", || shared.store_is_lost()).await;
+    actix_rt::time::sleep(std::time::Duration::from_millis(1_500)).await;
+    way.cut(false);
+    until("it has found the store", || !shared.store_is_lost()).await;
+    store.delete("up/e0");
+    let began = std::time::Instant::now();
+    let id = snipeusher::name::Upstream::from("e0");
+    for node in [&first, &second] {
+        until("it knows the departure", || {
+            let now = node.shared.now();
+            !node.shared.fleet.borrow().is_ready(now, &id)
+        })
+        .await;
+    }
+    assert!(began.elapsed().as_millis() < 1_500);
+}
+
 /// Guards against a fleet in which every router reads the store.
 #[actix_rt::test]
 async fn later_routers_leave_the_store_to_the_first() {
--- a/crates/snipeusher/src/fleet/roster.rs
+++ b/crates/snipeusher/src/fleet/roster.rs
@@ -136,12 +136,13 @@
         self.away = true;
     }
 
-    /// The store answers again.
-    pub const fn store_found(&mut self, now: Time) {
-        if self.away {
-            self.away = false;
+    /// The store answers again; `was_down` unless it answered others all the while, in which case
+    /// no entry has lapsed.
+    pub const fn store_found(&mut self, now: Time, was_down: bool) {
+        if self.away && was_down {
             self.returned = Some(now);
         }
+        self.away = false;
     }
 
     /// Takes an entry as it was written.
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -88,9 +88,9 @@
         self.roster.store_lost();
     }
 
-    /// The store answers again.
-    pub fn store_found(&mut self, now: Time) {
-        self.roster.store_found(now);
+    /// The store answers again; `was_down` unless it answered others all the while.
+    pub fn store_found(&mut self, now: Time, was_down: bool) {
+        self.roster.store_found(now, was_down);
     }
 
     /// Takes an entry of the store.
--- a/crates/snipeusher/src/reader.rs
+++ b/crates/snipeusher/src/reader.rs
@@ -36,6 +36,8 @@
     pub zone: name::Zone,
     /// How long ago the store answered it, in milliseconds.
     pub age_ms: u64,
+    /// For how long the store has answered it without a loss, in milliseconds.
+    pub steady_ms: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -43,6 +45,8 @@
     zone: name::Zone,
     rank: u64,
     answered: Time,
+    /// Since when the store has answered it without a loss.
+    steady: Time,
 }
 
 /// The readers that one router knows, and whether it is one of them.
@@ -72,25 +76,42 @@
 
     /// The store answered this router.
     pub fn answered(&mut self, now: Time) {
-        let known = Known {
+        let known = self.known.entry(self.host.clone()).or_insert(Known {
             zone: self.zone.clone(),
             rank: self.rank,
             answered: now,
-        };
-        self.known.insert(self.host.clone(), known);
+            steady: now,
+        });
+        known.answered = now;
+    }
+
+    /// The store does not answer this router any more.
+    pub fn lost(&mut self) {
+        self.known.remove(&self.host);
+    }
+
+    /// Whether the store has answered another router without a loss since before a time.
+    ///
+    /// Then a router that lost the store meanwhile was cut off from it, and the store was not down.
+    pub fn is_steady_elsewhere(&self, now: Time, since: Time) -> bool {
+        let mut others = self.fresh(now).filter(|(host, _)| **host != self.host);
+        others.any(|(_, known)| known.steady < since)
     }
 
     /// Takes what a peer says of readers.
     pub fn heard(&mut self, now: Time, readers: &[Reader]) {
         for reader in readers.iter().filter(|reader| reader.host != self.host) {
-            let age = reader.age_ms.saturating_mul(1_000);
-            let answered = Time(now.0.saturating_sub(age));
+            let ago = |ms: u64| Time(now.0.saturating_sub(ms.saturating_mul(1_000)));
+            let (answered, steady) = (ago(reader.age_ms), ago(reader.steady_ms));
             let known = self.known.entry(reader.host.clone()).or_insert(Known {
                 zone: reader.zone.clone(),
                 rank: rank(&reader.host),
                 answered,
+                steady,
             });
-            known.answered = known.answered.max(answered);
+            if known.answered < answered {
+                (known.answered, known.steady) = (answered, steady);
+            }
         }
         self.known
             .retain(|_, known| now.since(known.answered) < FRESH);
@@ -104,6 +125,7 @@
                 host: host.clone(),
                 zone: known.zone.clone(),
                 age_ms: now.since(known.answered).as_millis() as u64,
+                steady_ms: now.since(known.steady).as_millis() as u64,
             };
             zones
                 .entry(&known.zone)
--- a/crates/snipeusher/tests/fleet_view.rs
+++ b/crates/snipeusher/tests/fleet_view.rs
@@ -219,7 +219,7 @@
     roster.put(entry(0, 1));
     roster.put(leaving);
     roster.store_lost();
-    roster.store_found(at(1_000));
+    roster.store_found(at(1_000), true);
     roster.list(at(1_000), Revision(9), Vec::new());
     let ready: Vec<&str> = roster.ready(at(1_500)).map(|e| e.id.as_str()).collect();
     assert_eq!(ready, ["e0"], "only the one that was not leaving");
@@ -229,6 +229,20 @@
     assert_eq!(roster.ready(at(3_400)).count(), 1, "it came back");
 }
 
+/// Guards against a departure that is taken for a lapse by a router which alone had lost the
+/// store, and which passes that on.
+#[rstest]
+fn a_router_that_was_cut_off_keeps_nothing() {
+    let mut roster = Roster::default();
+    roster.put(entry(0, 1));
+    roster.store_lost();
+    roster.store_found(at(1_000), false);
+    roster.remove(at(1_100), &name::Upstream::from("e0"), Revision(2));
+    assert_eq!(roster.ready(at(1_100)).count(), 0);
+    let delta = roster.since(at(1_100), Revision(1));
+    assert_eq!(delta.removed[0].keep_ms, 0);
+}
+
 /// Guards against a peer that drops at once what its reader still keeps.
 #[rstest]
 fn peers_keep_lapsed_entries_as_long_as_the_reader() {
@@ -238,7 +252,7 @@
     peer.merge(at(0), reader.since(at(0), Revision(0)));
     assert_eq!(peer.ready(at(0)).count(), 1);
     reader.store_lost();
-    reader.store_found(at(1_000));
+    reader.store_found(at(1_000), true);
     reader.remove(at(1_000), &name::Upstream::from("e0"), Revision(2));
     peer.merge(at(1_100), reader.since(at(1_100), peer.revision()));
     assert_eq!(peer.ready(at(1_200)).count(), 1);
--- a/crates/snipeusher/tests/reader.rs
+++ b/crates/snipeusher/tests/reader.rs
@@ -173,3 +173,30 @@
         );
     }
 }
+
+/// Guards against an outage that is taken for a partition of one router, or the reverse.
+#[rstest]
+fn an_outage_is_told_apart_from_a_partition() {
+    let host = |name: &str| name::Host::from(name);
+    let zone = name::Zone::from("here");
+    let mut cut = Readers::new(host("cut"), zone.clone());
+    let mut steady = Readers::new(host("steady"), zone);
+    for ms in [0, 2_000, 4_000, 6_000] {
+        steady.answered(Time::from_millis(ms));
+    }
+    cut.answered(Time::from_millis(1_000));
+    cut.lost();
+    let lost = Time::from_millis(3_000);
+    let now = Time::from_millis(6_500);
+    cut.heard(now, &steady.list(now));
+    assert!(
+        cut.is_steady_elsewhere(now, lost),
+        "the store answered another one all the while"
+    );
+    // The other one loses the store as well, and both find it again.
+    steady.lost();
+    steady.answered(Time::from_millis(9_000));
+    let now = Time::from_millis(9_100);
+    cut.heard(now, &steady.list(now));
+    assert!(!cut.is_steady_elsewhere(now, lost), "the store was down");
+}
