Take changes that come together without a pause between them

Digests name 40 observations and large fleets exchange half as often, so that control keeps to 14 KB/s at 9, 83 and 370 routers. The planner of orders, which no process ran, is gone.

--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -1,5 +1,6 @@
 //! One try of a request at one upstream.
 
+use std::fmt;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -187,7 +188,7 @@
         self.shared.pool.borrow_mut().put(upstream, channel);
         let status = reply.head.status;
         if !is_acceptable(&reply) {
-            self.note(upstream, "lost", &"the answer is not the upstream's");
+            self.note(upstream, "lost", "the answer is not the upstream's");
             flight.end(Outcome::Lost);
             return Step::Lost;
         }
@@ -216,11 +217,11 @@
     }
 
     /// Logs why an attempt failed.
-    pub(super) fn note(
+    pub(super) fn note<E: fmt::Display + ?Sized>(
         &self,
         upstream: &name::Upstream,
         reason: &'static str,
-        error: &dyn std::fmt::Display,
+        error: &E,
     ) {
         info!(self.shared.log, "attempt: failed";
             "id" => self.admitted.call.id.as_deref(), "upstream" => upstream.as_str(),
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -44,7 +44,7 @@
         outlet: &mut Outlet<'_>,
     ) -> Step {
         if !is_acceptable(&reply) {
-            self.note(upstream, "lost", &"the answer is not the upstream's");
+            self.note(upstream, "lost", "the answer is not the upstream's");
             flight.end(Outcome::Lost);
             return self.cut(outlet);
         }
@@ -65,7 +65,7 @@
                     return Step::Answered(finish(&reply, outlet).await);
                 }
                 Next::End => {
-                    self.note(upstream, "lost", &"the stream ended within an event");
+                    self.note(upstream, "lost", "the stream ended within an event");
                     flight.end(Outcome::Lost);
                     return self.cut(outlet);
                 }
@@ -75,13 +75,13 @@
                     return self.cut(outlet);
                 }
                 Next::Silent => {
-                    self.note(upstream, "silent", &"no event within the stall time");
+                    self.note(upstream, "silent", "no event within the stall time");
                     flight.end(Outcome::Lost);
                     return self.cut(outlet);
                 }
             };
             let Ok(events) = self.events.push(&bytes) else {
-                self.note(upstream, "lost", &"the events are out of order");
+                self.note(upstream, "lost", "the events are out of order");
                 flight.end(Outcome::Lost);
                 return self.cut(outlet);
             };
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -30,7 +30,7 @@
 /// Longest such pause. All routers come back at once after an outage; half of it is random.
 const PAUSE_MAX_MS: u64 = 1_000;
 
-/// Pause after a change in which further ones gather at the store, so that a rollout of many
+/// Pause after an answer with changes, in which further ones gather at the store, so that a rollout of many
 /// upstreams does not cost a call for each.
 const GATHER: Duration = Duration::from_millis(120);
 /// How often a router that does not read the store looks whether it has to.
@@ -139,15 +139,18 @@
 async fn watch<P: Platform, S: Store>(shared: &Shared<P>, store: &S) -> Result<(), End> {
     let from = shared.fleet.borrow().roster().revision();
     let mut changes = std::pin::pin!(store.watch(ALL, from));
+    let mut has_news = false;
     while reads(shared) {
         match changes.next().await {
             Some(Ok(change)) => {
                 answered(shared);
-                let is_news = !(change.entries.is_empty() && change.deleted.is_empty());
+                let is_end = change.entries.is_empty() && change.deleted.is_empty();
                 take(shared, &change);
-                if is_news {
+                // Changes that came together are taken together.
+                if is_end && std::mem::take(&mut has_news) {
                     sleep(GATHER).await;
                 }
+                has_news |= !is_end;
             }
             Some(Err(fault)) => return Err(End::Watch(fault)),
             None => return Err(End::Watch(Fault::Lost)),
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -24,6 +24,7 @@
 use snipeusher::reader::Reader;
 
 pub use self::book::Book;
+pub use self::client::interval;
 pub use self::client::run;
 pub use self::fetch::Wanted;
 pub use self::fetch::fetch;
--- a/crates/edge/src/peer/client.rs
+++ b/crates/edge/src/peer/client.rs
@@ -31,8 +31,12 @@
 use crate::dialect::Platform;
 use crate::shared::Shared;
 
-/// Time between two exchanges.
+/// Time between two exchanges that a router begins; news goes out at once.
 const INTERVAL: Duration = Duration::from_millis(250);
+/// The same in a large fleet, whose digests name more readers: control may take 14 KB/s.
+const INTERVAL_LARGE: Duration = Duration::from_millis(500);
+/// Routers beyond which a fleet is large.
+const LARGE: usize = 100;
 /// Peers that hear news at once; those that had not heard it pass it on to as many.
 const FANOUT: usize = 3;
 /// Pause after an exchange of news, in which further news gathers.
@@ -80,7 +84,8 @@
     let channels: Channels = RefCell::default();
     let mut known = shared.knowledge();
     loop {
-        let is_news = timeout(INTERVAL, shared.news.notified()).await.is_ok();
+        let interval = interval(book.borrow().len(shared.now()));
+        let is_news = timeout(interval, shared.news.notified()).await.is_ok();
         let mut addresses = Vec::new();
         addresses.extend(book.borrow_mut().next(shared.random()));
         let knowledge = shared.knowledge();
@@ -98,6 +103,15 @@
     }
 }
 
+/// Time between two exchanges of one router beside `others`.
+pub const fn interval(others: usize) -> Duration {
+    if others > LARGE {
+        INTERVAL_LARGE
+    } else {
+        INTERVAL
+    }
+}
+
 type Channels = RefCell<BTreeMap<SocketAddr, Channel>>;
 
 async fn with<P: Platform>(
--- /dev/null
+++ b/crates/edge/tests/control_cost.rs
@@ -0,0 +1,70 @@
+//! What routers spend on telling each other, at the sizes of today, of the next step and of the
+//! target.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rstest::rstest;
+use snipeusher::fleet::Observation;
+use snipeusher::kv::Revision;
+use snipeusher::name;
+use snipeusher::reader::Reader;
+use snipeusher_edge::peer::Digest;
+use snipeusher_edge::peer::Member;
+use snipeusher_edge::peer::interval;
+
+/// Bytes that control may take a second in each direction, from the target.
+const CONTROL_BYTES_S: f64 = 14_000.0;
+/// Heads of a request and of its answer, as the codecs write them.
+const HEAD_BYTES: usize = 160;
+/// Observations and members that a digest names at most.
+const OBSERVATIONS: u16 = 40;
+const MEMBERS: u16 = 8;
+
+fn digest(zones: u16) -> Digest {
+    let address = SocketAddr::from(([10, 200, 100, 200], 65_000));
+    let host = |index: u16| name::Host::from(format!("front-hu-central-zone-{index}"));
+    let readers = (0..zones * 2).map(|index| Reader {
+        host: host(index),
+        zone: name::Zone::from(format!("hu-central-{index}")),
+        age_ms: 2_000,
+        steady_ms: 40_000_000,
+    });
+    let loads = (0..OBSERVATIONS).map(|index| Observation {
+        upstream: name::Upstream::from(format!("i-{index:010x}")),
+        load: 200,
+        age_ms: 1_400,
+    });
+    let members = (0..MEMBERS).map(|index| Member {
+        host: host(index),
+        address,
+        heard_ms: 12_000,
+    });
+    Digest {
+        host: host(0),
+        address,
+        configuration: Some(Revision(1 << 40)),
+        upstreams: Revision(1 << 40),
+        loads: loads.collect(),
+        readers: readers.collect(),
+        members: members.collect(),
+    }
+}
+
+/// Guards against digests that outgrow what control may cost. A router sends its digest with each
+/// exchange that it begins, and as the answer to about as many that others begin.
+#[rstest]
+#[case(9, 3)]
+#[case(83, 3)]
+#[case(370, 17)]
+fn exchanges_keep_to_the_bytes_of_control(#[case] routers: usize, #[case] zones: u16) {
+    let body = rmp_serde::to_vec(&digest(zones)).expect("it can be encoded");
+    let each = (body.len() + HEAD_BYTES) as f64;
+    let times = Duration::from_secs(1).as_secs_f64() / interval(routers - 1).as_secs_f64();
+    let bytes = 2.0 * times * each;
+    println!(
+        "{routers} routers in {zones} zones: {} B a digest, {bytes:.0} B/s",
+        body.len()
+    );
+    assert!(bytes <= CONTROL_BYTES_S, "{bytes:.0} B/s");
+}
--- a/crates/edge/tests/news.rs
+++ b/crates/edge/tests/news.rs
@@ -61,6 +61,23 @@
     assert_eq!(call(node.front, &get("/new/", "r3")).await.status, 200);
 }
 
+/// Guards against a rollout whose last change is in force seconds after its first, since the
+/// router takes a pause after each.
+#[actix_rt::test]
+async fn changes_that_come_together_are_taken_together() {
+    let (node, store) = single(&[]).await;
+    actix_rt::time::sleep(std::time::Duration::from_millis(100)).await;
+    for index in 0..40 {
+        let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1_000 + index));
+        store.upstream(&format!("e{index}"), "letters", address, "ready");
+    }
+    store.configure(LATER);
+    let began = std::time::Instant::now();
+    until("the last change is in force", || version(&node) == Some(2)).await;
+    assert!(began.elapsed().as_millis() < 1_000);
+    assert_eq!(node.shared.fleet.borrow().cells().len(), 40);
+}
+
 /// Guards against a configuration that goes back when older news arrives late.
 #[actix_rt::test]
 async fn the_configuration_never_goes_back() {
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -21,7 +21,7 @@
 use crate::time::Time;
 
 /// Observations that a digest holds.
-const OBSERVATIONS_MAX: usize = 48;
+const OBSERVATIONS_MAX: usize = 40;
 
 /// What a router's beliefs depend on besides events.
 #[derive(Clone, Debug)]
--- a/crates/snipeusher/src/lib.rs
+++ b/crates/snipeusher/src/lib.rs
@@ -17,7 +17,6 @@
 pub mod machine;
 pub mod member;
 pub mod name;
-pub mod order;
 pub mod outlier;
 pub mod placement;
 pub mod policy;
--- a/crates/snipeusher/tests/reader.rs
+++ b/crates/snipeusher/tests/reader.rs
@@ -13,6 +13,8 @@
 
 /// Time between two exchanges of a router.
 const EXCHANGE: Duration = Duration::from_millis(250);
+/// The same among more than a hundred routers.
+const EXCHANGE_LARGE: Duration = Duration::from_millis(500);
 /// Time after which the store answers a watch without news.
 const WATCH: Duration = Duration::from_secs(2);
 
@@ -32,6 +34,7 @@
     routers: Vec<Router>,
     rng: Pcg64Mcg,
     now: Time,
+    interval: Duration,
     /// Zones that reach neither the others nor the store.
     cut: Option<usize>,
 }
@@ -56,6 +59,11 @@
             routers: routers.collect(),
             rng,
             now: Time::default(),
+            interval: if count > 100 {
+                EXCHANGE_LARGE
+            } else {
+                EXCHANGE
+            },
             cut: None,
         }
     }
@@ -87,7 +95,7 @@
             router.answer = Some(now + WATCH);
         }
         if router.next_exchange <= now {
-            router.next_exchange = now + EXCHANGE;
+            router.next_exchange = now + self.interval;
             let other = self.rng.random_range(0..self.routers.len());
             self.exchange(index, other);
         }
