--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -188,12 +188,7 @@
         if self.unreachable >= UNREACHABLE_MAX {
             return Err(self.not_run("unreachable", self.retry_after()));
         }
-        let ask = Ask {
-            service: &self.admitted.service,
-            session: self.admitted.session,
-            tried: &self.tried,
-            point: shared.random(),
-        };
+        let ask = self.ask(shared.random());
         let mut fleet = shared.fleet.borrow_mut();
         match fleet.choose(now, &ask) {
             Decision::Send {
@@ -214,14 +209,19 @@
         }
     }
 
-    /// Whether a request that waits at a silent upstream can go to another one.
-    fn has_alternative(&self) -> bool {
-        let ask = Ask {
+    /// What a placement needs to know; `point` breaks ties.
+    fn ask(&self, point: u64) -> Ask<'_> {
+        Ask {
             service: &self.admitted.service,
             session: self.admitted.session,
             tried: &self.tried,
-            point: 0,
-        };
+            point,
+        }
+    }
+
+    /// Whether a request that waits at a silent upstream can go to another one.
+    fn has_alternative(&self) -> bool {
+        let ask = self.ask(0);
         let now = self.shared.now();
         let mut fleet = self.shared.fleet.borrow_mut();
         self.may_run_again() && fleet.has_alternative(now, &ask)
@@ -277,7 +277,7 @@
         info!(self.shared.log, "request: settled";
             "id" => admitted.call.id.as_deref(),
             "route" => &*admitted.route.name,
-            "workspace" => admitted.workspace.as_ref().map(name::Workspace::as_str),
+            "workspace" => workspace.map(name::Workspace::as_str),
             "upstream" => self.tried.last().map(name::Upstream::as_str),
             "outcome" => outcome,
             "status" => self.status.map(|status| status.as_u16()),
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -62,8 +62,7 @@
         self.runs += 1;
         let head = self.head(&placed);
         if let Err(error) = channel.send(head, &self.admitted.body) {
-            self.note(&upstream, "lost", &error);
-            flight.end(Outcome::Lost);
+            self.lose(flight, &upstream, "lost", &error);
             return Step::Lost;
         }
         let Some(reply) = self.reply(&upstream, &mut channel).await else {
@@ -180,16 +179,14 @@
         let body = match channel.body(BODY_BYTES_MAX).await {
             Ok(body) => body,
             Err(error) => {
-                self.note(upstream, "lost", &error);
-                flight.end(Outcome::Lost);
+                self.lose(flight, upstream, "lost", &error);
                 return Step::Lost;
             }
         };
         self.shared.pool.borrow_mut().put(upstream, channel);
         let status = reply.head.status;
         if !is_acceptable(&reply) {
-            self.note(upstream, "lost", "the answer is not the upstream's");
-            flight.end(Outcome::Lost);
+            self.lose(flight, upstream, "lost", "the answer is not the upstream's");
             return Step::Lost;
         }
         let headers = relay::answer(&reply.head.headers);
@@ -216,6 +213,18 @@
         Step::Answered(outlet.whole(status, headers, &body).await)
     }
 
+    /// Ends an attempt that gives no answer to pass on, although the request may have run.
+    pub(super) fn lose<E: fmt::Display + ?Sized>(
+        &self,
+        flight: Flight<'_, P>,
+        upstream: &name::Upstream,
+        reason: &'static str,
+        error: &E,
+    ) {
+        self.note(upstream, reason, error);
+        flight.end(Outcome::Lost);
+    }
+
     /// Logs why an attempt failed.
     pub(super) fn note<E: fmt::Display + ?Sized>(
         &self,
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -44,8 +44,7 @@
         outlet: &mut Outlet<'_>,
     ) -> Step {
         if !is_acceptable(&reply) {
-            self.note(upstream, "lost", "the answer is not the upstream's");
-            flight.end(Outcome::Lost);
+            self.lose(flight, upstream, "lost", "the answer is not the upstream's");
             return self.cut(outlet);
         }
         if outlet.is_begun() {
@@ -65,24 +64,20 @@
                     return Step::Answered(finish(&reply, outlet).await);
                 }
                 Next::End => {
-                    self.note(upstream, "lost", "the stream ended within an event");
-                    flight.end(Outcome::Lost);
+                    self.lose(flight, upstream, "lost", "the stream ended within an event");
                     return self.cut(outlet);
                 }
                 Next::Broken(error) => {
-                    self.note(upstream, "lost", &error);
-                    flight.end(Outcome::Lost);
+                    self.lose(flight, upstream, "lost", &error);
                     return self.cut(outlet);
                 }
                 Next::Silent => {
-                    self.note(upstream, "silent", "no event within the stall time");
-                    flight.end(Outcome::Lost);
+                    self.lose(flight, upstream, "silent", "no event within the stall time");
                     return self.cut(outlet);
                 }
             };
             let Ok(events) = self.events.push(&bytes) else {
-                self.note(upstream, "lost", "the events are out of order");
-                flight.end(Outcome::Lost);
+                self.lose(flight, upstream, "lost", "the events are out of order");
                 return self.cut(outlet);
             };
             let Some(events) = events else { continue };
