Keep to a share of the connections that an upstream accepts

Cause: the limit of connections was read from the configuration and not kept to; with up to 12 idle connections for each of 83 routers an upstream that accepts 560 could be pushed over it, and it resets what is beyond, after which a request may have run.

Each router takes an equal share, two at least. It prefers upstreams at which it has fewer requests than that and keeps half of the share idle; where none has room it sends all the same. The new test fails before (the limit did not exist).

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -214,6 +214,7 @@
         Ask {
             service: &self.admitted.service,
             session: self.admitted.session,
+            connections: self.admitted.connections,
             tried: &self.tried,
             point,
         }
--- a/crates/edge/src/exchange/admit.rs
+++ b/crates/edge/src/exchange/admit.rs
@@ -41,6 +41,8 @@
     pub(super) until: Instant,
     pub(super) route: Arc<Route>,
     pub(super) service: name::Service,
+    /// Connections that one upstream of the service accepts; zero if not stated.
+    pub(super) connections: u32,
     pub(super) workspace: Option<name::Workspace>,
     pub(super) priority: u8,
     /// Hash of the prompt parts that it shares with others.
@@ -94,11 +96,9 @@
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let id = call.id.as_deref().unwrap_or_default();
     let service = route.backend(hash::bytes(id.as_bytes())).clone();
-    let is_engine = admission
-        .table
-        .services()
-        .get(&service)
-        .is_some_and(|service| service.engine);
+    let known = admission.table.services().get(&service);
+    let is_engine = known.is_some_and(|service| service.engine);
+    let connections = known.map_or(0, |service| service.connections);
     let tenant = admission.tenant;
     Ok(Admitted {
         method: head.method.clone(),
@@ -118,6 +118,7 @@
             None
         },
         service,
+        connections,
         route,
         call,
         revision,
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -104,6 +104,14 @@
         Ok((channel, None))
     }
 
+    /// Keeps a channel for a later request, within half of this router's share of connections so
+    /// that the other half is free for new ones.
+    pub(super) fn keep(&self, upstream: &name::Upstream, channel: Channel) {
+        let share = self.shared.fleet.borrow().share(self.admitted.connections);
+        let most = share as usize / 2;
+        self.shared.pool.borrow_mut().put(upstream, channel, most);
+    }
+
     /// Takes the end of a channel before any word of an answer as a sign of an early idle limit,
     /// if the channel was used before.
     fn note_forgotten(&self, idle: Option<Duration>, error: &channel::Error) {
@@ -195,7 +203,7 @@
         info!(self.shared.log, "request: declined";
             "id" => self.admitted.call.id.as_deref(), "upstream" => upstream.as_str());
         if channel.body(BODY_BYTES_MAX).await.is_ok() {
-            self.shared.pool.borrow_mut().put(upstream, channel);
+            self.keep(upstream, channel);
         }
         Step::Declined
     }
@@ -216,7 +224,7 @@
                 return Step::Lost;
             }
         };
-        self.shared.pool.borrow_mut().put(upstream, channel);
+        self.keep(upstream, channel);
         let status = reply.head.status;
         if !is_acceptable(&reply) {
             self.lose(flight, upstream, "lost", "the answer is not the upstream's");
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -59,7 +59,7 @@
                     bytes
                 }
                 Next::End if self.events.is_whole() => {
-                    self.shared.pool.borrow_mut().put(upstream, channel);
+                    self.keep(upstream, channel);
                     flight.end(Outcome::Served);
                     return Step::Answered(finish(&reply, outlet).await);
                 }
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -85,8 +85,8 @@
         Some(allowed)
     }
 
-    /// Keeps a channel if it can be used again.
-    pub fn put(&mut self, upstream: &name::Upstream, channel: Channel) {
+    /// Keeps a channel if it can be used again, and at most so many to one upstream.
+    pub fn put(&mut self, upstream: &name::Upstream, channel: Channel, most: usize) {
         if !channel.is_reusable() || !is_usable(&channel) {
             return;
         }
@@ -94,7 +94,7 @@
             self.idle.insert(upstream.clone(), Vec::new());
         }
         if let Some(idle) = self.idle.get_mut(upstream) {
-            if idle.len() >= IDLE_MAX {
+            if idle.len() >= most.clamp(1, IDLE_MAX) {
                 idle.remove(0);
             }
             idle.push(channel);
--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -27,6 +27,8 @@
     pub service: &'a name::Service,
     /// Hash of the prompt parts that it shares with others; `None` where nothing is cached.
     pub session: Option<u64>,
+    /// Connections that one upstream of the service accepts from all routers; zero if not stated.
+    pub connections: u32,
     /// Upstreams that it was sent to before.
     pub tried: &'a [name::Upstream],
     /// A random number, which breaks ties.
@@ -58,6 +60,7 @@
     cells: &[Cell],
     ready: &[usize],
     is_dark: impl Fn(&name::Zone) -> bool,
+    share: u32,
     ask: &Ask<'_>,
 ) -> Decision {
     let all = ready.iter().map(|slot| &cells[*slot]);
@@ -65,7 +68,8 @@
     let new: Vec<&Cell> = new.collect();
     let open = only(&new, |cell| cell.health.is_open(now));
     let lit = only(&open, |cell| !is_dark(&cell.entry.zone));
-    let candidates = only(&lit, |cell| !cell.is_silent(now));
+    let heard = only(&lit, |cell| !cell.is_silent(now));
+    let candidates = only(&heard, |cell| cell.load.own() < share);
     let source = |chosen: &Cell| {
         let session = ask.session?;
         holder(now, cells, ask.service, session, chosen)
--- a/crates/snipeusher/tests/fleet_view.rs
+++ b/crates/snipeusher/tests/fleet_view.rs
@@ -58,11 +58,22 @@
     now: Time,
     session: Option<u64>,
     tried: &[name::Upstream],
+) -> Decision {
+    choose_within(fleet, now, session, tried, 0)
+}
+
+fn choose_within(
+    fleet: &mut Fleet,
+    now: Time,
+    session: Option<u64>,
+    tried: &[name::Upstream],
+    connections: u32,
 ) -> Decision {
     let service = name::Service::from(SERVICE);
     let ask = Ask {
         service: &service,
         session,
+        connections,
         tried,
         point: 5,
     };
@@ -98,6 +109,39 @@
     assert_ne!(first, second);
 }
 
+/// Guards against connections beyond what an upstream accepts from all routers: it resets them,
+/// and a request on one of them may not be repeated.
+#[rstest]
+fn a_router_keeps_to_its_share_of_connections() {
+    let mut fleet = fleet(3);
+    fleet.set_routers(4);
+    let now = at(1);
+    let first = chosen(choose_within(&mut fleet, now, Some(1), &[], 12));
+    for _ in 0..2 {
+        fleet.start(now, &first);
+    }
+    assert_eq!(
+        chosen(choose_within(&mut fleet, now, Some(1), &[], 12)),
+        first
+    );
+    fleet.start(now, &first);
+    assert_ne!(
+        chosen(choose_within(&mut fleet, now, Some(1), &[], 12)),
+        first
+    );
+    assert_eq!(
+        chosen(choose_within(&mut fleet, now, Some(1), &[], 0)),
+        first
+    );
+    for index in 0..3 {
+        for _ in 0..3 {
+            fleet.start(now, &name::Upstream::from(format!("e{index}")));
+        }
+    }
+    // Sent all the same where no upstream has room: others may use less than their share.
+    chosen(choose_within(&mut fleet, now, Some(1), &[], 12));
+}
+
 /// Guards against a stale report that hides requests which this router has sent since.
 #[rstest]
 fn own_requests_count_beyond_a_report() {
