Report all mistakes in the platform's settings at once

Cause: the settings of the node were read by one derive, which stops at the first mistake; the router's reader that collects them stood in its own crate.

The reader is the crate snipeusher-settings, used by both. It gains numbers, lists of addresses and tables that must be there.

--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -3,8 +3,6 @@
 //! All mistakes are reported at once, each with its key, its value and what is expected. An
 //! unknown key is a mistake, so that a misspelt one does not fall back to a default unseen.
 
-pub mod reader;
-
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -13,10 +11,9 @@
 use snafu::ResultExt as _;
 use snafu::Snafu;
 use snipeusher::name;
-
-use crate::settings::reader::Mistake;
-use crate::settings::reader::Mistakes;
-use crate::settings::reader::Reader;
+use snipeusher_settings::Mistake;
+use snipeusher_settings::Mistakes;
+use snipeusher_settings::Reader;
 
 /// Why settings cannot be used.
 #[derive(Debug, Snafu)]
--- a/crates/router/src/settings/reader.rs
+++ b/crates/settings/src/lib.rs
@@ -1,4 +1,4 @@
-//! Reads a table key by key and collects all mistakes.
+//! Reads settings key by key and collects all mistakes, so that one look at a message suffices.
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -150,6 +150,37 @@
         given.unwrap_or(default)
     }
 
+    /// A number that is not negative and must be there; whole ones may be written without a point.
+    pub fn required_number(&mut self, key: &'static str) -> Option<f64> {
+        const EXPECTED: &str = "a number that is not negative";
+        if !self.table.contains_key(key) {
+            self.missing(key, EXPECTED);
+        }
+        self.take(key, EXPECTED, |value| {
+            let whole = value.as_integer().map(|whole| whole as f64);
+            let number = value.as_float().or(whole)?;
+            (number.is_finite() && number >= 0.0).then_some(number)
+        })
+    }
+
+    /// A list of socket addresses, empty where absent.
+    pub fn addresses(&mut self, key: &'static str) -> Vec<SocketAddr> {
+        let expected = "a list of addresses such as \"127.0.0.1:8080\"";
+        let given = self.take(key, expected, |value| {
+            let items = value.as_array()?.iter();
+            items.map(|item| item.as_str()?.parse().ok()).collect()
+        });
+        given.unwrap_or_default()
+    }
+
+    /// A table that must be there; an empty one where it is not, so that its keys are named too.
+    pub fn required_table(&mut self, key: &'static str) -> toml::Table {
+        if !self.table.contains_key(key) {
+            self.missing(key, "a table");
+        }
+        self.table(key).unwrap_or_default()
+    }
+
     /// A table.
     pub fn table(&mut self, key: &'static str) -> Option<toml::Table> {
         self.take(key, "a table", |value| value.as_table().cloned())
--- /dev/null
+++ b/crates/settings/tests/reader.rs
@@ -0,0 +1,46 @@
+//! What is reported of settings that are wrong.
+
+use rstest::rstest;
+use snipeusher_settings::Mistake;
+use snipeusher_settings::Reader;
+
+fn read<T>(text: &str, read: impl FnOnce(&mut Reader<'_>) -> T) -> (T, Vec<String>) {
+    let table = toml::from_str(text).expect("it is TOML");
+    let mut mistakes: Vec<Mistake> = Vec::new();
+    let mut reader = Reader::new("part.", table, &mut mistakes);
+    let value = read(&mut reader);
+    (value, mistakes.iter().map(Mistake::to_string).collect())
+}
+
+/// Guards against a message that leaves out the key, the value or what is expected.
+#[rstest]
+#[case("", "part.n is missing: expected a number that is not negative")]
+#[case("n = -1", "part.n = -1: expected a number that is not negative")]
+#[case("n = nan", "part.n = nan: expected a number that is not negative")]
+#[case("n = \"1\"", "part.n = \"1\": expected a number that is not negative")]
+fn a_wrong_number_is_named(#[case] text: &str, #[case] message: &str) {
+    let (value, mistakes) = read(text, |reader| reader.required_number("n"));
+    assert_eq!((value, mistakes), (None, vec![message.to_owned()]));
+}
+
+#[rstest]
+#[case("n = 8", 8.0)]
+#[case("n = 0.25", 0.25)]
+fn a_number_is_read(#[case] text: &str, #[case] number: f64) {
+    let (value, mistakes) = read(text, |reader| reader.required_number("n"));
+    assert_eq!((value, mistakes.len()), (Some(number), 0));
+}
+
+/// Guards against a list of which the sound part is taken.
+#[rstest]
+#[case("a = [\"127.0.0.1:1\", \"[::1]:2\"]", 2, 0)]
+#[case("a = [\"127.0.0.1:1\", \"nowhere\"]", 0, 1)]
+#[case("", 0, 0)]
+fn addresses_are_all_sound_or_a_mistake(
+    #[case] text: &str,
+    #[case] count: usize,
+    #[case] wrong: usize,
+) {
+    let (addresses, mistakes) = read(text, |reader| reader.addresses("a"));
+    assert_eq!((addresses.len(), mistakes.len()), (count, wrong));
+}
