Show what a node believes: /status and snipeusher status ADDRESS

Cause: operators had only logs and counters to learn why an upstream gets no requests, how old the configuration is and whether a router hears of the store.

The metrics address serves /status as JSON; the command prints it for people or as it is. The budget's check and its remainder are computed in one place.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -218,14 +218,18 @@
     pub(crate) to: Option<String>,
 }
 
-/// Show which configuration each router has in force.
+/// Show which configuration each router has in force, or what nodes believe.
 #[derive(Debug, FromArgs)]
-#[argh(subcommand, name = "status")]
-#[expect(
-    clippy::empty_structs_with_brackets,
-    reason = "argh takes structs with named fields"
+#[argh(
+    subcommand,
+    name = "status",
+    example = "snipeusher status\nsnipeusher --json status 10.1.0.4:9464 10.2.0.7:9464"
 )]
-pub(crate) struct StatusArgs {}
+pub(crate) struct StatusArgs {
+    /// metrics addresses of nodes; without any, the routers of the settings are asked
+    #[argh(positional)]
+    pub(crate) nodes: Vec<String>,
+}
 
 /// Reads the command line of the process. Help ends with 0, wrong usage with 2.
 pub(crate) fn parse() -> Result<Args, ExitCode> {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod edit;
 mod error;
 mod explain;
+mod nodes;
 mod output;
 mod routers;
 mod run;
--- /dev/null
+++ b/crates/cli/src/nodes.rs
@@ -0,0 +1,124 @@
+//! What nodes believe, as they say themselves.
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use serde_json::Value;
+use serde_json::json;
+use snipeusher_edge::status;
+use snipeusher_edge::status::State;
+use snipeusher_edge::status::Status;
+
+use crate::error;
+use crate::output::Printed;
+
+/// Longest time of one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest status: some 150 bytes for each of 3,300 upstreams.
+const PAGE_BYTES_MAX: usize = 4 << 20;
+
+/// Asks the nodes; the exit code says whether all answered and are ready.
+pub(crate) async fn status(addresses: &[String]) -> Printed {
+    let client = awc::Client::builder().timeout(CALL_TIMEOUT).finish();
+    let asked = addresses.iter().map(|address| ask(&client, address));
+    let answers = join_all(asked).await;
+    let mut lines = Vec::new();
+    let mut listed = Vec::new();
+    let mut all_ready = true;
+    for (address, answer) in addresses.iter().zip(answers) {
+        match answer {
+            Ok(status) => {
+                all_ready &= status.ready;
+                lines.extend(text(address, &status));
+                listed.push(json!({"address": address, "status": status}));
+            }
+            Err(error) => {
+                all_ready = false;
+                lines.push(format!("{address}: {error}"));
+                listed.push(json!({"address": address, "error": error}));
+            }
+        }
+    }
+    Printed {
+        text: lines.join("\n"),
+        json: Value::Array(listed),
+        code: if all_ready { 0 } else { error::BEHIND },
+    }
+}
+
+async fn ask(client: &awc::Client, address: &str) -> Result<Status, String> {
+    let url = format!("http://{address}{}", status::PATH);
+    let sent = client.get(url).send().await;
+    let mut response = sent.map_err(|error| error.to_string())?;
+    if !response.status().is_success() {
+        return Err(format!("it answers {}", response.status()));
+    }
+    let read = response.json().limit(PAGE_BYTES_MAX).await;
+    read.map_err(|error| error.to_string())
+}
+
+fn text(address: &str, status: &Status) -> Vec<String> {
+    let phase = match (status.leaving, status.ready) {
+        (true, _) => "leaving",
+        (false, true) => "ready",
+        (false, false) => "not ready",
+    };
+    let configuration = status.configuration.as_ref().map_or_else(
+        || "no configuration".to_owned(),
+        |known| {
+            format!(
+                "configuration {} (revision {}, {} routes, {} s old)",
+                known.version,
+                known.revision,
+                known.routes,
+                known.age_ms / 1_000
+            )
+        },
+    );
+    let store = match (status.store.lost_ms, status.store.reads) {
+        (Some(ms), _) => format!("store lost for {ms} ms"),
+        (None, true) => "reads the store".to_owned(),
+        (None, false) => "hears the store's news from peers".to_owned(),
+    };
+    let mut lines = vec![
+        format!("{address} {} in {}: {phase}", status.host, status.zone),
+        format!("  {configuration}"),
+        format!(
+            "  {store}, upstreams of revision {}",
+            status.store.upstreams_revision
+        ),
+        format!(
+            "  {} routers, {} open requests",
+            status.routers, status.open_requests
+        ),
+    ];
+    for repeats in &status.repeats_left {
+        let (service, left) = (&repeats.service, repeats.left);
+        lines.push(format!("  {service}: {left} repeats left"));
+    }
+    let ready = status.upstreams.iter();
+    let ready = ready.filter(|upstream| upstream.state == State::Ready);
+    lines.push(format!(
+        "  {} of {} upstreams ready",
+        ready.count(),
+        status.upstreams.len()
+    ));
+    for upstream in &status.upstreams {
+        let reason = match upstream.state {
+            State::Ready => continue,
+            State::Leaving => "leaving or no longer listed",
+            State::Unreachable => "cannot be connected to",
+            State::SetAside => "set aside, it failed too often",
+            State::Silent => "has requests and says nothing",
+        };
+        lines.push(format!(
+            "  {} ({}, {}): {reason}; {} requests, {:.0}% failed",
+            upstream.id,
+            upstream.service,
+            upstream.zone,
+            upstream.own,
+            upstream.failures * 100.0
+        ));
+    }
+    lines
+}
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -26,6 +26,7 @@
 use crate::error::RefusedSnafu;
 use crate::error::UsageSnafu;
 use crate::explain;
+use crate::nodes;
 use crate::output::Printed;
 use crate::routers;
 use crate::settings::Settings;
@@ -49,6 +50,11 @@
     if let Command::Explain(wanted) = &args.command {
         return explain::explain(wanted);
     }
+    if let Command::Status(wanted) = &args.command
+        && !wanted.nodes.is_empty()
+    {
+        return Ok(nodes::status(&wanted.nodes).await);
+    }
     let session = Session::open(&args.settings)?;
     match args.command {
         Command::Template(template) => session.act(Kind::Template, template.action).await,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,3 +25,4 @@
 mod relay;
 pub mod shared;
 mod socket;
+pub mod status;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -20,6 +20,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 use slog::warn;
+use snafu::ResultExt as _;
+use snafu::Snafu;
 use snipeusher::fleet::Outcome;
 use snipeusher::name;
 use snipeusher::route::Kind;
@@ -31,6 +33,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::outlet::Outlet;
 use crate::shared::Shared;
+use crate::status;
 
 /// Upper bounds of the buckets in seconds, around the objectives of 0.1 to 0.8 s.
 const BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0];
@@ -210,7 +213,19 @@
     }
 }
 
-/// Serves the metrics.
+/// A content type and a body.
+type Page = (&'static str, Bytes);
+
+/// Why a page cannot be served.
+#[derive(Debug, Snafu)]
+enum Unencodable {
+    #[snafu(display("the status: {source}"))]
+    Status { source: serde_json::Error },
+    #[snafu(display("the metrics: {source}"))]
+    Metrics { source: std::fmt::Error },
+}
+
+/// Serves the metrics and the status.
 pub(crate) struct Exposition<P> {
     shared: Rc<Shared<P>>,
     lifecycle: Lifecycle,
@@ -224,6 +239,18 @@
         }
     }
 
+    fn status(&self) -> Result<Page, Unencodable> {
+        let status = status::read(&self.shared);
+        let body = serde_json::to_vec(&status).context(StatusSnafu)?;
+        Ok(("application/json", Bytes::from(body)))
+    }
+
+    fn metrics(&self) -> Result<Page, Unencodable> {
+        let text = self.text().context(MetricsSnafu)?;
+        let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+        Ok((kind, Bytes::from(text)))
+    }
+
     fn text(&self) -> Result<String, std::fmt::Error> {
         let metrics = &self.shared.metrics;
         let fleet = self.shared.fleet.borrow();
@@ -252,15 +279,17 @@
         &self.lifecycle
     }
 
-    async fn handle(&self, _inbound: Inbound, outlet: &mut Outlet<'_>) -> io::Result<()> {
+    async fn handle(&self, inbound: Inbound, outlet: &mut Outlet<'_>) -> io::Result<()> {
+        let page = if inbound.head.path() == status::PATH {
+            self.status()
+        } else {
+            self.metrics()
+        };
         let mut headers = HeaderMap::new();
-        match self.text() {
-            Ok(text) => {
-                let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+        match page {
+            Ok((kind, body)) => {
                 headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
-                outlet
-                    .whole(StatusCode::OK, headers, &Bytes::from(text))
-                    .await
+                outlet.whole(StatusCode::OK, headers, &body).await
             }
             Err(error) => {
                 warn!(self.shared.log, "metrics: cannot be encoded"; "error" => %error);
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -92,6 +92,8 @@
     pub http: ServiceConfig,
     table: RefCell<Option<Rc<Table>>>,
     document: RefCell<Option<Document>>,
+    /// When the configuration came into force.
+    configured_at: Cell<Time>,
     /// Since when the store does not answer this router.
     store_lost: Cell<Option<Time>>,
     rng: RefCell<SmallRng>,
@@ -116,6 +118,7 @@
             http: ServiceConfig::default(),
             table: RefCell::default(),
             document: RefCell::default(),
+            configured_at: Cell::default(),
             store_lost: Cell::new(None),
             rng: RefCell::new(SmallRng::from_os_rng()),
             settings,
@@ -178,6 +181,7 @@
                     "version" => table.version(), "revision" => revision.0,
                     "routes" => table.len(), "source" => source);
                 *self.table.borrow_mut() = Some(Rc::new(table));
+                self.configured_at.set(self.now());
                 *self.document.borrow_mut() = Some(Document {
                     revision,
                     value: Bytes::copy_from_slice(value),
@@ -191,9 +195,19 @@
         }
     }
 
+    /// When the configuration came into force.
+    pub const fn configured_at(&self) -> Time {
+        self.configured_at.get()
+    }
+
     /// Whether the store did not answer this router's last call.
     pub const fn store_is_lost(&self) -> bool {
-        self.store_lost.get().is_some()
+        self.store_lost_since().is_some()
+    }
+
+    /// Since when the store does not answer this router.
+    pub const fn store_lost_since(&self) -> Option<Time> {
+        self.store_lost.get()
     }
 
     /// Notes whether the store answers.
--- a/crates/edge/tests/metrics.rs
+++ b/crates/edge/tests/metrics.rs
@@ -9,6 +9,8 @@
 use common::engine::Engine;
 use common::engine::answer;
 use common::single;
+use snipeusher_edge::status::State;
+use snipeusher_edge::status::Status;
 
 /// Guards against outcomes that are not counted, and against labels that callers choose.
 #[actix_rt::test]
@@ -51,3 +53,37 @@
     }
     assert!(!fetched.body.contains("what-a-caller-says"));
 }
+
+/// Guards against an operator who cannot see why an upstream gets no requests.
+#[actix_rt::test]
+async fn the_status_says_why_an_upstream_gets_no_requests() {
+    let engine = Engine::start(|seen| vec![answer(seen.id(), "200 OK", "")]).await;
+    let (node, store) = single(&[&engine]).await;
+    store.upstream("e1", "letters", common::free_address(), "ready");
+    let shared = std::rc::Rc::clone(&node.shared);
+    common::until("it is known", || shared.fleet.borrow().cells().len() == 2).await;
+    for index in 0..6 {
+        let answered = call(node.front, &get("/read/", &format!("r{index}"))).await;
+        assert_eq!(answered.status, 200);
+    }
+    let address = node.shared.settings.metrics.expect("the tests set it");
+    let fetched = call(address, &get("/status", "s")).await;
+    let status: Status = serde_json::from_str(&fetched.body).expect("it is a status");
+    let configuration = status.configuration.expect("one is in force");
+    assert_eq!((configuration.version, configuration.revision), (1, 1));
+    assert!(status.ready && !status.leaving && status.store.reads);
+    assert_eq!((status.routers, status.store.lost_ms), (1, None));
+    assert!(status.repeats_left[0].left > 0, "{:?}", status.repeats_left);
+    let states: Vec<(&str, State)> = status
+        .upstreams
+        .iter()
+        .map(|upstream| (upstream.id.as_str(), upstream.state))
+        .collect();
+    assert_eq!(states, [("e0", State::Ready), ("e1", State::Unreachable)]);
+    store.cut(true);
+    store.delete("up/e0");
+    common::until("the store is lost", || node.shared.store_is_lost()).await;
+    let fetched = call(address, &get("/status", "s")).await;
+    let status: Status = serde_json::from_str(&fetched.body).expect("it is a status");
+    assert!(status.store.lost_ms.is_some());
+}
--- a/crates/snipeusher/src/fleet/budget.rs
+++ b/crates/snipeusher/src/fleet/budget.rs
@@ -67,12 +67,17 @@
 
     /// Whether a repeat would be allowed.
     pub fn allows(&mut self, now: Time, bounds: &Bounds, routers: usize) -> bool {
+        self.left(now, bounds, routers) >= 1.0
+    }
+
+    /// Repeats that are left at `now`.
+    pub fn left(&mut self, now: Time, bounds: &Bounds, routers: usize) -> f64 {
         self.expire(now, bounds.window);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let repeats: u32 = self.buckets.iter().map(|bucket| bucket.repeats).sum();
         let slack = bounds.slack / routers.max(1) as f64;
         let allowed = MARGIN * (bounds.ratio * f64::from(requests) + slack);
-        f64::from(repeats + 1) <= allowed
+        (allowed - f64::from(repeats)).max(0.0)
     }
 
     fn bucket(&mut self, now: Time) -> &mut Bucket {
--- a/crates/snipeusher/src/fleet/health.rs
+++ b/crates/snipeusher/src/fleet/health.rs
@@ -86,6 +86,11 @@
         self.reaches += 1;
     }
 
+    /// Whether no connection can be opened.
+    pub const fn is_unreachable(&self) -> bool {
+        self.reach_at.is_some()
+    }
+
     /// Whether it is set aside, a trial included.
     pub const fn is_aside(&self) -> bool {
         self.until.is_some() || self.reach_at.is_some()
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -80,7 +80,7 @@
         &self.cells
     }
 
-    /// How many routers share the slack of the repeats.
+    /// Sets how many routers share the slack of the repeats.
     pub const fn set_routers(&mut self, routers: usize) {
         self.routers = routers;
     }
@@ -249,6 +249,22 @@
         self.budget(service).repeat(now, &bounds, routers)
     }
 
+    /// How many routers share the slack of the repeats.
+    pub const fn routers(&self) -> usize {
+        self.routers
+    }
+
+    /// Whole repeats that this router may still send at `now`, by service.
+    pub fn repeats_left(&mut self, now: Time) -> Vec<(name::Service, u32)> {
+        let (bounds, routers) = (self.settings.repeats, self.routers);
+        let budgets = self.budgets.iter_mut();
+        let left = budgets.map(|(service, budget)| {
+            let left = budget.left(now, &bounds, routers);
+            (service.clone(), left as u32)
+        });
+        left.collect()
+    }
+
     /// Whether another upstream would take a request that waits at one, within the budget.
     pub fn has_alternative(&mut self, now: Time, ask: &Ask<'_>) -> bool {
         let ready = self.ready.get(ask.service).map_or(&[][..], Vec::as_slice);
--- a/crates/snipeusher/src/reader.rs
+++ b/crates/snipeusher/src/reader.rs
@@ -161,6 +161,11 @@
         self.reading
     }
 
+    /// Whether this router reads the store.
+    pub const fn is_reading(&self) -> bool {
+        self.reading
+    }
+
     /// How long this router leaves others the chance to read first.
     fn delay(&self, now: Time) -> Duration {
         let is_urgent = self.fresh(now).next().is_none();
