Bound the learnt idle time without overflow

Cause: the limit grew by a factor for each five seconds that had passed; a service that got no request for three minutes after a loss overflowed the duration, which ends the process.

--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -89,13 +89,7 @@
         &self,
         placed: &Placed,
     ) -> Result<(Channel, Option<Duration>), channel::Error> {
-        let service = &self.admitted.service;
-        let kept = self
-            .shared
-            .pool
-            .borrow_mut()
-            .take(&placed.upstream, service);
-        if let Some(channel) = kept {
+        if let Some(channel) = self.kept(placed) {
             let idle = channel.idle_for();
             return Ok((channel, Some(idle)));
         }
@@ -104,6 +98,12 @@
         Ok((channel, None))
     }
 
+    fn kept(&self, placed: &Placed) -> Option<Channel> {
+        let now = self.shared.now();
+        let mut pool = self.shared.pool.borrow_mut();
+        pool.take(now, &placed.upstream, &self.admitted.service)
+    }
+
     /// Keeps a channel for a later request, within half of this router's share of connections so
     /// that the other half is free for new ones.
     pub(super) fn keep(&self, upstream: &name::Upstream, channel: Channel) {
@@ -117,8 +117,9 @@
     fn note_forgotten(&self, idle: Option<Duration>, error: &channel::Error) {
         let is_end = matches!(error, channel::Error::Broken { .. } | channel::Error::Ended);
         if let Some(idle) = idle.filter(|_| is_end) {
+            let now = self.shared.now();
             let service = &self.admitted.service;
-            self.shared.pool.borrow_mut().forgotten(service, idle);
+            self.shared.pool.borrow_mut().forgotten(now, service, idle);
         }
     }
 
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::time::Duration;
-use std::time::Instant;
 
+use snipeusher::idle;
 use snipeusher::name;
+use snipeusher::time::Time;
 
 use crate::channel::Channel;
 
@@ -16,38 +17,26 @@
 /// would cross the upstream's close.
 const IDLE_MARGIN: Duration = Duration::from_millis(900);
 
-/// Idle time that is allowed after a channel broke off as it was used again. Upstreams that forget
-/// channels early do so after some hundred milliseconds.
-const IDLE_AFTER_LOSS: Duration = Duration::from_millis(100);
-/// A channel that broke off after a shorter idle time than this tells nothing of idle times.
-const IDLE_MIN: Duration = Duration::from_millis(20);
-/// Time without such a loss after which a longer idle time is tried.
-const RECOVERY: Duration = Duration::from_secs(5);
-/// Factor by which it is longer then.
-const RECOVERY_FACTOR: u32 = 4;
-
-/// How long channels to the upstreams of one service may be idle, as far as losses tell.
-#[derive(Clone, Copy, Debug)]
-struct Allowed {
-    idle: Duration,
-    since: Instant,
-}
-
 /// Idle channels to upstreams, the one used last first.
 #[derive(Debug, Default)]
 pub struct Pool {
     idle: BTreeMap<name::Upstream, Vec<Channel>>,
     /// Services whose upstreams lately forgot channels; the others are not limited.
-    allowed: BTreeMap<name::Service, Allowed>,
+    limits: BTreeMap<name::Service, idle::Limit>,
 }
 
 impl Pool {
     /// Takes a channel on which nothing is pending.
-    pub fn take(&mut self, upstream: &name::Upstream, service: &name::Service) -> Option<Channel> {
-        let allowed = self.allowed(service, Instant::now());
+    pub fn take(
+        &mut self,
+        now: Time,
+        upstream: &name::Upstream,
+        service: &name::Service,
+    ) -> Option<Channel> {
+        let limit = self.limits.get(service).and_then(|limit| limit.at(now));
         let idle = self.idle.get_mut(upstream)?;
         while let Some(mut channel) = idle.pop() {
-            let is_allowed = allowed.is_none_or(|allowed| channel.idle_for() <= allowed);
+            let is_allowed = limit.is_none_or(|limit| channel.idle_for() <= limit);
             if is_allowed && is_usable(&channel) && channel.is_silent() {
                 return Some(channel);
             }
@@ -56,33 +45,12 @@
         None
     }
 
-    /// A channel broke off as it was used again after an idle time: the upstream had forgotten it
-    /// without a word, and the request on it is lost. Others of the service may do the same.
-    pub fn forgotten(&mut self, service: &name::Service, idle: Duration) {
-        if idle < IDLE_MIN {
-            return;
-        }
-        let now = Instant::now();
-        let shorter = idle / 2;
-        let allowed = Allowed {
-            idle: shorter.clamp(IDLE_MIN, IDLE_AFTER_LOSS),
-            since: now,
-        };
-        self.allowed.insert(service.clone(), allowed);
-    }
-
-    /// The longest idle time allowed at `now`; it grows again while no channel breaks off.
-    fn allowed(&mut self, service: &name::Service, now: Instant) -> Option<Duration> {
-        let allowed = self.allowed.get_mut(service)?;
-        while now.saturating_duration_since(allowed.since) >= RECOVERY {
-            allowed.since += RECOVERY;
-            allowed.idle *= RECOVERY_FACTOR;
-        }
-        let allowed = allowed.idle;
-        if allowed >= IDLE_LIMIT {
-            self.allowed.remove(service);
+    /// A channel broke off as it was used again after an idle time. Other upstreams of the service
+    /// may forget channels as early.
+    pub fn forgotten(&mut self, now: Time, service: &name::Service, idle: Duration) {
+        if let Some(limit) = idle::Limit::after_loss(now, idle) {
+            self.limits.insert(service.clone(), limit);
         }
-        Some(allowed)
     }
 
     /// Keeps a channel if it can be used again, and at most so many to one upstream.
--- a/crates/snipeusher/src/lib.rs
+++ b/crates/snipeusher/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod fleet;
 pub mod hash;
+pub mod idle;
 pub mod kv;
 pub mod lease;
 pub mod load;
