Keep no idle connection where the share of connections is below two

The share was never below two.

The share may now be zero; then a connection is used once. The choice still allows two requests of a router at an upstream. The new test fails before for nine routers (one connection kept, eight expected).

--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -105,7 +105,7 @@
     }
 
     /// Keeps a channel for a later request, within half of this router's share of connections so
-    /// that the other half is free for new ones.
+    /// that the other half is free for new ones. With a share below two it keeps none.
     pub(super) fn keep(&self, upstream: &name::Upstream, channel: Channel) {
         let share = self.shared.fleet.borrow().share(self.admitted.connections);
         let most = share as usize / 2;
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -55,14 +55,14 @@
 
     /// Keeps a channel if it can be used again, and at most so many to one upstream.
     pub fn put(&mut self, upstream: &name::Upstream, channel: Channel, most: usize) {
-        if !channel.is_reusable() || !is_usable(&channel) {
+        if most == 0 || !channel.is_reusable() || !is_usable(&channel) {
             return;
         }
         if !self.idle.contains_key(upstream) {
             self.idle.insert(upstream.clone(), Vec::new());
         }
         if let Some(idle) = self.idle.get_mut(upstream) {
-            if idle.len() >= most.clamp(1, IDLE_MAX) {
+            if idle.len() >= most.min(IDLE_MAX) {
                 idle.remove(0);
             }
             idle.push(channel);
--- a/crates/edge/tests/retry.rs
+++ b/crates/edge/tests/retry.rs
@@ -121,6 +121,27 @@
     assert!(lost <= 2, "{lost} of 24 requests are lost");
 }
 
+/// Guards against idle connections of many routers that together exceed what an upstream accepts:
+/// it resets new ones, and the requests on them are lost.
+#[rstest]
+#[case(1, 1)]
+#[case(5, 1)]
+#[case(9, 8)]
+#[actix_rt::test]
+async fn idle_connections_are_within_the_share(#[case] routers: usize, #[case] connections: usize) {
+    let engine = sound().await;
+    let (node, _store) = single(&[&engine]).await;
+    // An upstream of the service accepts ten.
+    node.shared.fleet.borrow_mut().set_routers(routers);
+    for index in 0..8 {
+        let answered = call(node.front, &post("/write/", &format!("r{index}"), "x")).await;
+        assert_eq!(answered.status, 200);
+    }
+    let seen = engine.seen();
+    let used: std::collections::BTreeSet<usize> = seen.iter().map(|seen| seen.connection).collect();
+    assert_eq!(used.len(), connections);
+}
+
 /// Guards against more upstreams running a request than its route allows.
 #[actix_rt::test]
 async fn attempts_are_bounded_by_the_route() {
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -20,7 +20,8 @@
 use crate::name;
 use crate::time::Time;
 
-/// Connections to one upstream that each router may have, however many routers share them.
+/// Requests at one upstream that each router may have, however many routers share its
+/// connections: most have none at a moment.
 const SHARE_MIN: u32 = 2;
 /// Observations that a digest holds.
 const OBSERVATIONS_MAX: usize = 40;
@@ -164,11 +165,12 @@
         self.count_silent(now);
         let ready = self.ready.get(ask.service).map_or(&[][..], Vec::as_slice);
         let is_dark = |zone: &name::Zone| self.zones.get(zone).is_some_and(Zone::is_dark);
-        let share = self.share(ask.connections);
+        let share = self.share(ask.connections).max(SHARE_MIN);
         choice::choose(now, &self.cells, ready, is_dark, share, ask)
     }
 
-    /// This router's share of the connections that one upstream accepts from all routers.
+    /// This router's share of the connections that one upstream accepts from all routers; zero
+    /// where there are more routers than connections.
     ///
     /// Upstreams reset what is beyond, and a request that was sent on it may have run.
     pub fn share(&self, connections: u32) -> u32 {
@@ -176,7 +178,7 @@
             return u32::MAX;
         }
         let routers = u32::try_from(self.routers).unwrap_or(u32::MAX);
-        (connections / routers.max(1)).max(SHARE_MIN)
+        connections / routers.max(1)
     }
 
     /// Upstreams to which a connection is to be tried now, since requests avoid them.
