--- a/crates/edge/tests/news.rs
+++ b/crates/edge/tests/news.rs
@@ -28,6 +28,18 @@
     Engine::start(|seen| vec![answer(seen.id(), "200 OK", seen.id())]).await
 }
 
+/// Routers that began one after the other and agreed on who reads the store.
+async fn settled(store: &Store, count: usize) -> Vec<Node> {
+    store.configure(DEFAULT);
+    let mut nodes: Vec<Node> = Vec::new();
+    for index in 0..count {
+        let seeds = nodes.first().map(|node| node.control).into_iter().collect();
+        nodes.push(start(&format!("host-{index}"), store, seeds).await);
+    }
+    actix_rt::time::sleep(std::time::Duration::from_secs(4)).await;
+    nodes
+}
+
 /// Guards against a router without a configuration that says that routes do not exist.
 #[actix_rt::test]
 async fn without_a_configuration_a_router_is_not_ready() {
@@ -149,13 +161,7 @@
 #[actix_rt::test]
 async fn later_routers_leave_the_store_to_the_first() {
     let store = Store::new();
-    store.configure(DEFAULT);
-    let mut nodes: Vec<Node> = Vec::new();
-    for index in 0..6 {
-        let seeds = nodes.first().map(|node| node.control).into_iter().collect();
-        nodes.push(start(&format!("host-{index}"), &store, seeds).await);
-    }
-    actix_rt::time::sleep(std::time::Duration::from_secs(4)).await;
+    let nodes = settled(&store, 6).await;
     let before = store.calls();
     actix_rt::time::sleep(std::time::Duration::from_secs(3)).await;
     // The watches of the readers go on without a further call.
@@ -177,13 +183,7 @@
 #[actix_rt::test]
 async fn a_change_spreads_without_a_call_of_each_router() {
     let store = Store::new();
-    store.configure(DEFAULT);
-    let mut nodes: Vec<Node> = Vec::new();
-    for index in 0..6 {
-        let seeds = nodes.first().map(|node| node.control).into_iter().collect();
-        nodes.push(start(&format!("host-{index}"), &store, seeds).await);
-    }
-    actix_rt::time::sleep(std::time::Duration::from_secs(4)).await;
+    let nodes = settled(&store, 6).await;
     let before = store.calls();
     store.configure(LATER);
     let began = std::time::Instant::now();
