Name a time in the settings that no duration holds

The node turned such a time into zero without a word. The reader now reads times itself and reports it; all other values read as before. Its checks for keys that must be there stand once instead of five times.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -63,9 +63,7 @@
 
     /// A text that must be there and not be empty.
     pub fn name(&mut self, key: &'static str) -> Option<String> {
-        if !self.table.contains_key(key) {
-            self.missing(key, "a name");
-        }
+        self.require(key, "a name");
         self.optional_name(key)
     }
 
@@ -84,9 +82,7 @@
 
     /// A path that must be there.
     pub fn required_path(&mut self, key: &'static str) -> Option<PathBuf> {
-        if !self.table.contains_key(key) {
-            self.missing(key, "a path");
-        }
+        self.require(key, "a path");
         self.path(key)
     }
 
@@ -98,9 +94,7 @@
 
     /// A socket address that must be there.
     pub fn required_address(&mut self, key: &'static str) -> Option<SocketAddr> {
-        if !self.table.contains_key(key) {
-            self.missing(key, "an address such as \"127.0.0.1:8080\"");
-        }
+        self.require(key, "an address such as \"127.0.0.1:8080\"");
         self.optional_address(key)
     }
 
@@ -153,13 +147,16 @@
     /// A number that is not negative and must be there; whole ones may be written without a point.
     pub fn required_number(&mut self, key: &'static str) -> Option<f64> {
         const EXPECTED: &str = "a number that is not negative";
-        if !self.table.contains_key(key) {
-            self.missing(key, EXPECTED);
-        }
+        self.require(key, EXPECTED);
+        self.take(key, EXPECTED, number)
+    }
+
+    /// A time in seconds that must be there; one that no duration holds is a mistake.
+    pub fn required_seconds(&mut self, key: &'static str) -> Option<Duration> {
+        const EXPECTED: &str = "a number that is not negative, as a time in seconds";
+        self.require(key, EXPECTED);
         self.take(key, EXPECTED, |value| {
-            let whole = value.as_integer().map(|whole| whole as f64);
-            let number = value.as_float().or(whole)?;
-            (number.is_finite() && number >= 0.0).then_some(number)
+            Duration::try_from_secs_f64(number(value)?).ok()
         })
     }
 
@@ -175,9 +172,7 @@
 
     /// A table that must be there; an empty one where it is not, so that its keys are named too.
     pub fn required_table(&mut self, key: &'static str) -> toml::Table {
-        if !self.table.contains_key(key) {
-            self.missing(key, "a table");
-        }
+        self.require(key, "a table");
         self.table(key).unwrap_or_default()
     }
 
@@ -236,7 +231,11 @@
         parsed
     }
 
-    fn missing(&mut self, key: &'static str, expected: &str) {
+    /// Reports a key that must be there and is not.
+    fn require(&mut self, key: &'static str, expected: &str) {
+        if self.table.contains_key(key) {
+            return;
+        }
         self.mistakes.push(Mistake {
             key: format!("{}{key}", self.prefix),
             value: None,
@@ -244,3 +243,9 @@
         });
     }
 }
+
+fn number(value: &Value) -> Option<f64> {
+    let whole = value.as_integer().map(|whole| whole as f64);
+    let number = value.as_float().or(whole)?;
+    (number.is_finite() && number >= 0.0).then_some(number)
+}
--- a/crates/settings/tests/reader.rs
+++ b/crates/settings/tests/reader.rs
@@ -31,6 +31,18 @@
     assert_eq!((value, mistakes.len()), (Some(number), 0));
 }
 
+/// Guards against a time that is too long and becomes zero unseen.
+#[rstest]
+#[case("t = 8", Some(8_000), 0)]
+#[case("t = 0.25", Some(250), 0)]
+#[case("t = 1e30", None, 1)]
+#[case("t = -1", None, 1)]
+fn a_time_is_read_or_a_mistake(#[case] text: &str, #[case] ms: Option<u64>, #[case] wrong: usize) {
+    let (time, mistakes) = read(text, |reader| reader.required_seconds("t"));
+    let expected = ms.map(std::time::Duration::from_millis);
+    assert_eq!((time, mistakes.len()), (expected, wrong));
+}
+
 /// Guards against a list of which the sound part is taken.
 #[rstest]
 #[case("a = [\"127.0.0.1:1\", \"[::1]:2\"]", 2, 0)]
