--- a/crates/edge/src/peer/book.rs
+++ b/crates/edge/src/peer/book.rs
@@ -30,10 +30,10 @@
 }
 
 /// The routers that one router knows, and whose turn it is.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Book {
-    host: Option<name::Host>,
-    zone: Option<name::Zone>,
+    host: name::Host,
+    zone: name::Zone,
     seeds: Vec<SocketAddr>,
     known: BTreeMap<name::Host, Known>,
     turns: VecDeque<SocketAddr>,
@@ -46,10 +46,12 @@
     pub fn new(host: name::Host, zone: name::Zone, own: SocketAddr, seeds: &[SocketAddr]) -> Self {
         let others = seeds.iter().filter(|seed| **seed != own);
         Self {
-            host: Some(host),
-            zone: Some(zone),
+            host,
+            zone,
             seeds: others.copied().collect(),
-            ..Self::default()
+            known: BTreeMap::new(),
+            turns: VecDeque::new(),
+            named: None,
         }
     }
 
@@ -118,9 +120,9 @@
         }
     }
 
-    /// Whether a router is known to be in the own availability zone.
+    /// Whether an availability zone is the own one.
     pub fn is_near(&self, zone: &name::Zone) -> bool {
-        self.zone.as_ref() == Some(zone)
+        self.zone == *zone
     }
 
     /// One round: each router of the own zone once, others in between, unknown seeds at last.
@@ -156,7 +158,7 @@
     }
 
     fn learn(&mut self, host: &name::Host, zone: &name::Zone, address: SocketAddr, heard: Time) {
-        if self.host.as_ref() == Some(host) {
+        if self.host == *host {
             return;
         }
         let newer = Known {
