--- a/crates/edge/src/channel.rs
+++ b/crates/edge/src/channel.rs
@@ -111,6 +111,7 @@
     bodiless: bool,
     idle_since: Instant,
     idle_limit: Option<Duration>,
+    rested: Option<Duration>,
 }
 
 impl std::fmt::Debug for Channel {
@@ -139,6 +140,7 @@
             bodiless: false,
             idle_since: Instant::now(),
             idle_limit: None,
+            rested: None,
         })
     }
 
@@ -147,6 +149,11 @@
         self.idle_since.elapsed()
     }
 
+    /// For how long it had been idle before the request that it carries; `None` for its first one.
+    pub const fn rested(&self) -> Option<Duration> {
+        self.rested
+    }
+
     /// How long the other side keeps it open while idle, where it says so.
     pub const fn idle_limit(&self) -> Option<Duration> {
         self.idle_limit
@@ -167,6 +174,8 @@
 
     /// Sends a request; the rest is written while the answer is read.
     pub fn send(&mut self, head: RequestHead, body: &Bytes) -> Result<(), Error> {
+        // Only a channel that carried a request before is kept.
+        self.rested = self.keep.then(|| self.idle_for());
         let Reader::Head(codec) = &mut self.reader else {
             return EndedSnafu.fail();
         };
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -50,8 +50,8 @@
         let upstream = placed.upstream.clone();
         let shared = std::rc::Rc::clone(self.shared);
         let flight = Flight::start(&shared, upstream.clone());
-        let (mut channel, idle) = match self.channel(&placed).await {
-            Ok(opened) => opened,
+        let mut channel = match self.channel(&placed).await {
+            Ok(channel) => channel,
             Err(error) => {
                 self.note(&upstream, "unreachable", &error);
                 flight.end(Outcome::Unreachable);
@@ -62,11 +62,11 @@
         self.runs += 1;
         let head = self.head(&placed);
         if let Err(error) = channel.send(head, &self.admitted.body) {
-            self.note_forgotten(idle, &error);
+            self.note_forgotten(&channel, &error);
             self.lose(flight, &upstream, "lost", &error);
             return Step::Lost;
         }
-        let Some(reply) = self.reply(&upstream, &mut channel, idle).await else {
+        let Some(reply) = self.reply(&upstream, &mut channel).await else {
             flight.end(Outcome::Lost);
             return Step::Lost;
         };
@@ -84,18 +84,12 @@
         self.whole(&upstream, channel, reply, flight, outlet).await
     }
 
-    /// A channel to the upstream, and for how long it was idle if it was used before.
-    async fn channel(
-        &self,
-        placed: &Placed,
-    ) -> Result<(Channel, Option<Duration>), channel::Error> {
+    async fn channel(&self, placed: &Placed) -> Result<Channel, channel::Error> {
         if let Some(channel) = self.kept(placed) {
-            let idle = channel.idle_for();
-            return Ok((channel, Some(idle)));
+            return Ok(channel);
         }
         let limit = self.shared.settings.connect_timeout;
-        let channel = Channel::open(placed.address, limit, &self.shared.http).await?;
-        Ok((channel, None))
+        Channel::open(placed.address, limit, &self.shared.http).await
     }
 
     fn kept(&self, placed: &Placed) -> Option<Channel> {
@@ -114,9 +108,9 @@
 
     /// Takes the end of a channel before any word of an answer as a sign of an early idle limit,
     /// if the channel was used before.
-    fn note_forgotten(&self, idle: Option<Duration>, error: &channel::Error) {
+    fn note_forgotten(&self, channel: &Channel, error: &channel::Error) {
         let is_end = matches!(error, channel::Error::Broken { .. } | channel::Error::Ended);
-        if let Some(idle) = idle.filter(|_| is_end) {
+        if let Some(idle) = channel.rested().filter(|_| is_end) {
             let now = self.shared.now();
             let service = &self.admitted.service;
             self.shared.pool.borrow_mut().forgotten(now, service, idle);
@@ -141,12 +135,7 @@
     /// Reads the head of the answer to this request.
     ///
     /// A silent upstream is given up only if another one can take the request.
-    async fn reply(
-        &self,
-        upstream: &name::Upstream,
-        channel: &mut Channel,
-        idle: Option<Duration>,
-    ) -> Option<Reply> {
+    async fn reply(&self, upstream: &name::Upstream, channel: &mut Channel) -> Option<Reply> {
         let patience = self.admitted.route.objective.mul_f64(PATIENCE);
         let patience = patience.max(PATIENCE_MIN);
         let read = loop {
@@ -162,7 +151,7 @@
         match read {
             Ok(reply) => Some(reply),
             Err(error) => {
-                self.note_forgotten(idle, &error);
+                self.note_forgotten(channel, &error);
                 self.note(upstream, "lost", &error);
                 None
             }
