--- a/crates/edge/tests/bulk.rs
+++ b/crates/edge/tests/bulk.rs
@@ -14,7 +14,6 @@
 use bytes::Bytes;
 use common::engine::Engine;
 use common::engine::answer;
-use common::free_address;
 use common::start;
 use common::store::Store;
 use common::until;
@@ -31,6 +30,7 @@
 use snipeusher_edge::peer::Answer;
 use snipeusher_edge::peer::Configuration;
 use snipeusher_edge::peer::Digest;
+use snipeusher_fakes::address::free_address;
 
 /// Time that the peer's link takes for the configuration.
 const TRANSFER: Duration = Duration::from_millis(1_200);
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -6,13 +6,8 @@
 pub mod store;
 pub mod words;
 
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
-use std::process;
 use std::rc::Rc;
-use std::sync::atomic::AtomicU16;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use slog::Logger;
@@ -22,6 +17,7 @@
 use snipeusher_edge::node;
 use snipeusher_edge::shared::Settings;
 use snipeusher_edge::shared::Shared;
+use snipeusher_fakes::address::free_address;
 
 use self::store::Store;
 use self::words::Words;
@@ -34,19 +30,6 @@
     pub control: SocketAddr,
 }
 
-/// An address that nobody listens on.
-///
-/// Each has a loopback IP of its own: a port that was free on 127.0.0.1 may be given to an outgoing
-/// connection of another test before it is listened on.
-pub fn free_address() -> SocketAddr {
-    static COUNT: AtomicU16 = AtomicU16::new(0);
-    let [high, low] = COUNT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
-    let [.., process] = process::id().to_be_bytes();
-    let ip = Ipv4Addr::new(127, 16 + high, process, low);
-    let listener = TcpListener::bind((ip, 0)).expect("loopback has a free port");
-    listener.local_addr().expect("it is bound")
-}
-
 /// Starts a router.
 pub async fn start(name: &str, store: &Store, seeds: Vec<SocketAddr>) -> Node {
     let settings = Settings {
--- a/crates/edge/tests/metrics.rs
+++ b/crates/edge/tests/metrics.rs
@@ -59,7 +59,12 @@
 async fn the_status_says_why_an_upstream_gets_no_requests() {
     let engine = Engine::start(|seen| vec![answer(seen.id(), "200 OK", "")]).await;
     let (node, store) = single(&[&engine]).await;
-    store.upstream("e1", "letters", common::free_address(), "ready");
+    store.upstream(
+        "e1",
+        "letters",
+        snipeusher_fakes::address::free_address(),
+        "ready",
+    );
     let shared = std::rc::Rc::clone(&node.shared);
     common::until("it is known", || shared.fleet.borrow().cells().len() == 2).await;
     for index in 0..6 {
--- a/crates/edge/tests/retry.rs
+++ b/crates/edge/tests/retry.rs
@@ -12,9 +12,9 @@
 use common::engine::Engine;
 use common::engine::answer;
 use common::engine::not_run;
-use common::free_address;
 use common::single;
 use rstest::rstest;
+use snipeusher_fakes::address::free_address;
 
 fn failing(act: &'static str) -> impl Fn(&common::engine::Seen) -> Vec<Act> {
     move |seen| match act {
