Read the store with one router a zone and copy lists and configurations from peers

A zone has one reader while others read too. A router that starts reads the list only if its peers have not sent it within 400 ms (by rank). Complete lists have a path of their own; a router sends three copies at once and refuses further ones.

--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -99,7 +99,11 @@
     }
     let store = Rc::new(store);
     actix_rt::spawn(watch::run(Rc::clone(shared), Rc::clone(&store)));
-    actix_rt::spawn(peer::fetch(Rc::clone(shared), store));
+    actix_rt::spawn(peer::fetch_configurations(
+        Rc::clone(shared),
+        Rc::clone(&store),
+    ));
+    actix_rt::spawn(peer::fetch_rosters(Rc::clone(shared), store));
     actix_rt::spawn(peer::run(Rc::clone(shared), peers));
     actix_rt::spawn(probe::run(Rc::clone(shared)));
     actix_rt::spawn(sweep(Rc::clone(shared)));
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -2,10 +2,11 @@
 //!
 //! Each router exchanges digests with its peers in turn. A digest holds the loads of upstreams,
 //! observed or received from others, and the revisions of the configuration and of the upstreams
-//! that the router has. A router with older upstreams receives the changes in the response. One
-//! with an older configuration fetches it from the store or, if the store is unreachable, from the
-//! peer. So only few routers have to read the store, and a router that cannot reach the store
-//! still receives all changes. Changes are passed on at once. See `docs/platform.md#peers`.
+//! that the router has. A router with older upstreams receives the changes in the response. A
+//! complete list of upstreams and a configuration may be far larger than a digest; a router that
+//! lacks them copies them from one of the peers that announced them. So only few routers have to
+//! read the store, and a router that cannot reach the store still receives all changes. Changes are
+//! passed on at once. See `docs/platform.md#peers`.
 
 mod client;
 mod fetch;
@@ -17,6 +18,7 @@
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
+use snipeusher::fetch::Source;
 use snipeusher::fleet::Delta;
 use snipeusher::fleet::Observation;
 use snipeusher::kv::Revision;
@@ -26,8 +28,8 @@
 pub use self::client::interval;
 pub use self::client::run;
 pub use self::fetch::Announcement;
-pub use self::fetch::Source;
-pub use self::fetch::fetch;
+pub use self::fetch::fetch_configurations;
+pub use self::fetch::fetch_rosters;
 pub use self::peers::Peers;
 pub use self::server::Control;
 
@@ -39,6 +41,8 @@
 /// Path of the configuration. It is fetched by a request of its own, since it may be far larger
 /// than a digest and must not delay the other data.
 const CONFIGURATION_PATH: &str = "/fleet/v3/configuration";
+/// Path of the complete list of upstreams, which is as large.
+const UPSTREAMS_PATH: &str = "/fleet/v3/upstreams";
 /// Largest body of a request or response between routers.
 const BYTES_MAX: usize = 4 << 20;
 
@@ -94,7 +98,7 @@
 pub struct Response {
     /// State of the responding router.
     pub digest: Digest,
-    /// Changes of the upstreams, if the requesting router has an older revision.
+    /// Changes of the upstreams, if the requesting router has an older revision and they are few.
     pub upstreams: Option<Delta>,
 }
 
@@ -122,15 +126,21 @@
     let now = shared.now();
     peers.record(now, digest);
     shared.readers.borrow_mut().merge(now, &digest.readers);
-    if digest.configuration > shared.revisions().0 {
-        let is_local = peers.is_local(&digest.zone);
-        let source = Source {
-            address: digest.address,
-            is_local,
-        };
-        shared.announcement.record(digest.configuration, source);
+    if let Some(revision) = digest.configuration
+        && digest.configuration > shared.revisions().0
+    {
+        let source = source(peers, digest);
+        shared.configurations.record(shared, revision, source);
     }
     let mut fleet = shared.fleet.borrow_mut();
     fleet.set_routers(peers.len(now) + 1);
     fleet.merge_observations(now, &digest.loads);
 }
+
+/// The sender of a digest as a source of the data that it announces.
+fn source(peers: &Peers, digest: &Digest) -> Source<SocketAddr> {
+    Source {
+        address: digest.address,
+        is_local: peers.is_local(&digest.zone),
+    }
+}
--- a/crates/edge/src/peer/client.rs
+++ b/crates/edge/src/peer/client.rs
@@ -26,11 +26,14 @@
 use super::Response;
 use super::digest;
 use super::merge;
+use super::source;
 use crate::connection;
 use crate::connection::Connection;
 use crate::dialect::Platform;
 use crate::shared::Shared;
 
+/// Interval between exchanges while this router lacks the configuration or the upstreams.
+const INTERVAL_START: Duration = Duration::from_millis(50);
 /// Interval between exchanges; changes are sent at once.
 const INTERVAL: Duration = Duration::from_millis(250);
 /// Interval in a large fleet. Its digests list more readers, and control traffic may take 14 KB/s.
@@ -85,9 +88,10 @@
 pub async fn run<P: Platform>(shared: Rc<Shared<P>>, peers: Rc<RefCell<Peers>>) {
     let connections: Connections = RefCell::default();
     let mut sent = shared.revisions();
+    let mut interval = Duration::ZERO;
     loop {
-        let interval = interval(peers.borrow().len(shared.now()));
         let has_changed = timeout(interval, shared.changed.notified()).await.is_ok();
+        interval = next_interval(&shared, &peers.borrow());
         let mut addresses = Vec::new();
         addresses.extend(peers.borrow_mut().next(shared.random()));
         let current = shared.revisions();
@@ -105,6 +109,14 @@
     }
 }
 
+fn next_interval<P: Platform>(shared: &Shared<P>, peers: &Peers) -> Duration {
+    if shared.is_loaded() {
+        interval(peers.len(shared.now()))
+    } else {
+        INTERVAL_START
+    }
+}
+
 /// Interval between exchanges of a router that knows `others` other routers.
 pub const fn interval(others: usize) -> Duration {
     if others > LARGE_FLEET {
@@ -182,11 +194,16 @@
     let body = rmp_serde::to_vec(&digest).context(EncodeSnafu)?;
     let body = call(&mut connection, address, Method::POST, EXCHANGE_PATH, body).await?;
     let response: Response = rmp_serde::from_slice(&body).context(DecodeSnafu)?;
+    let mut peers = peers.borrow_mut();
     if let Some(upstreams) = response.upstreams {
         let now = shared.now();
         shared.fleet.borrow_mut().merge(now, upstreams);
-        shared.changed.notify_one();
+        shared.record_change();
+    } else if response.digest.upstreams > shared.revisions().1 {
+        let source = source(&peers, &response.digest);
+        let revision = response.digest.upstreams;
+        shared.rosters.record(shared, revision, source);
     }
-    merge(shared, &mut peers.borrow_mut(), &response.digest);
+    merge(shared, &mut peers, &response.digest);
     Ok(connection)
 }
--- a/crates/edge/src/peer/fetch.rs
+++ b/crates/edge/src/peer/fetch.rs
@@ -1,4 +1,4 @@
-//! Fetches configurations announced by peers.
+//! Copies configurations and lists of upstreams from peers that announced them.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -6,15 +6,24 @@
 use std::time::Duration;
 
 use actix_http::Method;
+use bytes::Bytes;
 use slog::info;
 use snafu::ResultExt as _;
+use snipeusher::fetch::Fetch;
+use snipeusher::fetch::Query;
+use snipeusher::fetch::Size;
+use snipeusher::fetch::Source;
+use snipeusher::fetch::Step;
+use snipeusher::fleet::Delta;
 use snipeusher::kv::Revision;
 use snipeusher_store::Store;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use super::CONFIGURATION_PATH;
 use super::Configuration;
+use super::UPSTREAMS_PATH;
 use super::client;
 use super::client::CONNECT_TIMEOUT;
 use super::client::ConnectionSnafu;
@@ -25,137 +34,201 @@
 use crate::shared::Shared;
 use crate::watch;
 
-/// Time limit for fetching a configuration from a peer. A megabyte at 10 Mbit/s takes 0.8 s, and
-/// several routers may fetch from the same peer at once.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time limit for fetching a small configuration, after which it is read from the store instead.
-const SMALL_FETCH_TIMEOUT: Duration = Duration::from_millis(300);
-/// Size of the configuration in force up to which a new one is first requested from peers, which
-/// saves the fleet one call of the store for each router and change. A larger one would saturate
-/// the links of the routers that already have it.
+/// Size of the configuration in force up to which the next one counts as small.
 const SMALL_BYTES: usize = 128 << 10;
-/// Pause after a peer, for example a restarted one, did not deliver the announced configuration.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
-
-/// A peer from which a configuration can be fetched.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Source {
-    /// Address for exchanges.
-    pub address: SocketAddr,
-    /// Whether it is in this router's availability zone.
-    pub is_local: bool,
-}
 
-/// The newest configuration announced by a peer that this router does not have.
+/// Newer data that peers announced.
 #[derive(Debug, Default)]
 pub struct Announcement {
-    newest: RefCell<Option<(Revision, Source)>>,
-    notify: tokio::sync::Notify,
+    fetch: RefCell<Fetch<SocketAddr>>,
+    notify: Notify,
 }
 
 impl Announcement {
-    /// Records that a peer has a revision, if it is newer than the recorded one. A peer of the own
-    /// availability zone replaces another one with the same revision.
-    pub fn record(&self, revision: Option<Revision>, source: Source) {
-        let Some(revision) = revision else { return };
-        let mut newest = self.newest.borrow_mut();
-        let is_better = newest.is_none_or(|(known, other)| {
-            known < revision || known == revision && (source.is_local || !other.is_local)
-        });
-        if is_better {
-            *newest = Some((revision, source));
+    /// Records that a peer has a revision.
+    pub fn record<P: Platform>(
+        &self,
+        shared: &Shared<P>,
+        revision: Revision,
+        source: Source<SocketAddr>,
+    ) {
+        let is_news = self
+            .fetch
+            .borrow_mut()
+            .announce(shared.now(), revision, source);
+        if is_news {
             self.notify.notify_one();
         }
     }
+}
+
+/// A kind of data that routers copy from each other.
+trait Topic<P: Platform> {
+    /// Path at which peers serve it.
+    const PATH: &'static str;
+    /// Name in logs.
+    const NAME: &'static str;
+
+    /// Announcements of the data.
+    fn announcement(shared: &Shared<P>) -> &Announcement;
+
+    /// Revision that this router has.
+    fn known(shared: &Shared<P>) -> Option<Revision>;
+
+    /// Expected size of the data.
+    fn size(shared: &Shared<P>) -> Size;
+
+    /// Whether this task may read the data from the store.
+    fn may_read_store(shared: &Shared<P>) -> bool;
+
+    /// Decodes the data and applies it; returns its revision.
+    fn apply(shared: &Shared<P>, body: &Bytes) -> Result<Revision, Error>;
+}
+
+struct ConfigurationTopic;
+
+impl<P: Platform> Topic<P> for ConfigurationTopic {
+    const PATH: &'static str = CONFIGURATION_PATH;
+    const NAME: &'static str = "configuration";
+
+    fn announcement(shared: &Shared<P>) -> &Announcement {
+        &shared.configurations
+    }
+
+    fn known(shared: &Shared<P>) -> Option<Revision> {
+        shared.revisions().0
+    }
+
+    fn size(shared: &Shared<P>) -> Size {
+        let document = shared.document();
+        if document.is_some_and(|document| document.value.len() > SMALL_BYTES) {
+            Size::Large
+        } else {
+            Size::Small
+        }
+    }
+
+    fn may_read_store(shared: &Shared<P>) -> bool {
+        !shared.is_store_unreachable()
+    }
 
-    /// Removes a peer that did not deliver its configuration, so that another one is used.
-    fn remove(&self, source: Source) {
-        let mut newest = self.newest.borrow_mut();
-        *newest = newest.take_if(|(_, other)| *other != source);
+    fn apply(shared: &Shared<P>, body: &Bytes) -> Result<Revision, Error> {
+        let configuration: Configuration = rmp_serde::from_slice(body).context(DecodeSnafu)?;
+        shared.configure(configuration.revision, &configuration.value, "peer");
+        Ok(configuration.revision)
+    }
+}
+
+struct RosterTopic;
+
+impl<P: Platform> Topic<P> for RosterTopic {
+    const PATH: &'static str = UPSTREAMS_PATH;
+    const NAME: &'static str = "upstreams";
+
+    fn announcement(shared: &Shared<P>) -> &Announcement {
+        &shared.rosters
     }
 
-    /// Clears an announcement that is not newer than a revision.
-    fn clear_up_to(&self, revision: Revision) {
-        let mut newest = self.newest.borrow_mut();
-        *newest = newest.take_if(|(known, _)| *known > revision);
+    fn known(shared: &Shared<P>) -> Option<Revision> {
+        Some(shared.revisions().1)
     }
 
-    fn newer_than(&self, known: Option<Revision>) -> Option<Source> {
-        let newest = *self.newest.borrow();
-        let newer = newest.filter(|(revision, _)| known.is_none_or(|known| known < *revision));
-        newer.map(|(_, source)| source)
+    fn size(_shared: &Shared<P>) -> Size {
+        Size::Small
+    }
+
+    /// The task that watches the store reads the list where necessary.
+    fn may_read_store(_shared: &Shared<P>) -> bool {
+        false
+    }
+
+    fn apply(shared: &Shared<P>, body: &Bytes) -> Result<Revision, Error> {
+        let delta: Delta = rmp_serde::from_slice(body).context(DecodeSnafu)?;
+        let revision = delta.revision;
+        info!(shared.log, "upstreams: received";
+            "count" => delta.entries.len(), "revision" => revision.0);
+        let now = shared.now();
+        shared.fleet.borrow_mut().merge(now, delta);
+        shared.record_change();
+        Ok(revision)
     }
 }
 
 /// Fetches each configuration that peers announce. Never returns.
-pub async fn fetch<P: Platform, S: Store>(shared: Rc<Shared<P>>, store: Rc<S>) {
+pub async fn fetch_configurations<P: Platform, S: Store>(shared: Rc<Shared<P>>, store: Rc<S>) {
+    run::<ConfigurationTopic, P, S>(&shared, &store).await;
+}
+
+/// Fetches each list of upstreams that peers announce. Never returns.
+pub async fn fetch_rosters<P: Platform, S: Store>(shared: Rc<Shared<P>>, store: Rc<S>) {
+    run::<RosterTopic, P, S>(&shared, &store).await;
+}
+
+async fn run<T: Topic<P>, P: Platform, S: Store>(shared: &Shared<P>, store: &S) {
+    let announcement = T::announcement(shared);
     loop {
-        shared.announcement.notify.notified().await;
-        while let Some(source) = announced(&shared) {
-            if is_small(&shared)
-                && source.is_local
-                && try_fetch(&shared, source, SMALL_FETCH_TIMEOUT).await
-            {
-                continue;
-            }
-            if !shared.is_store_unreachable() {
-                // If this fails, the fetch from the peer follows and logs its own error.
-                let _read = watch::configuration(&shared, &*store).await;
-            }
-            if let Some(source) = announced(&shared)
-                && !try_fetch(&shared, source, FETCH_TIMEOUT).await
-            {
-                shared.announcement.remove(source);
-                sleep(RETRY_DELAY).await;
+        announcement.notify.notified().await;
+        while let Some(step) = next_step::<T, P>(shared) {
+            match step {
+                Step::Peer(address, limit) => copy::<T, P>(shared, address, limit).await,
+                Step::Store => read_configuration(shared, store).await,
+                Step::Wait(time) => sleep(time).await,
             }
         }
     }
 }
 
-/// A peer that announced a newer configuration than this router has.
-fn announced<P: Platform>(shared: &Shared<P>) -> Option<Source> {
-    shared.announcement.newer_than(shared.revisions().0)
+fn next_step<T: Topic<P>, P: Platform>(shared: &Shared<P>) -> Option<Step<SocketAddr>> {
+    let query = Query {
+        known: T::known(shared),
+        size: T::size(shared),
+        store: T::may_read_store(shared),
+        random: shared.random(),
+    };
+    let fetch = T::announcement(shared).fetch.borrow();
+    fetch.next(shared.now(), &query)
 }
 
-/// Whether the configuration in force is small, so that the next one most likely is, too.
-fn is_small<P: Platform>(shared: &Shared<P>) -> bool {
-    let document = shared.document();
-    document.is_some_and(|document| document.value.len() <= SMALL_BYTES)
-}
-
-/// Fetches the configuration of a peer. Returns false if the announced one was not received within
-/// the time limit.
-async fn try_fetch<P: Platform>(shared: &Shared<P>, source: Source, limit: Duration) -> bool {
-    let fetched = timeout(limit, request_configuration(shared, source.address)).await;
-    match fetched.unwrap_or(Err(Error::TimedOut)) {
-        Ok(configuration) => {
-            shared.configure(configuration.revision, &configuration.value, "peer");
-            // A configuration that cannot be decoded here is not fetched again.
-            shared.announcement.clear_up_to(configuration.revision);
-            announced(shared).is_none()
+/// Copies the data of a peer. A peer that does not deliver the announced revision is removed from
+/// the sources until it announces it again.
+async fn copy<T: Topic<P>, P: Platform>(shared: &Shared<P>, address: SocketAddr, limit: Duration) {
+    let requested = timeout(limit, request(shared, address, T::PATH)).await;
+    let body = requested.unwrap_or(Err(Error::TimedOut));
+    let applied = body.and_then(|body| T::apply(shared, &body));
+    let mut fetch = T::announcement(shared).fetch.borrow_mut();
+    match applied {
+        Ok(revision) => {
+            fetch.record_received(revision);
+            if !fetch.is_current(revision) {
+                fetch.remove(address);
+            }
         }
         Err(error) => {
-            info!(shared.log, "configuration: not fetched";
-                "peer" => %source.address, "error" => %error);
-            false
+            fetch.remove(address);
+            info!(shared.log, "peer: copy not received";
+                "data" => T::NAME, "peer" => %address, "error" => %error);
         }
     }
 }
 
-async fn request_configuration<P: Platform>(
+async fn read_configuration<P: Platform, S: Store>(shared: &Shared<P>, store: &S) {
+    let now = shared.now();
+    shared
+        .configurations
+        .fetch
+        .borrow_mut()
+        .record_store_read(now);
+    // If this fails, peers are asked, whose failures are logged.
+    let _read = watch::configuration(shared, store).await;
+}
+
+async fn request<P: Platform>(
     shared: &Shared<P>,
     address: SocketAddr,
-) -> Result<Configuration, Error> {
+    path: &'static str,
+) -> Result<Bytes, Error> {
     let connection = Connection::open(address, CONNECT_TIMEOUT, &shared.http).await;
     let mut connection = connection.context(ConnectionSnafu)?;
     let empty = Vec::new();
-    let body = client::call(
-        &mut connection,
-        address,
-        Method::GET,
-        CONFIGURATION_PATH,
-        empty,
-    )
-    .await?;
-    rmp_serde::from_slice(&body).context(DecodeSnafu)
+    client::call(&mut connection, address, Method::GET, path, empty).await
 }
--- a/crates/edge/src/peer/server.rs
+++ b/crates/edge/src/peer/server.rs
@@ -1,5 +1,6 @@
 //! Exchanges started by peers.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
@@ -9,6 +10,8 @@
 use bytes::Bytes;
 use serde::Serialize;
 use slog::warn;
+use snipeusher::fleet::Delta;
+use snipeusher::kv::Revision;
 use snipeusher::route::Limits;
 
 use super::BYTES_MAX;
@@ -18,6 +21,7 @@
 use super::EXCHANGE_PATH;
 use super::Peers;
 use super::Response;
+use super::UPSTREAMS_PATH;
 use super::digest;
 use super::merge;
 use crate::dialect::Platform;
@@ -27,11 +31,21 @@
 use crate::server::Request;
 use crate::shared::Shared;
 
-/// Serves digests and the configuration to peers.
+/// Changes of upstreams up to which they are part of the response to a digest. A router that lacks
+/// more copies the complete list.
+const CHANGES_MAX: usize = 100;
+/// Transfers of the configuration or of the list of upstreams at once. More would delay each other
+/// and the callers' responses on the router's link, and each router that has received the data
+/// serves others.
+const TRANSFERS_MAX: usize = 3;
+
+/// Serves digests, the configuration and the list of upstreams to peers.
 #[derive(Debug)]
 pub struct Control<P> {
     shared: Rc<Shared<P>>,
     peers: Rc<RefCell<Peers>>,
+    /// Transfers in progress.
+    transfers: Cell<usize>,
     /// Apart from that of the process, so that exchanges do not count as in-flight requests.
     lifecycle: Lifecycle,
 }
@@ -42,6 +56,7 @@
         Self {
             shared,
             peers,
+            transfers: Cell::new(0),
             lifecycle: Lifecycle::default(),
         }
     }
@@ -52,11 +67,7 @@
             StatusCode::BAD_REQUEST
         })?;
         let own = digest(&self.shared, &mut self.peers.borrow_mut());
-        let upstreams = (received.upstreams < own.upstreams).then(|| {
-            let now = self.shared.now();
-            let fleet = self.shared.fleet.borrow();
-            fleet.roster().changes_since(now, received.upstreams)
-        });
+        let upstreams = self.changes_since(received.upstreams);
         let mut peers = self.peers.borrow_mut();
         if received.upstreams > own.upstreams {
             peers.prefer(received.address);
@@ -70,6 +81,26 @@
         self.encode(&response)
     }
 
+    /// The changes of upstreams that a router with an older revision lacks, if they are few.
+    fn changes_since(&self, revision: Revision) -> Option<Delta> {
+        let now = self.shared.now();
+        let fleet = self.shared.fleet.borrow();
+        let roster = fleet.roster();
+        let is_behind = revision < roster.revision();
+        let is_short = is_behind && roster.count_changes_since(revision) <= CHANGES_MAX;
+        is_short.then(|| roster.changes_since(now, revision))
+    }
+
+    /// The complete list of upstreams.
+    fn upstreams(&self) -> Result<Vec<u8>, StatusCode> {
+        let now = self.shared.now();
+        let fleet = self.shared.fleet.borrow();
+        if fleet.roster().is_unsynced() {
+            return Err(StatusCode::NOT_FOUND);
+        }
+        self.encode(&fleet.roster().changes_since(now, Revision::default()))
+    }
+
     fn configuration(&self) -> Result<Vec<u8>, StatusCode> {
         let document = self.shared.document().ok_or(StatusCode::NOT_FOUND)?;
         self.encode(&Configuration {
@@ -99,9 +130,15 @@
     }
 
     async fn handle(&self, request: Request, responder: &mut Responder<'_>) -> io::Result<()> {
-        let body = match request.head.path() {
+        let path = request.head.path();
+        let is_transfer = matches!(path, CONFIGURATION_PATH | UPSTREAMS_PATH);
+        let is_busy = is_transfer && self.transfers.get() >= TRANSFERS_MAX;
+        let _transfer = is_transfer.then(|| Transfer::start(&self.transfers));
+        let body = match path {
+            _ if is_busy => Err(StatusCode::SERVICE_UNAVAILABLE),
             EXCHANGE_PATH => self.exchange(&request.body),
             CONFIGURATION_PATH => self.configuration(),
+            UPSTREAMS_PATH => self.upstreams(),
             _ => Err(StatusCode::NOT_FOUND),
         };
         match body {
@@ -118,3 +155,19 @@
         }
     }
 }
+
+/// A transfer in progress.
+struct Transfer<'a>(&'a Cell<usize>);
+
+impl<'a> Transfer<'a> {
+    fn start(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Transfer<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -86,14 +86,18 @@
     pub readers: RefCell<Readers>,
     /// Notified when there is a change that peers may not have.
     pub changed: Notify,
-    /// The newest configuration announced by a peer that this router does not have.
-    pub announcement: Announcement,
+    /// Configurations that peers announced.
+    pub configurations: Announcement,
+    /// Lists of upstreams that peers announced.
+    pub rosters: Announcement,
     /// Shared state of the HTTP codecs, such as the date.
     pub http: ServiceConfig,
     table: RefCell<Option<Rc<Table>>>,
     document: RefCell<Option<Document>>,
     /// When the configuration came into force.
     configured_at: Cell<Time>,
+    /// Whether it was logged that the configuration and the upstreams are known.
+    ready_logged: Cell<bool>,
     /// Time of the first failed call if the store is unreachable.
     store_unreachable: Cell<Option<Time>>,
     rng: RefCell<SmallRng>,
@@ -114,11 +118,13 @@
                 settings.fleet.zone.clone(),
             )),
             changed: Notify::new(),
-            announcement: Announcement::default(),
+            configurations: Announcement::default(),
+            rosters: Announcement::default(),
             http: ServiceConfig::default(),
             table: RefCell::default(),
             document: RefCell::default(),
             configured_at: Cell::default(),
+            ready_logged: Cell::default(),
             store_unreachable: Cell::new(None),
             rng: RefCell::new(SmallRng::from_os_rng()),
             settings,
@@ -161,11 +167,23 @@
             .map_or_else(Limits::default, |table| *table.limits())
     }
 
+    /// Whether the configuration and the upstreams are known.
+    pub fn is_loaded(&self) -> bool {
+        self.table.borrow().is_some() && !self.fleet.borrow().roster().is_unsynced()
+    }
+
+    /// Records that the configuration or the upstreams changed, so that peers are informed.
+    pub fn record_change(&self) {
+        self.changed.notify_one();
+        if self.is_loaded() && !self.ready_logged.replace(true) {
+            let upstreams = self.fleet.borrow().upstreams().len();
+            info!(self.log, "node: ready"; "upstreams" => upstreams, "ms" => self.now().0 / 1_000);
+        }
+    }
+
     /// Whether the readiness check succeeds.
     pub fn is_ready(&self) -> bool {
-        let is_loaded =
-            self.table.borrow().is_some() && !self.fleet.borrow().roster().is_unsynced();
-        is_loaded && !self.lifecycle.is_leaving()
+        self.is_loaded() && !self.lifecycle.is_leaving()
     }
 
     /// Applies a configuration unless the one in force has the same or a newer revision.
@@ -187,7 +205,7 @@
                     revision,
                     value: Bytes::copy_from_slice(value),
                 });
-                self.changed.notify_one();
+                self.record_change();
             }
             Err(error) => {
                 warn!(self.log, "configuration: unreadable, the last one stays in force";
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -33,9 +33,11 @@
 
 /// Delay before the next watch call after one with changes. Changes that follow arrive together, so
 /// that a rollout of many upstreams does not cost a call for each.
-const BATCH_DELAY: Duration = Duration::from_millis(120);
+const BATCH_DELAY: Duration = Duration::from_millis(250);
 /// How often a router that does not read the store checks whether it has to.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// The same while it knows no upstreams.
+const CHECK_INTERVAL_START: Duration = Duration::from_millis(20);
 
 /// Reads the store whenever this router is one of its readers. Never returns.
 pub async fn run<P: Platform, S: Store>(shared: Rc<Shared<P>>, store: Rc<S>) {
@@ -43,7 +45,12 @@
     let mut needs_list = true;
     loop {
         if !must_read(&shared) {
-            sleep(CHECK_INTERVAL).await;
+            let interval = if knows_upstreams(&shared) {
+                CHECK_INTERVAL
+            } else {
+                CHECK_INTERVAL_START
+            };
+            sleep(interval).await;
             continue;
         }
         let listed = if needs_list {
@@ -82,11 +89,20 @@
     Watch(Fault),
 }
 
-/// Whether this router has to read the store: nothing is known yet, or it is one of the readers.
+/// Whether this router has to read the store: it is one of the readers, or peers have not sent it
+/// the upstreams in time.
 fn must_read<P: Platform>(shared: &Shared<P>) -> bool {
     let now = shared.now();
-    let is_blank = shared.revisions() == (None, Revision(0));
-    is_blank || shared.readers.borrow_mut().update_role(now)
+    let mut readers = shared.readers.borrow_mut();
+    if !knows_upstreams(shared) {
+        return readers.must_list(now);
+    }
+    let routers = shared.fleet.borrow().routers();
+    readers.update_role(now, routers)
+}
+
+fn knows_upstreams<P: Platform>(shared: &Shared<P>) -> bool {
+    !shared.fleet.borrow().roster().is_unsynced()
 }
 
 /// Records that the store responded.
@@ -118,7 +134,7 @@
     // Read after the upstreams, since the watch continues from their revision and repeats a change
     // made in between.
     configuration(shared, store).await.map_err(Error::List)?;
-    shared.changed.notify_one();
+    shared.record_change();
     Ok(())
 }
 
@@ -186,7 +202,7 @@
     }
     shared.fleet.borrow_mut().advance_to(change.revision);
     if shared.revisions() != before {
-        shared.changed.notify_one();
+        shared.record_change();
     }
 }
 
--- a/crates/edge/tests/propagation.rs
+++ b/crates/edge/tests/propagation.rs
@@ -169,7 +169,7 @@
     assert_eq!(store.calls(), before);
     let reading = nodes.iter().filter(|node| {
         let now = node.shared.now();
-        node.shared.readers.borrow_mut().update_role(now)
+        node.shared.readers.borrow_mut().update_role(now, 6)
     });
     assert!((1..=3).contains(&reading.count()));
     store.configure(CHANGED);
@@ -235,3 +235,23 @@
     assert_eq!(engine.count(), 0);
     assert_eq!(call(node.front, &get("/read/", "r2")).await.status, 200);
 }
+
+/// Guards against starting routers that all read the store, whose rate limits do not grow with the
+/// fleet, although a peer has the data.
+#[actix_rt::test]
+async fn a_router_that_starts_copies_from_its_peers() {
+    let store = Store::new();
+    for index in 0..300 {
+        let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1_000 + index));
+        store.upstream(&format!("e{index}"), "letters", address, "ready");
+    }
+    let first = start_fleet(&store, 1).await.remove(0);
+    let cut = store.other_client();
+    cut.cut(true);
+    let began = std::time::Instant::now();
+    let second = start("host-9", &cut, vec![first.control]).await;
+    let shared = Rc::clone(&second.shared);
+    until("it is ready", || shared.is_ready()).await;
+    assert!(began.elapsed().as_millis() < 1_000);
+    assert_eq!(shared.fleet.borrow().upstreams().len(), 300);
+}
--- a/crates/snipeusher/src/lib.rs
+++ b/crates/snipeusher/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod churn;
 pub mod claim;
 pub mod config;
+pub mod fetch;
 pub mod fleet;
 pub mod hash;
 pub mod idle;
--- a/crates/snipeusher/src/reader.rs
+++ b/crates/snipeusher/src/reader.rs
@@ -1,10 +1,10 @@
 //! Decides which routers read the store on behalf of the others.
 //!
-//! The store's rate limits do not grow with the fleet, so only a few routers of each availability
-//! zone watch it; the others receive changes from their peers. There is no election: a router
-//! starts reading when it knows too few fresh readers in its zone, and stops when enough fresh
-//! readers rank before it. A zone that is cut off from the others therefore reads for itself. See
-//! `docs/platform.md#readers`.
+//! The store's rate limits do not grow with the fleet, so only one or two routers of each
+//! availability zone watch it; the others receive changes from their peers. There is no election: a
+//! router starts reading when it knows too few fresh readers in its zone, and stops when enough
+//! fresh readers rank before it. A zone that is cut off from the others therefore reads for itself.
+//! See `docs/platform.md#readers`.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -16,16 +16,26 @@
 use crate::name;
 use crate::time::Time;
 
-/// Readers in each availability zone; the second one is a spare.
-const READERS_PER_ZONE: usize = 2;
+/// Readers in an availability zone while too few other zones read; the second one is a spare.
+const READERS_ISOLATED: usize = 2;
+/// Readers in an availability zone while other zones read. If the only reader of the zone fails,
+/// changes still arrive from the other zones until it is replaced.
+const READERS_CONNECTED: usize = 1;
+/// Fresh readers in other zones from which a zone counts as connected.
+const REMOTE_READERS_MIN: usize = 2;
 /// A reader is fresh if the store answered it within this time. The store answers a watch without
 /// changes after two seconds, and gossip delays the report by up to two more.
 const FRESH_FOR: Duration = Duration::from_millis(4_500);
-/// Routers that see too few readers start one after another within this time, so that not all of
-/// them start.
-const START_SPREAD: Duration = Duration::from_millis(1_500);
-/// The same if no reader is fresh in any zone, so that no changes arrive at all.
-const START_SPREAD_URGENT: Duration = Duration::from_millis(400);
+/// Routers that know no upstreams yet read the list one after another within this time, so that
+/// most of them receive it from a peer first.
+const LIST_SPREAD: Duration = Duration::from_millis(400);
+/// Routers that see too few readers start one after another, on average with this spacing. The
+/// report of the first one takes longer to reach the others in a larger fleet.
+const START_SPACING: Duration = Duration::from_millis(40);
+/// Least time within which the routers of a small fleet start.
+const START_SPREAD_MIN: Duration = Duration::from_millis(400);
+/// Largest such time. A reader of a large zone starts long before its end.
+const START_SPREAD_MAX: Duration = Duration::from_secs(6);
 
 /// A router that reads the store, as reported between routers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,18 +70,21 @@
     reading: bool,
     /// Since when the zone has had too few readers.
     shortage_since: Option<Time>,
+    /// Since when this router has waited for its first list of upstreams.
+    waiting_since: Option<Time>,
 }
 
 impl Readers {
-    /// Creates a reader, since no others are known yet.
+    /// Starts without known readers. The router becomes one unless others are reported first.
     pub fn new(host: name::Host, zone: name::Zone) -> Self {
         Self {
             rank: rank(&host),
             host,
             zone,
             known: BTreeMap::new(),
-            reading: true,
+            reading: false,
             shortage_since: None,
+            waiting_since: None,
         }
     }
 
@@ -122,7 +135,8 @@
     /// The highest-ranked fresh readers of each zone, to be sent to peers.
     pub fn list(&self, now: Time) -> Vec<Reader> {
         let mut zones: BTreeMap<&name::Zone, Vec<(u64, Reader)>> = BTreeMap::new();
-        for (host, known) in self.fresh(now) {
+        let is_reader = |host: &name::Host| self.reading || *host != self.host;
+        for (host, known) in self.fresh(now).filter(|(host, _)| is_reader(host)) {
             let reader = Reader {
                 host: host.clone(),
                 zone: known.zone.clone(),
@@ -137,26 +151,39 @@
         let mut list = Vec::new();
         for mut readers in zones.into_values() {
             readers.sort_by_key(|(rank, _)| *rank);
-            let first = readers.into_iter().take(READERS_PER_ZONE);
+            let first = readers.into_iter().take(READERS_ISOLATED);
             list.extend(first.map(|(_, reader)| reader));
         }
         list
     }
 
+    /// Whether a router that knows no upstreams yet reads the list from the store, since its peers
+    /// have not sent it in time.
+    pub fn must_list(&mut self, now: Time) -> bool {
+        let since = *self.waiting_since.get_or_insert(now);
+        now.since(since) >= self.start_delay(LIST_SPREAD)
+    }
+
     /// Decides whether this router reads the store from `now` on, and returns the decision.
-    pub fn update_role(&mut self, now: Time) -> bool {
-        let others = self
-            .fresh(now)
-            .filter(|(host, known)| **host != self.host && known.zone == self.zone);
-        let (ahead, count) = others.fold((0, 0), |(ahead, count), (_, known)| {
-            (ahead + usize::from(known.rank < self.rank), count + 1)
-        });
+    /// `routers` is the size of the fleet.
+    pub fn update_role(&mut self, now: Time, routers: usize) -> bool {
+        let others = self.fresh(now).filter(|(host, _)| **host != self.host);
+        let (local, remote): (Vec<&Known>, Vec<&Known>) = others
+            .map(|(_, known)| known)
+            .partition(|known| known.zone == self.zone);
+        let wanted = if remote.len() < REMOTE_READERS_MIN {
+            READERS_ISOLATED
+        } else {
+            READERS_CONNECTED
+        };
+        let ahead = local.iter().filter(|known| known.rank < self.rank).count();
+        let is_short = local.len() < wanted;
         if self.reading {
-            self.reading = ahead < READERS_PER_ZONE;
+            self.reading = ahead < wanted;
             self.shortage_since = None;
-        } else if count < READERS_PER_ZONE {
+        } else if is_short {
             let since = *self.shortage_since.get_or_insert(now);
-            self.reading = now.since(since) >= self.delay(now);
+            self.reading = now.since(since) >= self.start_delay(start_spread(routers));
         } else {
             self.shortage_since = None;
         }
@@ -168,14 +195,8 @@
         self.reading
     }
 
-    /// How long this router waits for others to start reading first.
-    fn delay(&self, now: Time) -> Duration {
-        let is_urgent = self.fresh(now).next().is_none();
-        let spread = if is_urgent {
-            START_SPREAD_URGENT
-        } else {
-            START_SPREAD
-        };
+    /// How long this router waits for others to read first.
+    fn start_delay(&self, spread: Duration) -> Duration {
         spread.mul_f64(self.rank as f64 / u64::MAX as f64)
     }
 
@@ -185,6 +206,13 @@
     }
 }
 
+/// Time within which the routers of a fleet start to read one after another.
+fn start_spread(routers: usize) -> Duration {
+    let routers = u32::try_from(routers).unwrap_or(u32::MAX);
+    let spread = START_SPACING.saturating_mul(routers);
+    spread.clamp(START_SPREAD_MIN, START_SPREAD_MAX)
+}
+
 fn rank(host: &name::Host) -> u64 {
     hash::bytes(host.as_str().as_bytes())
 }
--- a/crates/snipeusher/tests/reader.rs
+++ b/crates/snipeusher/tests/reader.rs
@@ -15,9 +15,14 @@
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(250);
 /// The same in a fleet of more than a hundred routers.
 const EXCHANGE_INTERVAL_LARGE: Duration = Duration::from_millis(500);
+/// The same of a router that knows no upstreams yet.
+const EXCHANGE_INTERVAL_START: Duration = Duration::from_millis(50);
 /// Time after which the store answers a watch without changes.
 const WATCH_INTERVAL: Duration = Duration::from_secs(2);
 
+/// The same for the first call of a watch.
+const FIRST_WATCH: Duration = Duration::from_millis(50);
+
 struct Router {
     zone: usize,
     readers: Readers,
@@ -25,6 +30,7 @@
     /// When the store answers next, if this router reads it.
     next_answer: Option<Time>,
     is_reading: bool,
+    knows_upstreams: bool,
     alive: bool,
 }
 
@@ -36,6 +42,10 @@
     interval: Duration,
     /// Zone that can reach neither the others nor the store.
     isolated_zone: Option<usize>,
+    /// Routers that read the list of upstreams from the store.
+    lists: usize,
+    /// Routers that started to watch the store.
+    watches: usize,
 }
 
 impl Fleet {
@@ -49,8 +59,9 @@
                 zone,
                 readers: Readers::new(host, name::Zone::from(format!("zone-{zone}"))),
                 next_exchange: Time::from_millis(start),
-                next_answer: Some(Time::from_millis(start)),
-                is_reading: true,
+                next_answer: None,
+                is_reading: false,
+                knows_upstreams: false,
                 alive: true,
             }
         });
@@ -64,6 +75,8 @@
                 EXCHANGE_INTERVAL
             },
             isolated_zone: None,
+            lists: 0,
+            watches: 0,
         }
     }
 
@@ -80,21 +93,35 @@
     fn step(&mut self, index: usize) {
         let now = self.now;
         let is_isolated = self.isolated_zone == Some(self.routers[index].zone);
+        let count = self.routers.len();
         let router = &mut self.routers[index];
         if !router.alive {
             return;
         }
-        router.is_reading = router.readers.update_role(now);
+        if !router.knows_upstreams && router.readers.must_list(now) && !is_isolated {
+            router.knows_upstreams = true;
+            router.readers.record_answer(now);
+            self.lists += 1;
+        }
+        router.is_reading = router.knows_upstreams && router.readers.update_role(now, count);
         if !router.is_reading {
             router.next_answer = None;
-        } else if router.next_answer.is_none_or(|at| at <= now) {
-            if router.next_answer.is_some() && !is_isolated {
+        } else if router.next_answer.is_none() {
+            router.next_answer = Some(now + FIRST_WATCH);
+            self.watches += 1;
+        } else if router.next_answer.is_some_and(|at| at <= now) {
+            if !is_isolated {
                 router.readers.record_answer(now);
             }
             router.next_answer = Some(now + WATCH_INTERVAL);
         }
         if router.next_exchange <= now {
-            router.next_exchange = now + self.interval;
+            router.next_exchange = now
+                + if router.knows_upstreams {
+                    self.interval
+                } else {
+                    EXCHANGE_INTERVAL_START
+                };
             let other = self.rng.random_range(0..self.routers.len());
             self.exchange(index, other);
         }
@@ -110,6 +137,11 @@
         let lists = [left, right].map(|index| self.routers[index].readers.list(self.now));
         self.routers[left].readers.merge(self.now, &lists[1]);
         self.routers[right].readers.merge(self.now, &lists[0]);
+        let is_known = [left, right].map(|index| self.routers[index].knows_upstreams);
+        if is_known.contains(&true) {
+            self.routers[left].knows_upstreams = true;
+            self.routers[right].knows_upstreams = true;
+        }
     }
 
     fn readers_by_zone(&self) -> BTreeMap<usize, usize> {
@@ -142,6 +174,55 @@
     }
 }
 
+/// Guards against a start of the whole fleet in which every router reads the store, or in which
+/// some wait for long.
+#[rstest]
+#[case(9, 3)]
+#[case(83, 3)]
+#[case(370, 17)]
+fn a_fleet_that_starts_reads_the_store_few_times(#[case] count: usize, #[case] zones: usize) {
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(count, zones, seed);
+        fleet.run(Duration::from_millis(700));
+        let is_loaded = fleet.routers.iter().all(|router| router.knows_upstreams);
+        assert!(is_loaded, "seed {seed}");
+        // At most half of the routers, or each one of a small fleet once.
+        let lists = fleet.lists;
+        assert!(2 * lists <= count.max(18), "seed {seed}: {lists}");
+        fleet.run(Duration::from_secs(20));
+        // At most a third of the routers, or each one of a small fleet once.
+        let watches = fleet.watches;
+        assert!(3 * watches <= count.max(27), "seed {seed}: {watches}");
+    }
+}
+
+/// Guards against failed readers that all routers of their zones replace.
+#[rstest]
+fn few_routers_replace_failed_readers() {
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(195, 5, seed);
+        fleet.run(Duration::from_secs(20));
+        for router in &mut fleet.routers {
+            router.alive = !router.is_reading;
+        }
+        let before = fleet.watches;
+        fleet.run(Duration::from_secs(20));
+        let watches = fleet.watches - before;
+        assert!(3 * watches <= 195, "seed {seed}: {watches}");
+    }
+}
+
+/// Guards against two readers in each zone where one is enough, since the others' changes arrive.
+#[rstest]
+fn one_reader_of_a_connected_zone_is_enough() {
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(195, 5, seed);
+        fleet.run(Duration::from_secs(20));
+        let readers: usize = fleet.readers_by_zone().values().sum();
+        assert!(readers <= 7, "seed {seed}: {readers}");
+    }
+}
+
 /// Guards against a zone without readers after all its readers have failed.
 #[rstest]
 #[case(9, 3)]
@@ -189,6 +270,11 @@
     let zone = name::Zone::from("here");
     let mut cut = Readers::new(host("cut"), zone.clone());
     let mut steady = Readers::new(host("steady"), zone);
+    steady.update_role(Time::from_millis(0), 2);
+    assert!(
+        steady.update_role(Time::from_millis(1_000), 2),
+        "no other router reads"
+    );
     for ms in [0, 2_000, 4_000, 6_000] {
         steady.record_answer(Time::from_millis(ms));
     }
