Never write an error response into a started stream

Once a response has started, only events may follow: any other response of the resuming upstream counts as a loss, and the caller's connection is closed.

The new test fails before on a real socket (the size of a chunk cannot be parsed) and passes after.

--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -247,6 +247,11 @@
             return Step::Lost;
         }
         let headers = headers::to_caller(&reply.head.headers);
+        if responder.has_started() {
+            // Only events can follow those that were passed on.
+            self.lose(guard, upstream, "failed", &status);
+            return Step::Lost;
+        }
         if status.is_server_error() {
             guard.finish(Outcome::Failed);
             let fallback = Fallback {
@@ -266,9 +271,6 @@
             );
         }
         guard.finish(Outcome::Served);
-        if responder.has_started() {
-            return Step::Answered(broken());
-        }
         self.status = Some(status);
         self.first_byte = Some(Instant::now());
         Step::Answered(responder.send(status, headers, &body).await)
--- a/crates/edge/tests/stream.rs
+++ b/crates/edge/tests/stream.rs
@@ -15,6 +15,7 @@
 use common::engine::chunk;
 use common::engine::end;
 use common::engine::event;
+use common::engine::response;
 use common::engine::stream;
 use common::single;
 use rstest::rstest;
@@ -169,3 +170,24 @@
     let abandoned = std::rc::Rc::clone(&engine.abandoned);
     common::until("the engine's connection is closed", || abandoned.get() == 1).await;
 }
+
+/// Guards against an error response that is written into the middle of a stream, when the upstream
+/// that should resume it answers with an error.
+#[rstest]
+#[case("500 Internal Server Error")]
+#[case("404 Not Found")]
+#[actix_rt::test]
+async fn an_error_of_the_resuming_upstream_is_not_written_into_the_stream(
+    #[case] status: &'static str,
+) {
+    let script = move |seen: &Seen| match seen.header("t-last") {
+        Some(_) => vec![response(seen.id(), status, "this is no event")],
+        None => vec![stream(seen.id()), event(1), event(2), Act::Close],
+    };
+    let engines = [Engine::start(script).await, Engine::start(script).await];
+    let (node, _store) = single(&[&engines[0], &engines[1]]).await;
+    let answered = call(node.front, &post("/chat/", "r1", "x")).await;
+    assert_eq!((answered.status, answered.complete), (200, false));
+    assert_eq!(answered.body, text(2));
+    assert_eq!(engines[0].count() + engines[1].count(), 2);
+}
