Report unreachable upstreams and zones to the peers of the zone

The losses grow with the number of routers.

A router reports to three peers of its zone when a zone or an upstream becomes unreachable; a peer to which this is news passes it on and verifies it by a connection attempt, which ends a false report. Further reports of the same are ignored for two seconds. A silent upstream is checked by a connection attempt once. Attempts to an unreachable zone go to its upstreams in turn: until now always to the first one, so that one crashed upstream kept its whole zone out of use.

Beside it: the roster's changes within an exchange are limited no more, only complete lists are copied apart.

--- a/crates/edge/src/in_flight.rs
+++ b/crates/edge/src/in_flight.rs
@@ -59,6 +59,7 @@
             warn!(self.shared.log, "upstream: set aside";
                 "upstream" => self.upstream.as_str(), "outcome" => ?self.outcome);
             self.shared.pool.borrow_mut().close(&self.upstream);
+            self.shared.outage.notify_one();
         }
     }
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -104,6 +104,7 @@
         Rc::clone(&store),
     ));
     actix_rt::spawn(peer::fetch_rosters(Rc::clone(shared), store));
+    actix_rt::spawn(peer::report_outages(Rc::clone(shared), Rc::clone(&peers)));
     actix_rt::spawn(peer::run(Rc::clone(shared), peers));
     actix_rt::spawn(probe::run(Rc::clone(shared)));
     actix_rt::spawn(sweep(Rc::clone(shared)));
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -10,6 +10,7 @@
 
 mod client;
 mod fetch;
+mod outage;
 mod peers;
 mod server;
 
@@ -21,6 +22,7 @@
 use snipeusher::fetch::Source;
 use snipeusher::fleet::Delta;
 use snipeusher::fleet::Observation;
+use snipeusher::fleet::Outage;
 use snipeusher::kv::Revision;
 use snipeusher::name;
 use snipeusher::reader::Reader;
@@ -30,6 +32,7 @@
 pub use self::fetch::Announcement;
 pub use self::fetch::fetch_configurations;
 pub use self::fetch::fetch_rosters;
+pub use self::outage::report_outages;
 pub use self::peers::Peers;
 pub use self::server::Control;
 
@@ -43,6 +46,8 @@
 const CONFIGURATION_PATH: &str = "/fleet/v3/configuration";
 /// Path of the complete list of upstreams, which is as large.
 const UPSTREAMS_PATH: &str = "/fleet/v3/upstreams";
+/// Path of reports of unreachable upstreams. They must not wait for the next exchange.
+const OUTAGE_PATH: &str = "/fleet/v3/outage";
 /// Largest body of a request or response between routers.
 const BYTES_MAX: usize = 4 << 20;
 
@@ -82,6 +87,18 @@
     pub members: Vec<Member>,
 }
 
+/// A report of what a router cannot reach, to peers of its availability zone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OutageReport {
+    /// Host of the router.
+    pub host: name::Host,
+    /// Availability zone of the router; what is unreachable there may be reachable elsewhere.
+    pub zone: name::Zone,
+    /// What it cannot reach.
+    pub outage: Outage,
+}
+
 /// A configuration as stored.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -98,7 +115,8 @@
 pub struct Response {
     /// State of the responding router.
     pub digest: Digest,
-    /// Changes of the upstreams, if the requesting router has an older revision and they are few.
+    /// Changes of the upstreams, if the requesting router has an older revision but does not need
+    /// the complete list.
     pub upstreams: Option<Delta>,
 }
 
--- a/crates/edge/src/peer/peers.rs
+++ b/crates/edge/src/peer/peers.rs
@@ -93,6 +93,13 @@
         one_remote.chain(rest).take(count).copied().collect()
     }
 
+    /// Peers of the own availability zone, chosen by `random`.
+    pub fn sample_local(&self, count: usize, random: u64) -> Vec<SocketAddr> {
+        let (mut local, _) = self.split(random);
+        local.truncate(count);
+        local
+    }
+
     /// Records the sender of a digest and the members listed in it.
     pub fn record(&mut self, now: Time, digest: &Digest) {
         self.update(&digest.host, &digest.zone, digest.address, now);
--- a/crates/edge/src/peer/server.rs
+++ b/crates/edge/src/peer/server.rs
@@ -9,6 +9,7 @@
 use actix_http::header::HeaderMap;
 use bytes::Bytes;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use slog::warn;
 use snipeusher::fleet::Delta;
 use snipeusher::kv::Revision;
@@ -19,11 +20,14 @@
 use super::Configuration;
 use super::Digest;
 use super::EXCHANGE_PATH;
+use super::OUTAGE_PATH;
+use super::OutageReport;
 use super::Peers;
 use super::Response;
 use super::UPSTREAMS_PATH;
 use super::digest;
 use super::merge;
+use super::outage;
 use crate::dialect::Platform;
 use crate::lifecycle::Lifecycle;
 use crate::responder::Responder;
@@ -31,9 +35,6 @@
 use crate::server::Request;
 use crate::shared::Shared;
 
-/// Changes of upstreams up to which they are part of the response to a digest. A router that lacks
-/// more copies the complete list.
-const CHANGES_MAX: usize = 100;
 /// Transfers of the configuration or of the list of upstreams at once. More would delay each other
 /// and the callers' responses on the router's link, and each router that has received the data
 /// serves others.
@@ -61,11 +62,14 @@
         }
     }
 
+    fn outage(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
+        let report: OutageReport = self.decode(body)?;
+        outage::apply(&self.shared, &report);
+        Ok(Vec::new())
+    }
+
     fn exchange(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
-        let received: Digest = rmp_serde::from_slice(body).map_err(|error| {
-            warn!(self.shared.log, "peer: digest unreadable"; "error" => %error);
-            StatusCode::BAD_REQUEST
-        })?;
+        let received: Digest = self.decode(body)?;
         let own = digest(&self.shared, &mut self.peers.borrow_mut());
         let upstreams = self.changes_since(received.upstreams);
         let mut peers = self.peers.borrow_mut();
@@ -81,14 +85,15 @@
         self.encode(&response)
     }
 
-    /// The changes of upstreams that a router with an older revision lacks, if they are few.
+    /// The changes of upstreams that a router with an older revision lacks; `None` if it needs the
+    /// complete list, which is a transfer of its own.
     fn changes_since(&self, revision: Revision) -> Option<Delta> {
         let now = self.shared.now();
         let fleet = self.shared.fleet.borrow();
         let roster = fleet.roster();
         let is_behind = revision < roster.revision();
-        let is_short = is_behind && roster.count_changes_since(revision) <= CHANGES_MAX;
-        is_short.then(|| roster.changes_since(now, revision))
+        let has_changes = is_behind && !roster.is_before_history(revision);
+        has_changes.then(|| roster.changes_since(now, revision))
     }
 
     /// The complete list of upstreams.
@@ -109,6 +114,13 @@
         })
     }
 
+    fn decode<T: DeserializeOwned>(&self, body: &[u8]) -> Result<T, StatusCode> {
+        rmp_serde::from_slice(body).map_err(|error| {
+            warn!(self.shared.log, "peer: digest unreadable"; "error" => %error);
+            StatusCode::BAD_REQUEST
+        })
+    }
+
     fn encode<T: Serialize>(&self, response: &T) -> Result<Vec<u8>, StatusCode> {
         rmp_serde::to_vec(response).map_err(|error| {
             warn!(self.shared.log, "peer: response cannot be encoded"; "error" => %error);
@@ -139,6 +151,7 @@
             EXCHANGE_PATH => self.exchange(&request.body),
             CONFIGURATION_PATH => self.configuration(),
             UPSTREAMS_PATH => self.upstreams(),
+            OUTAGE_PATH => self.outage(&request.body),
             _ => Err(StatusCode::NOT_FOUND),
         };
         match body {
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -1,4 +1,4 @@
-//! Active health checks of unreachable upstreams.
+//! Active health checks of unreachable and silent upstreams.
 //!
 //! A check only opens a connection, so that no request has to fail and none is executed twice.
 
@@ -28,6 +28,7 @@
         let due = shared.fleet.borrow_mut().due_probes(now);
         let checks = due.into_iter().take(CONCURRENT_MAX);
         join_all(checks.map(|(id, address)| check(&shared, id, address))).await;
+        shared.outage.notify_one();
     }
 }
 
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -86,6 +86,8 @@
     pub readers: RefCell<Readers>,
     /// Notified when there is a change that peers may not have.
     pub changed: Notify,
+    /// Notified when there may be an outage to report to peers.
+    pub outage: Notify,
     /// Configurations that peers announced.
     pub configurations: Announcement,
     /// Lists of upstreams that peers announced.
@@ -118,6 +120,7 @@
                 settings.fleet.zone.clone(),
             )),
             changed: Notify::new(),
+            outage: Notify::new(),
             configurations: Announcement::default(),
             rosters: Announcement::default(),
             http: ServiceConfig::default(),
--- a/crates/snipeusher/src/fleet/health.rs
+++ b/crates/snipeusher/src/fleet/health.rs
@@ -86,6 +86,11 @@
         self.failed_probes += 1;
     }
 
+    /// Marks it unreachable until a connection attempt, which is due at once, succeeds.
+    pub const fn record_doubt(&mut self, now: Time) {
+        self.probe_at = Some(now);
+    }
+
     /// Whether the last connection attempt failed.
     pub const fn is_unreachable(&self) -> bool {
         self.probe_at.is_some()
--- a/crates/snipeusher/src/fleet/roster.rs
+++ b/crates/snipeusher/src/fleet/roster.rs
@@ -53,6 +53,15 @@
     pub keep_ms: u64,
 }
 
+/// One change of the store's entries.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Update {
+    /// An entry was written.
+    Written(Entry),
+    /// An entry was removed at a revision.
+    Removed(name::Upstream, Revision),
+}
+
 /// Changes between two revisions, sent from router to router.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -224,8 +233,13 @@
     /// Changes after a revision, for a peer that has not seen them.
     pub fn changes_since(&self, now: Time, revision: Revision) -> Delta {
         let complete = self.is_before_history(revision);
-        let newer = self.rows_since(revision);
-        let removed = self.removed_since(revision);
+        let listed = self
+            .rows
+            .values()
+            .filter(|row| row.retained_until.is_none());
+        let newer = listed.filter(|row| complete || row.entry.revision > revision);
+        let removed = self.removed.iter();
+        let removed = removed.filter(|removed| complete || removed.revision > revision);
         Delta {
             revision: self.revision,
             complete,
@@ -234,30 +248,11 @@
         }
     }
 
-    /// Number of entries and removals in [`Self::changes_since`].
-    pub fn count_changes_since(&self, revision: Revision) -> usize {
-        self.rows_since(revision).count() + self.removed_since(revision).count()
-    }
-
     /// Whether a peer at a revision needs the complete list.
-    fn is_before_history(&self, revision: Revision) -> bool {
+    pub fn is_before_history(&self, revision: Revision) -> bool {
         revision < self.history_start || revision == Revision::default()
     }
 
-    fn rows_since(&self, revision: Revision) -> impl Iterator<Item = &Row> {
-        let complete = self.is_before_history(revision);
-        let listed = self.rows.values();
-        listed.filter(move |row| {
-            row.retained_until.is_none() && (complete || row.entry.revision > revision)
-        })
-    }
-
-    fn removed_since(&self, revision: Revision) -> impl Iterator<Item = &Removed> {
-        let complete = self.is_before_history(revision);
-        let removed = self.removed.iter();
-        removed.filter(move |removed| complete || removed.revision > revision)
-    }
-
     /// Drops retained entries whose upstreams did not register again in time.
     pub fn expire(&mut self, now: Time) {
         self.rows
--- a/crates/snipeusher/src/fleet/upstream.rs
+++ b/crates/snipeusher/src/fleet/upstream.rs
@@ -5,6 +5,7 @@
 use super::Entry;
 use super::Health;
 use super::Load;
+use super::zone::REPORTS_IGNORED_FOR;
 use crate::hash;
 use crate::name;
 use crate::time::Time;
@@ -30,6 +31,10 @@
     pub silent_since: Option<Time>,
     /// Whether this silence has been counted as a loss of its availability zone.
     pub silence_counted: bool,
+    /// Whether a connection attempt has to show if it is reachable.
+    pub is_doubtful: bool,
+    /// Until when reports of peers are ignored.
+    reports_ignored_until: Time,
 }
 
 impl Upstream {
@@ -42,9 +47,22 @@
             health: Health::default(),
             silent_since: None,
             silence_counted: false,
+            is_doubtful: false,
+            reports_ignored_until: Time::default(),
         }
     }
 
+    /// Marks it unreachable, as reported by a peer, until a connection succeeds. Returns whether
+    /// this is news.
+    pub(super) fn record_report(&mut self, now: Time) -> bool {
+        let is_news = !self.health.is_unreachable() && now >= self.reports_ignored_until;
+        if is_news {
+            self.health.record_doubt(now);
+            self.reports_ignored_until = now + REPORTS_IGNORED_FOR;
+        }
+        is_news
+    }
+
     /// Whether it has sent nothing for so long that other upstreams are preferred.
     pub fn is_silent(&self, now: Time) -> bool {
         self.silent_since
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -9,10 +9,12 @@
 use super::Entry;
 use super::Limits;
 use super::Observation;
+use super::Outage;
 use super::Outcome;
 use super::Query;
 use super::Report;
 use super::Roster;
+use super::Update;
 use super::Upstream;
 use super::choice;
 use super::zone::Zone;
@@ -47,6 +49,8 @@
     refresh_at: Option<Time>,
     budgets: BTreeMap<name::Service, Budget>,
     zones: BTreeMap<name::Zone, Zone>,
+    /// News to report to peers.
+    outage: Outage,
     routers: usize,
 }
 
@@ -62,6 +66,7 @@
             refresh_at: None,
             budgets: BTreeMap::new(),
             zones: BTreeMap::new(),
+            outage: Outage::default(),
             routers: 1,
         }
     }
@@ -98,13 +103,23 @@
 
     /// Applies an entry of the store.
     pub fn upsert(&mut self, now: Time, entry: Entry) {
-        self.roster.upsert(entry);
-        self.refresh(now);
+        self.apply(now, [Update::Written(entry)]);
     }
 
     /// Applies the removal of an entry of the store.
     pub fn remove(&mut self, now: Time, id: &name::Upstream, revision: Revision) {
-        self.roster.remove(now, id, revision);
+        self.apply(now, [Update::Removed(id.clone(), revision)]);
+    }
+
+    /// Applies changes of the store that arrived together. The indexes, whose size is that of the
+    /// fleet, are updated once for all of them.
+    pub fn apply(&mut self, now: Time, updates: impl IntoIterator<Item = Update>) {
+        for update in updates {
+            match update {
+                Update::Written(entry) => self.roster.upsert(entry),
+                Update::Removed(id, revision) => self.roster.remove(now, &id, revision),
+            }
+        }
         self.refresh(now);
     }
 
@@ -191,19 +206,71 @@
         connections / routers.max(1)
     }
 
-    /// Unreachable upstreams to which a connection should be attempted now.
+    /// Upstreams to which a connection should be attempted now, since they or their zones are
+    /// unreachable or have fallen silent.
     pub fn due_probes(&mut self, now: Time) -> Vec<(name::Upstream, SocketAddr)> {
-        let mut due = Vec::new();
-        for upstream in &mut self.upstreams {
-            let zone = self.zones.get_mut(&upstream.entry.zone);
-            let is_unreachable = zone.is_some_and(|zone| zone.take_due_probe(now));
-            if is_unreachable || upstream.health.is_probe_due(now) {
-                due.push((upstream.entry.id.clone(), upstream.entry.address));
+        self.record_silent_upstreams(now);
+        let mut due: Vec<usize> = self.due_zone_probes(now);
+        for (slot, upstream) in self.upstreams.iter_mut().enumerate() {
+            let zone = self.zones.get(&upstream.entry.zone);
+            // One connection shows whether an unreachable zone is reachable again.
+            let is_checked = zone.is_some_and(Zone::is_unreachable);
+            let is_doubtful = !is_checked && std::mem::take(&mut upstream.is_doubtful);
+            if (is_doubtful || upstream.health.is_probe_due(now)) && !due.contains(&slot) {
+                due.push(slot);
             }
         }
+        let due = due.into_iter().map(|slot| &self.upstreams[slot].entry);
+        due.map(|entry| (entry.id.clone(), entry.address)).collect()
+    }
+
+    /// One upstream of each unreachable zone that is due for a connection attempt.
+    fn due_zone_probes(&mut self, now: Time) -> Vec<usize> {
+        let mut due = Vec::new();
+        for (name, zone) in &mut self.zones {
+            let slots = (0..).zip(&self.upstreams);
+            let slots: Vec<usize> = slots
+                .filter(|(_, upstream)| upstream.entry.zone == *name)
+                .map(|(slot, _)| slot)
+                .collect();
+            let index = zone.take_due_probe(now, slots.len());
+            due.extend(index.map(|index| slots[index]));
+        }
         due
     }
 
+    /// What has become unreachable since the last call, for the peers of this router's zone;
+    /// `None` if there is no news.
+    pub fn take_outage(&mut self) -> Option<Outage> {
+        let outage = std::mem::take(&mut self.outage);
+        (!outage.is_empty()).then_some(outage)
+    }
+
+    /// Marks unreachable what a peer of the same zone reported, until a connection succeeds. News
+    /// is passed on by [`Self::take_outage`]. Returns whether there was any.
+    pub fn merge_outage(&mut self, now: Time, outage: &Outage) -> bool {
+        for name in &outage.zones {
+            // A report names zones of upstreams; others cannot be verified.
+            let is_known = self.upstreams.iter().any(|known| known.entry.zone == *name);
+            if is_known
+                && self
+                    .zones
+                    .entry(name.clone())
+                    .or_default()
+                    .record_report(now)
+            {
+                self.outage.zones.push(name.clone());
+            }
+        }
+        for id in &outage.upstreams {
+            let upstream = self.upstream_mut(id);
+            if upstream.is_some_and(|upstream| upstream.record_report(now)) {
+                self.outage.upstreams.push(id.clone());
+            }
+        }
+        !self.outage.is_empty()
+    }
+
     /// Records whether a connection to an upstream could be opened. Returns true if the upstream or
     /// its zone was unreachable until now.
     pub fn record_probe(&mut self, now: Time, id: &name::Upstream, is_connected: bool) -> bool {
@@ -219,8 +286,12 @@
             zone.record_activity();
             return was_unavailable || was_unreachable;
         }
-        if upstream.health.is_probe_due(now) {
+        if upstream.health.is_probe_due(now) || upstream.is_silent(now) {
+            let is_news = !upstream.health.is_unreachable();
             upstream.health.record_unreachable(now);
+            if is_news {
+                self.outage.upstreams.push(id.clone());
+            }
         }
         false
     }
@@ -237,16 +308,28 @@
         }
     }
 
-    /// Counts each upstream that fell silent as a loss of its availability zone, once per silence.
+    /// Counts each upstream that fell silent as a loss of its availability zone, once per silence,
+    /// and has its reachability checked.
     fn record_silent_upstreams(&mut self, now: Time) {
-        for upstream in &mut self.upstreams {
-            if !upstream.silence_counted && upstream.is_silent(now) {
-                upstream.silence_counted = true;
-                self.zones
-                    .entry(upstream.entry.zone.clone())
-                    .or_default()
-                    .record_loss();
-            }
+        let silent = self
+            .upstreams
+            .iter_mut()
+            .filter(|upstream| !upstream.silence_counted && upstream.is_silent(now));
+        let mut zones = Vec::new();
+        for upstream in silent {
+            upstream.silence_counted = true;
+            upstream.is_doubtful = true;
+            zones.push(upstream.entry.zone.clone());
+        }
+        for zone in zones {
+            self.record_zone_loss(zone);
+        }
+    }
+
+    fn record_zone_loss(&mut self, name: name::Zone) {
+        let zone = self.zones.entry(name.clone()).or_default();
+        if zone.record_loss() {
+            self.outage.zones.push(name);
         }
     }
 
@@ -317,10 +400,14 @@
         if upstream.load.in_flight() == 0 {
             upstream.silent_since = None;
         }
+        let is_news = outcome == Outcome::Unreachable && !upstream.health.is_unreachable();
         let ejected = upstream.health.record_outcome(now, outcome, service_rate);
         if outcome == Outcome::Unreachable {
             let zone = upstream.entry.zone.clone();
-            self.zones.entry(zone).or_default().record_loss();
+            self.record_zone_loss(zone);
+        }
+        if is_news {
+            self.outage.upstreams.push(id.clone());
         }
         ejected
     }
