Apply changes of the store that arrive together at once

A reader rebuilt the indexes of all upstreams for each changed entry. With 3,000 engines this is a millisecond each, and an entry host has an eighth of a core: the readers fell behind.

The changes that one call of the store returned are applied together, 256 at most, and the indexes are rebuilt once for them.

--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -9,6 +9,7 @@
 use futures_util::StreamExt as _;
 use slog::info;
 use slog::warn;
+use snipeusher::fleet::Update;
 use snipeusher::kv;
 use snipeusher::kv::Call;
 use snipeusher::kv::Fault;
@@ -34,6 +35,8 @@
 /// Delay before the next watch call after one with changes. Changes that follow arrive together, so
 /// that a rollout of many upstreams does not cost a call for each.
 const BATCH_DELAY: Duration = Duration::from_millis(250);
+/// Changes that are applied together at most, so that requests are not delayed for long.
+const CHANGES_MAX: usize = 256;
 /// How often a router that does not read the store checks whether it has to.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// The same while it knows no upstreams.
@@ -161,68 +164,94 @@
 /// Applies changes until the watch fails or other routers read the store.
 async fn watch<P: Platform, S: Store>(shared: &Shared<P>, store: &S) -> Result<(), Error> {
     let from = shared.fleet.borrow().roster().revision();
-    let mut changes = std::pin::pin!(store.watch(ALL_KEYS, from));
+    let changes = store.watch(ALL_KEYS, from).ready_chunks(CHANGES_MAX);
+    let mut changes = std::pin::pin!(changes);
     let mut has_changes = false;
     while must_read(shared) {
-        match changes.next().await {
-            Some(Ok(change)) => {
-                record_response(shared);
-                let is_batch_end = change.entries.is_empty() && change.deleted.is_empty();
-                apply(shared, &change);
-                // An empty change ends the batch of one call.
-                if is_batch_end && std::mem::take(&mut has_changes) {
-                    sleep(BATCH_DELAY).await;
-                }
-                has_changes |= !is_batch_end;
+        let Some(chunk) = changes.next().await else {
+            return Err(Error::Watch(Fault::Lost));
+        };
+        let mut fault = None;
+        let received = chunk.into_iter().filter_map(|change| match change {
+            Ok(change) => Some(change),
+            Err(cause) => {
+                fault = Some(cause);
+                None
             }
-            Some(Err(fault)) => return Err(Error::Watch(fault)),
-            None => return Err(Error::Watch(Fault::Lost)),
+        });
+        let received: Vec<Change> = received.collect();
+        if !received.is_empty() {
+            record_response(shared);
+            apply(shared, &received);
+        }
+        if let Some(fault) = fault {
+            return Err(Error::Watch(fault));
+        }
+        has_changes |= received.iter().any(has_keys);
+        // An empty change ends the changes of one call.
+        let is_call_end = received.iter().any(|change| !has_keys(change));
+        if is_call_end && std::mem::take(&mut has_changes) {
+            sleep(BATCH_DELAY).await;
         }
     }
     Ok(())
 }
 
-fn apply<P: Platform>(shared: &Shared<P>, change: &Change) {
+const fn has_keys(change: &Change) -> bool {
+    !change.entries.is_empty() || !change.deleted.is_empty()
+}
+
+/// Applies changes that arrived together.
+fn apply<P: Platform>(shared: &Shared<P>, changes: &[Change]) {
     let before = shared.revisions();
-    let now = shared.now();
-    for entry in &change.entries {
-        if entry.key == P::CONFIGURATION {
-            shared.configure(entry.modified, &entry.value, "store");
-        } else if let Some(id) = shared.platform.upstream(&entry.key) {
-            update_upstream(shared, &id, entry);
+    let mut updates = Vec::new();
+    for change in changes {
+        for entry in &change.entries {
+            if entry.key == P::CONFIGURATION {
+                shared.configure(entry.modified, &entry.value, "store");
+            } else if let Some(id) = shared.platform.upstream(&entry.key) {
+                updates.push(written(shared, id, entry));
+            }
         }
+        let removed = change.deleted.iter();
+        let removed = removed.filter_map(|key| shared.platform.upstream(key));
+        updates.extend(removed.map(|id| removed_at(shared, id, change.revision)));
     }
-    for key in &change.deleted {
-        if let Some(id) = shared.platform.upstream(key) {
-            info!(shared.log, "upstream: entry removed";
-                "upstream" => id.as_str(), "revision" => change.revision.0);
-            let mut fleet = shared.fleet.borrow_mut();
-            fleet.remove(now, &id, change.revision);
-        }
+    let mut fleet = shared.fleet.borrow_mut();
+    if !updates.is_empty() {
+        fleet.apply(shared.now(), updates);
     }
-    shared.fleet.borrow_mut().advance_to(change.revision);
+    for change in changes {
+        fleet.advance_to(change.revision);
+    }
+    drop(fleet);
     if shared.revisions() != before {
         shared.record_change();
     }
 }
 
-fn update_upstream<P: Platform>(shared: &Shared<P>, id: &name::Upstream, entry: &kv::Entry) {
-    let now = shared.now();
-    let mut fleet = shared.fleet.borrow_mut();
+/// The update for a written entry. One that cannot be decoded names no upstream to use.
+fn written<P: Platform>(shared: &Shared<P>, id: name::Upstream, entry: &kv::Entry) -> Update {
     match shared.platform.entry(entry) {
         Ok(entry) => {
             info!(shared.log, "upstream: entry";
                 "upstream" => id.as_str(), "service" => entry.service.as_str(),
                 "draining" => entry.draining, "revision" => entry.revision.0);
-            fleet.upsert(now, entry);
+            Update::Written(entry)
         }
         Err(error) => {
             warn!(shared.log, "upstream: entry skipped"; "error" => %error);
-            fleet.remove(now, id, entry.modified);
+            Update::Removed(id, entry.modified)
         }
     }
 }
 
+fn removed_at<P: Platform>(shared: &Shared<P>, id: name::Upstream, revision: Revision) -> Update {
+    info!(shared.log, "upstream: entry removed";
+        "upstream" => id.as_str(), "revision" => revision.0);
+    Update::Removed(id, revision)
+}
+
 const fn cause(fault: Fault) -> &'static str {
     match fault {
         Fault::NotSent => "unreachable",
--- a/crates/snipeusher/tests/fleet_view.rs
+++ b/crates/snipeusher/tests/fleet_view.rs
@@ -16,6 +16,7 @@
 use snipeusher::fleet::Query;
 use snipeusher::fleet::Roster;
 use snipeusher::fleet::Settings;
+use snipeusher::fleet::Update;
 use snipeusher::kv::Revision;
 use snipeusher::name;
 use snipeusher::time::Time;
@@ -513,3 +514,29 @@
     let number = id.as_str().strip_prefix('e');
     number.and_then(|number| number.parse().ok()).unwrap_or(0)
 }
+
+/// Guards against an update of the indexes for each of many changes that arrive together, and
+/// against changes applied in another order.
+#[rstest]
+fn changes_that_arrive_together_are_applied_in_order() {
+    let mut fleet = fleet(3);
+    let before = fleet.upstreams().len();
+    let entry = fleet.upstreams()[0].entry.clone();
+    let written = |revision: u64, draining: bool| {
+        let mut entry = entry.clone();
+        entry.revision = Revision(revision);
+        entry.draining = draining;
+        Update::Written(entry)
+    };
+    let updates = [
+        written(100, true),
+        Update::Removed(entry.id.clone(), Revision(101)),
+        written(102, false),
+    ];
+    fleet.apply(at(5), updates);
+    assert_eq!(fleet.upstreams().len(), before);
+    assert!(fleet.is_ready(at(5), &entry.id));
+    fleet.apply(at(6), [Update::Removed(entry.id.clone(), Revision(103))]);
+    assert_eq!(fleet.upstreams().len(), before - 1);
+    assert_eq!(fleet.roster().revision(), Revision(103));
+}
