--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -17,7 +17,6 @@
 use super::Fallback;
 use super::Placement;
 use super::Step;
-use super::broken;
 use crate::clock::remaining;
 use crate::connection;
 use crate::connection::Connection;
