Start without waiting for peers that do not answer

A router without data contacts all seeds at once and reads the list within 100 ms while no peer has answered. Lists of up to 100 upstreams are part of the response again. The test of the whole fleet's start models processes that start at different times and exchange at once; its bounds are as before.

--- a/crates/edge/src/peer/client.rs
+++ b/crates/edge/src/peer/client.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -92,8 +93,12 @@
     loop {
         let has_changed = timeout(interval, shared.changed.notified()).await.is_ok();
         interval = next_interval(&shared, &peers.borrow());
-        let mut addresses = Vec::new();
+        let mut addresses = BTreeSet::new();
         addresses.extend(peers.borrow_mut().next(shared.random()));
+        if !shared.is_loaded() {
+            // Some of them may be down, and a connection attempt to one takes long.
+            addresses.extend(peers.borrow().unknown_seeds());
+        }
         let current = shared.revisions();
         if sent != current {
             sent = current;
--- a/crates/edge/src/peer/peers.rs
+++ b/crates/edge/src/peer/peers.rs
@@ -147,10 +147,16 @@
                 round.extend(remote.next());
             }
         }
+        round.extend(self.unknown_seeds());
+        round
+    }
+
+    /// Seeds from which no digest was received yet.
+    pub fn unknown_seeds(&self) -> Vec<SocketAddr> {
         let addresses = || self.known.values().map(|known| known.address);
         let is_known = |seed: &SocketAddr| addresses().any(|address| address == *seed);
-        round.extend(self.seeds.iter().filter(|seed| !is_known(seed)));
-        round
+        let seeds = self.seeds.iter().copied();
+        seeds.filter(|seed| !is_known(seed)).collect()
     }
 
     /// Addresses of the peers in the own zone and of the others, each rotated by `random`.
--- a/crates/edge/src/peer/server.rs
+++ b/crates/edge/src/peer/server.rs
@@ -35,6 +35,8 @@
 use crate::server::Request;
 use crate::shared::Shared;
 
+/// Upstreams up to which a complete list is part of the response to a digest.
+const LIST_ENTRIES_MAX: usize = 100;
 /// Transfers of the configuration or of the list of upstreams at once. More would delay each other
 /// and the callers' responses on the router's link, and each router that has received the data
 /// serves others.
@@ -85,15 +87,16 @@
         self.encode(&response)
     }
 
-    /// The changes of upstreams that a router with an older revision lacks; `None` if it needs the
-    /// complete list, which is a transfer of its own.
+    /// The changes of upstreams that a router with an older revision lacks; `None` if it needs a
+    /// complete list that is long, which is a transfer of its own.
     fn changes_since(&self, revision: Revision) -> Option<Delta> {
         let now = self.shared.now();
         let fleet = self.shared.fleet.borrow();
         let roster = fleet.roster();
         let is_behind = revision < roster.revision();
-        let has_changes = is_behind && !roster.is_before_history(revision);
-        has_changes.then(|| roster.changes_since(now, revision))
+        let is_short = roster.entries().count() <= LIST_ENTRIES_MAX;
+        let is_sent = is_behind && (is_short || !roster.is_before_history(revision));
+        is_sent.then(|| roster.changes_since(now, revision))
     }
 
     /// The complete list of upstreams.
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -97,10 +97,10 @@
 fn must_read<P: Platform>(shared: &Shared<P>) -> bool {
     let now = shared.now();
     let mut readers = shared.readers.borrow_mut();
+    let routers = shared.fleet.borrow().routers();
     if !knows_upstreams(shared) {
-        return readers.must_list(now);
+        return readers.must_list(now, routers > 1);
     }
-    let routers = shared.fleet.borrow().routers();
     readers.update_role(now, routers)
 }
 
--- a/crates/snipeusher/src/reader.rs
+++ b/crates/snipeusher/src/reader.rs
@@ -29,6 +29,9 @@
 /// Routers that know no upstreams yet read the list one after another within this time, so that
 /// most of them receive it from a peer first.
 const LIST_SPREAD: Duration = Duration::from_millis(400);
+/// The same of routers that no peer has answered. Their peers may all be starting or cut off, and
+/// callers wait.
+const LIST_SPREAD_ALONE: Duration = Duration::from_millis(100);
 /// Routers that see too few readers start one after another, on average with this spacing. The
 /// report of the first one takes longer to reach the others in a larger fleet.
 const START_SPACING: Duration = Duration::from_millis(40);
@@ -158,10 +161,15 @@
     }
 
     /// Whether a router that knows no upstreams yet reads the list from the store, since its peers
-    /// have not sent it in time.
-    pub fn must_list(&mut self, now: Time) -> bool {
+    /// have not sent it in time. `has_peers` is whether any peer has answered.
+    pub fn must_list(&mut self, now: Time, has_peers: bool) -> bool {
         let since = *self.waiting_since.get_or_insert(now);
-        now.since(since) >= self.start_delay(LIST_SPREAD)
+        let spread = if has_peers {
+            LIST_SPREAD
+        } else {
+            LIST_SPREAD_ALONE
+        };
+        now.since(since) >= self.start_delay(spread)
     }
 
     /// Decides whether this router reads the store from `now` on, and returns the decision.
--- a/crates/snipeusher/tests/reader.rs
+++ b/crates/snipeusher/tests/reader.rs
@@ -23,14 +23,25 @@
 /// The same for the first call of a watch.
 const FIRST_WATCH: Duration = Duration::from_millis(50);
 
+/// What a router that has started has received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Progress {
+    Nothing,
+    /// An exchange with a router that knows no upstreams either.
+    Peers,
+    Upstreams,
+}
+
 struct Router {
     zone: usize,
     readers: Readers,
+    /// When its process starts, which is its first exchange, too.
+    start: Time,
     next_exchange: Time,
     /// When the store answers next, if this router reads it.
     next_answer: Option<Time>,
     is_reading: bool,
-    knows_upstreams: bool,
+    progress: Progress,
     alive: bool,
 }
 
@@ -58,10 +69,11 @@
             Router {
                 zone,
                 readers: Readers::new(host, name::Zone::from(format!("zone-{zone}"))),
+                start: Time::from_millis(start),
                 next_exchange: Time::from_millis(start),
                 next_answer: None,
                 is_reading: false,
-                knows_upstreams: false,
+                progress: Progress::Nothing,
                 alive: true,
             }
         });
@@ -95,15 +107,19 @@
         let is_isolated = self.isolated_zone == Some(self.routers[index].zone);
         let count = self.routers.len();
         let router = &mut self.routers[index];
-        if !router.alive {
+        if !router.alive || now < router.start {
             return;
         }
-        if !router.knows_upstreams && router.readers.must_list(now) && !is_isolated {
-            router.knows_upstreams = true;
+        let has_peers = router.progress > Progress::Nothing;
+        let must_list =
+            router.progress < Progress::Upstreams && router.readers.must_list(now, has_peers);
+        if must_list && !is_isolated {
+            router.progress = Progress::Upstreams;
             router.readers.record_answer(now);
             self.lists += 1;
         }
-        router.is_reading = router.knows_upstreams && router.readers.update_role(now, count);
+        let knows_upstreams = router.progress == Progress::Upstreams;
+        router.is_reading = knows_upstreams && router.readers.update_role(now, count);
         if !router.is_reading {
             router.next_answer = None;
         } else if router.next_answer.is_none() {
@@ -117,7 +133,7 @@
         }
         if router.next_exchange <= now {
             router.next_exchange = now
-                + if router.knows_upstreams {
+                + if knows_upstreams {
                     self.interval
                 } else {
                     EXCHANGE_INTERVAL_START
@@ -131,17 +147,17 @@
         let zones = [self.routers[left].zone, self.routers[right].zone];
         let is_split =
             zones[0] != zones[1] && zones.iter().any(|zone| self.isolated_zone == Some(*zone));
-        if left == right || is_split || !self.routers[right].alive {
+        let is_up = self.routers[right].alive && self.routers[right].start <= self.now;
+        if left == right || is_split || !is_up {
             return;
         }
         let lists = [left, right].map(|index| self.routers[index].readers.list(self.now));
         self.routers[left].readers.merge(self.now, &lists[1]);
         self.routers[right].readers.merge(self.now, &lists[0]);
-        let is_known = [left, right].map(|index| self.routers[index].knows_upstreams);
-        if is_known.contains(&true) {
-            self.routers[left].knows_upstreams = true;
-            self.routers[right].knows_upstreams = true;
-        }
+        let progress = [left, right].map(|index| self.routers[index].progress);
+        let progress = progress[0].max(progress[1]).max(Progress::Peers);
+        self.routers[left].progress = progress;
+        self.routers[right].progress = progress;
     }
 
     fn readers_by_zone(&self) -> BTreeMap<usize, usize> {
@@ -184,7 +200,10 @@
     for seed in 0..5 {
         let mut fleet = Fleet::new(count, zones, seed);
         fleet.run(Duration::from_millis(700));
-        let is_loaded = fleet.routers.iter().all(|router| router.knows_upstreams);
+        let is_loaded = fleet
+            .routers
+            .iter()
+            .all(|router| router.progress == Progress::Upstreams);
         assert!(is_loaded, "seed {seed}");
         // At most half of the routers, or each one of a small fleet once.
         let lists = fleet.lists;
@@ -294,3 +313,14 @@
     cut.merge(now, &steady.list(now));
     assert!(!cut.is_store_up_elsewhere(now, lost), "the store was down");
 }
+
+/// Guards against a router that waits for peers while none answers, although its callers wait.
+#[rstest]
+fn a_router_without_peers_reads_the_list_soon() {
+    for index in 0..50 {
+        let host = name::Host::from(format!("host-{index}"));
+        let mut readers = Readers::new(host, name::Zone::from("here"));
+        readers.must_list(Time::from_millis(0), false);
+        assert!(readers.must_list(Time::from_millis(100), false));
+    }
+}
