Keep a second reader in each zone of a fleet with few zones

The four others were in touch, but waited for changes until no reader was fresh, 4.5 s after the last answer.

A zone has two readers, one only where at least seven other zones have fresh readers.

--- a/crates/snipeusher/src/reader.rs
+++ b/crates/snipeusher/src/reader.rs
@@ -7,6 +7,7 @@
 //! See `docs/platform.md#readers`.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -16,13 +17,14 @@
 use crate::name;
 use crate::time::Time;
 
-/// Readers in an availability zone while too few other zones read; the second one is a spare.
-const READERS_ISOLATED: usize = 2;
-/// Readers in an availability zone while other zones read. If the only reader of the zone fails,
-/// changes still arrive from the other zones until it is replaced.
-const READERS_CONNECTED: usize = 1;
-/// Fresh readers in other zones from which a zone counts as connected.
-const REMOTE_READERS_MIN: usize = 2;
+/// Readers in an availability zone of a fleet with few zones. The store may turn away some hosts and
+/// serve the others, which then wait until the loss of all readers is noticed.
+const READERS_FEW_ZONES: usize = 2;
+/// Readers in an availability zone of a fleet with many zones. The store hardly turns away all of
+/// their readers at once, and changes arrive from the other zones.
+const READERS_MANY_ZONES: usize = 1;
+/// Other zones with fresh readers from which a fleet counts as one with many zones.
+const MANY_ZONES: usize = 7;
 /// A reader is fresh if the store answered it within this time. The store answers a watch without
 /// changes after two seconds, and gossip delays the report by up to two more.
 const FRESH_FOR: Duration = Duration::from_millis(4_500);
@@ -154,7 +156,7 @@
         let mut list = Vec::new();
         for mut readers in zones.into_values() {
             readers.sort_by_key(|(rank, _)| *rank);
-            let first = readers.into_iter().take(READERS_ISOLATED);
+            let first = readers.into_iter().take(READERS_FEW_ZONES);
             list.extend(first.map(|(_, reader)| reader));
         }
         list
@@ -179,10 +181,11 @@
         let (local, remote): (Vec<&Known>, Vec<&Known>) = others
             .map(|(_, known)| known)
             .partition(|known| known.zone == self.zone);
-        let wanted = if remote.len() < REMOTE_READERS_MIN {
-            READERS_ISOLATED
+        let zones: BTreeSet<&name::Zone> = remote.iter().map(|known| &known.zone).collect();
+        let wanted = if zones.len() < MANY_ZONES {
+            READERS_FEW_ZONES
         } else {
-            READERS_CONNECTED
+            READERS_MANY_ZONES
         };
         let ahead = local.iter().filter(|known| known.rank < self.rank).count();
         let is_short = local.len() < wanted;
