--- a/crates/edge/tests/propagation.rs
+++ b/crates/edge/tests/propagation.rs
@@ -17,6 +17,7 @@
 use common::start;
 use common::store::Store;
 use common::until;
+use snipeusher_fakes::address::free_address;
 
 const CHANGED: &str = "2\n/new/ idempotent 1 1000 public\n";
 
@@ -255,3 +256,22 @@
     assert!(began.elapsed().as_millis() < 1_000);
     assert_eq!(shared.fleet.borrow().upstreams().len(), 300);
 }
+
+/// Guards against requests that each router loses at an upstream which a peer of its zone already
+/// found unreachable.
+#[actix_rt::test]
+async fn an_unreachable_upstream_is_reported_to_peers() {
+    let store = Store::new();
+    store.upstream("e0", "letters", free_address(), "ready");
+    let nodes = start_fleet(&store, 2).await;
+    let answered = call(nodes[0].front, &get("/write/", "r1")).await;
+    assert_eq!(answered.status, 503);
+    let id = snipeusher::name::Upstream::from("e0");
+    until("the peer knows of it", || {
+        let fleet = nodes[1].shared.fleet.borrow();
+        fleet
+            .upstream(&id)
+            .is_some_and(|upstream| upstream.health.is_unreachable())
+    })
+    .await;
+}
