Read and log the software version of upstreams and which stream a request resumes

Entries of upstreams now hold the version (build), which an entry has to state, and settled requests, failed attempts, resumed streams and the status page show it.

The entries that routers exchange have one more field by position, so the paths of the exchange change to v4: a router of an older build answers 404 and keeps reading the store by itself. The serialized form in the test is that of v4.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -27,6 +27,8 @@
     pub parts: Vec<Part>,
     /// Identifier of the last event that the caller received in an earlier response.
     pub last_event: Option<String>,
+    /// Identifier of the request whose response began the stream that this request resumes.
+    pub resumes: Option<String>,
 }
 
 /// A part of a prompt.
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -78,6 +78,7 @@
 /// The upstream chosen for the next attempt.
 struct Placement {
     upstream: name::Upstream,
+    build: name::Build,
     address: SocketAddr,
     /// Another upstream that may have more of the prompt in its cache.
     source: Option<SocketAddr>,
@@ -104,6 +105,8 @@
     events: crate::events::Parser,
     /// Upstreams of all attempts, in order.
     tried: Vec<name::Upstream>,
+    /// Software version of the last of them.
+    build: Option<name::Build>,
     /// Attempts whose connection was open, so that bytes of the request may have been sent.
     sends: u32,
     /// Attempts that may have been executed.
@@ -125,6 +128,7 @@
             admitted,
             events: crate::events::Parser::after(last_event),
             tried: Vec::new(),
+            build: None,
             sends: 0,
             runs: 0,
             declined: 0,
@@ -159,6 +163,7 @@
                 Err(refusal) => return (self.refuse(refusal, responder).await, refusal.reason()),
             };
             self.tried.push(placement.upstream.clone());
+            self.build = Some(placement.build.clone());
             match self.attempt(placement, responder).await {
                 Step::Answered(result) => {
                     let outcome = if result.is_ok() { "answered" } else { "broken" };
@@ -194,6 +199,7 @@
         match fleet.choose(now, &query) {
             Decision::Send {
                 upstream,
+                build,
                 address,
                 source,
             } => {
@@ -202,6 +208,7 @@
                 }
                 Ok(Placement {
                     upstream,
+                    build,
                     address,
                     source,
                 })
@@ -284,6 +291,9 @@
             "route" => &*admitted.route.name,
             "workspace" => workspace.map(name::Workspace::as_str),
             "upstream" => self.tried.last().map(name::Upstream::as_str),
+            "build" => self.build.as_ref().map(name::Build::as_str),
+            "resumes" => admitted.request.resumes.as_deref(),
+            "after" => admitted.request.last_event.as_deref(),
             "outcome" => outcome,
             "status" => self.status.map(|status| status.as_u16()),
             "sends" => self.sends,
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -295,6 +295,7 @@
     ) {
         info!(self.shared.log, "attempt: failed";
             "id" => self.admitted.request.id.as_deref(), "upstream" => upstream.as_str(),
+            "build" => self.build.as_ref().map(name::Build::as_str),
             "reason" => reason, "error" => %error);
     }
 }
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -57,6 +57,7 @@
         if responder.has_started() {
             info!(self.shared.log, "stream: resumed";
                 "id" => self.admitted.request.id.as_deref(), "upstream" => upstream.as_str(),
+                "build" => self.build.as_ref().map(name::Build::as_str),
                 "after" => self.events.last_id());
         }
         loop {
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -40,14 +40,14 @@
 use crate::shared::Shared;
 
 /// Path of digest exchanges. The version changes with the format of the digest.
-const EXCHANGE_PATH: &str = "/fleet/v3/exchange";
+const EXCHANGE_PATH: &str = "/fleet/v4/exchange";
 /// Path of the configuration. It is fetched by a request of its own, since it may be far larger
 /// than a digest and must not delay the other data.
-const CONFIGURATION_PATH: &str = "/fleet/v3/configuration";
+const CONFIGURATION_PATH: &str = "/fleet/v4/configuration";
 /// Path of the complete list of upstreams, which is as large.
-const UPSTREAMS_PATH: &str = "/fleet/v3/upstreams";
+const UPSTREAMS_PATH: &str = "/fleet/v4/upstreams";
 /// Path of reports of unreachable upstreams. They must not wait for the next exchange.
-const OUTAGE_PATH: &str = "/fleet/v3/outage";
+const OUTAGE_PATH: &str = "/fleet/v4/outage";
 /// Largest body of a request or response between routers.
 const BYTES_MAX: usize = 4 << 20;
 
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -84,6 +84,9 @@
     pub service: name::Service,
     /// Availability zone of the upstream.
     pub zone: name::Zone,
+    /// Version of the software of the upstream.
+    #[serde(default)]
+    pub build: Option<name::Build>,
     /// Whether it receives requests, and if not, why.
     pub state: State,
     /// In-flight requests of this router.
@@ -173,6 +176,7 @@
         id: id.clone(),
         service: known.entry.service.clone(),
         zone: known.entry.zone.clone(),
+        build: Some(known.entry.build.clone()),
         state,
         own: known.load.in_flight(),
         load: known.load.estimate(now),
--- a/crates/edge/tests/bulk.rs
+++ b/crates/edge/tests/bulk.rs
@@ -119,6 +119,7 @@
             service: name::Service::from("letters"),
             address: engine,
             zone: name::Zone::from("here"),
+            build: name::Build::from("v1"),
             slots: None,
             draining: false,
             incarnation: name::Incarnation(1),
--- a/crates/edge/tests/common/platform.rs
+++ b/crates/edge/tests/common/platform.rs
@@ -49,6 +49,7 @@
             key: text(headers, "t-key").map(str::to_owned),
             parts: Vec::new(),
             last_event: text(headers, "t-last").map(str::to_owned),
+            resumes: text(headers, "t-resumes").map(str::to_owned),
         }
     }
 
@@ -140,7 +141,7 @@
             key: entry.key.clone(),
             reason: "not an entry".to_owned(),
         };
-        let [service, address, state] = words[..] else {
+        let [service, address, state, build] = words[..] else {
             return Err(invalid());
         };
         Ok(fleet::Entry {
@@ -148,6 +149,7 @@
             service: name::Service::from(service),
             address: address.parse().map_err(|_error| invalid())?,
             zone: name::Zone::from("here"),
+            build: name::Build::from(build),
             slots: None,
             draining: state == "draining",
             incarnation: name::Incarnation(1),
--- a/crates/edge/tests/common/store.rs
+++ b/crates/edge/tests/common/store.rs
@@ -65,7 +65,19 @@
     }
 
     pub fn upstream(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
-        self.put(&format!("up/{id}"), &format!("{service} {address} {state}"));
+        self.upstream_of_build(id, service, address, state, "v1");
+    }
+
+    pub fn upstream_of_build(
+        &self,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        state: &str,
+        build: &str,
+    ) {
+        let entry = format!("{service} {address} {state} {build}");
+        self.put(&format!("up/{id}"), &entry);
     }
 
     pub fn put(&self, key: &str, value: &str) {
--- a/crates/edge/tests/serialized.rs
+++ b/crates/edge/tests/serialized.rs
@@ -85,6 +85,7 @@
         service: "chat".into(),
         address: address(),
         zone: "zone-1".into(),
+        build: "v1".into(),
         slots: Some(9),
         draining: true,
         incarnation: Incarnation(10),
--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -42,6 +42,8 @@
     Send {
         /// Id of the upstream.
         upstream: name::Upstream,
+        /// Version of the software of the upstream.
+        build: name::Build,
         /// Address of the upstream.
         address: SocketAddr,
         /// Another upstream whose cache may hold more of the prompt.
@@ -83,6 +85,7 @@
     match chosen {
         Some(upstream) => Decision::Send {
             upstream: upstream.entry.id.clone(),
+            build: upstream.entry.build.clone(),
             address: upstream.entry.address,
             source: source(upstream),
         },
--- a/crates/snipeusher/src/fleet/roster.rs
+++ b/crates/snipeusher/src/fleet/roster.rs
@@ -31,6 +31,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: name::Zone,
+    /// Version of its software.
+    pub build: name::Build,
     /// Requests that it can process at once, if it states a limit.
     pub slots: Option<u32>,
     /// Whether it is shutting down and accepts no new requests.
--- a/crates/snipeusher/src/name.rs
+++ b/crates/snipeusher/src/name.rs
@@ -72,6 +72,9 @@
     Adapter
     /// A version of a model or adapter.
     Version
+    /// The version of the software that an upstream runs, as opposed to that of its model. What
+    /// two versions write into one stream does not fit together.
+    Build
     /// A class of requests within a workspace, such as interactive or review.
     Class
     /// A configuration template written by operators.
--- a/crates/snipeusher/tests/fleet_view.rs
+++ b/crates/snipeusher/tests/fleet_view.rs
@@ -37,6 +37,7 @@
         } else {
             "odd"
         }),
+        build: name::Build::from("v1"),
         slots: Some(8),
         draining: false,
         incarnation: name::Incarnation(1),
--- a/crates/snipeusher/tests/outage.rs
+++ b/crates/snipeusher/tests/outage.rs
@@ -41,6 +41,7 @@
         service: service(),
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         zone: name::Zone::from(zone),
+        build: name::Build::from("v1"),
         slots: None,
         draining: false,
         incarnation: name::Incarnation(1),
