--- /dev/null
+++ b/crates/edge/tests/builds.rs
@@ -0,0 +1,135 @@
+//! Engines of two software versions in one service: a stream holds events of one version only,
+//! within one response and over all requests by which a caller takes it up.
+
+mod common;
+
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use common::Node;
+use common::caller::Caller;
+use common::caller::Response;
+use common::caller::call;
+use common::caller::post;
+use common::engine::Act;
+use common::engine::Engine;
+use common::engine::Seen;
+use common::engine::end;
+use common::engine::event;
+use common::engine::stream;
+use common::zone;
+use rstest::rstest;
+
+/// Streams that each test begins, so that no test passes by a lucky choice of upstreams.
+const STREAMS: usize = 8;
+/// Time within which routers of a zone learn which version began a stream.
+const SPREAD_TIME: Duration = Duration::from_millis(600);
+
+/// Sends events up to the fifth; a stream that is not resumed stops after the second one.
+fn script(then: Act) -> impl Fn(&Seen) -> Vec<Act> {
+    move |seen| {
+        let mut acts = vec![stream(seen.id())];
+        if let Some(last) = seen.header("t-last") {
+            let last: u32 = last.parse().expect("a number");
+            acts.extend((last + 1..=5).map(event));
+            acts.push(end());
+        } else {
+            acts.extend([event(1), event(2), then.clone()]);
+        }
+        acts
+    }
+}
+
+/// Two engines of each of two versions.
+struct Engines([Engine; 4]);
+
+impl Engines {
+    async fn start(then: Act) -> Self {
+        Self([
+            Engine::start(script(then.clone())).await,
+            Engine::start(script(then.clone())).await,
+            Engine::start(script(then.clone())).await,
+            Engine::start(script(then)).await,
+        ])
+    }
+
+    fn with_builds(&self) -> [(&Engine, &'static str); 4] {
+        let [first, second, third, fourth] = &self.0;
+        [(first, "v1"), (second, "v1"), (third, "v2"), (fourth, "v2")]
+    }
+
+    /// Versions of the engines that got a request whose identifier begins with `id`.
+    fn builds(&self, id: &str) -> Vec<&'static str> {
+        let engines = self.with_builds().into_iter();
+        let builds = engines.flat_map(|(engine, build)| {
+            let seen = engine.seen().into_iter();
+            seen.filter(|seen| seen.id().starts_with(id))
+                .map(move |_| build)
+        });
+        builds.collect()
+    }
+}
+
+/// Reads the first two events of a stream and closes the connection, as a caller sees it whose
+/// router is killed.
+async fn begin(node: &Node, id: &str) {
+    let mut caller = Caller::connect(node.front).await;
+    caller.write(&post("/chat/", id, "x")).await;
+    caller.read_to("part 2").await;
+}
+
+async fn take_up(node: &Node, id: &str, resumes: &str) -> Response {
+    let resume = format!("T-Last: 2\r\nT-Resumes: {resumes}\r\nContent-Length");
+    let request = post("/chat/", id, "x").replacen("Content-Length", &resume, 1);
+    call(node.front, &request).await
+}
+
+/// Guards against a router that resumes a broken stream at another software version.
+#[actix_rt::test]
+async fn a_response_holds_events_of_one_build() {
+    let engines = Engines::start(Act::Close).await;
+    let (nodes, _store) = zone(1, &engines.with_builds()).await;
+    for index in 0..STREAMS {
+        let id = format!("r{index}");
+        let answered = call(nodes[0].front, &post("/chat/", &id, "x")).await;
+        assert!(answered.complete, "stream {index}");
+        let builds = engines.builds(&id);
+        assert_eq!(builds.len(), 2, "stream {index}");
+        assert_eq!(builds[0], builds[1], "stream {index}");
+    }
+}
+
+/// Guards against a caller that takes up a stream and gets the rest from another software version,
+/// whichever router it reaches.
+#[rstest]
+#[case(1)]
+#[case(3)]
+#[case(6)]
+#[actix_rt::test]
+async fn a_stream_that_is_taken_up_holds_events_of_one_build(#[case] routers: usize) {
+    let engines = Engines::start(Act::Hang).await;
+    let (nodes, _store) = zone(routers, &engines.with_builds()).await;
+    for index in 0..STREAMS {
+        begin(&nodes[0], &format!("r{index}-a")).await;
+    }
+    sleep(SPREAD_TIME).await;
+    for index in 0..STREAMS {
+        let node = &nodes[index % routers];
+        let answered = take_up(node, &format!("r{index}-b"), &format!("r{index}-a")).await;
+        assert_eq!((answered.status, answered.complete), (200, true));
+        let builds = engines.builds(&format!("r{index}-"));
+        assert_eq!(builds.len(), 2, "stream {index}");
+        assert_eq!(builds[0], builds[1], "stream {index}");
+    }
+}
+
+/// Guards against a stream of unknown origin that goes on at a version picked by chance.
+#[actix_rt::test]
+async fn a_stream_of_unknown_build_is_refused_while_two_builds_serve() {
+    let engines = Engines::start(Act::Hang).await;
+    let (nodes, _store) = zone(2, &engines.with_builds()).await;
+    let answered = take_up(&nodes[0], "r1-b", "r1-a").await;
+    assert_eq!(answered.status, 503);
+    assert!(answered.header("retry-after").is_some());
+    assert_eq!(engines.builds("r1"), Vec::<&str>::new());
+}
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -80,17 +80,33 @@
 
 /// Starts a router whose store lists one service with the given engines as upstreams.
 pub async fn single(engines: &[&engine::Engine]) -> (Node, Store) {
+    let engines: Vec<_> = engines.iter().map(|engine| (*engine, "v1")).collect();
+    let (mut nodes, store) = zone(1, &engines).await;
+    (nodes.remove(0), store)
+}
+
+/// Starts routers of one availability zone, whose store lists one service with the given engines,
+/// each with the version of its software.
+pub async fn zone(routers: usize, engines: &[(&engine::Engine, &str)]) -> (Vec<Node>, Store) {
     let store = Store::new();
     store.configure(platform::DEFAULT);
-    for (index, engine) in engines.iter().enumerate() {
-        store.upstream(&format!("e{index}"), "letters", engine.address, "ready");
+    for (index, (engine, build)) in engines.iter().enumerate() {
+        let id = format!("e{index}");
+        store.upstream_of_build(&id, "letters", engine.address, "ready", build);
+    }
+    let mut nodes: Vec<Node> = Vec::new();
+    for index in 1..=routers {
+        let seeds = nodes.first().map(|first| first.control);
+        let name = format!("host-{index}");
+        nodes.push(start(&name, &store, seeds.into_iter().collect()).await);
     }
-    let node = start("host-1", &store, Vec::new()).await;
-    let count = engines.len();
-    let shared = Rc::clone(&node.shared);
-    until("the upstreams are known", || {
-        shared.table().is_some() && shared.fleet.borrow().upstreams().len() == count
+    until("the upstreams and the routers are known", || {
+        nodes.iter().all(|node| {
+            let fleet = node.shared.fleet.borrow();
+            let is_loaded = node.shared.table().is_some();
+            is_loaded && fleet.upstreams().len() == engines.len() && fleet.routers() == routers
+        })
     })
     .await;
-    (node, store)
+    (nodes, store)
 }
