Resume a broken stream only at the software version that began it

Cause: the choice of an upstream did not know the version of its software. After a loss it took any ready upstream of the service.

A query states the version once events have been passed on, and only upstreams of that version are chosen or count as an alternative for a silent one. Without one the stream is broken off. Same class: prompts were copied between engines of different versions; the source of a copy now runs the same version.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -107,6 +107,8 @@
     tried: Vec<name::Upstream>,
     /// Software version of the last of them.
     build: Option<name::Build>,
+    /// Version whose events were passed on; the stream may go on only there.
+    stream_build: Option<name::Build>,
     /// Attempts whose connection was open, so that bytes of the request may have been sent.
     sends: u32,
     /// Attempts that may have been executed.
@@ -129,6 +131,7 @@
             events: crate::events::Parser::after(last_event),
             tried: Vec::new(),
             build: None,
+            stream_build: None,
             sends: 0,
             runs: 0,
             declined: 0,
@@ -223,6 +226,7 @@
             service: &self.admitted.service,
             session: self.admitted.session,
             max_connections: self.admitted.connections,
+            build: self.stream_build.as_ref(),
             tried: &self.tried,
             tie_breaker,
         }
--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -29,12 +29,23 @@
     pub session: Option<u64>,
     /// Connections that one upstream accepts from all routers together; zero if unlimited.
     pub max_connections: u32,
+    /// Software version that the upstream must run, for a request that resumes a stream.
+    pub build: Option<&'a name::Build>,
     /// Upstreams that earlier attempts of the request were sent to.
     pub tried: &'a [name::Upstream],
     /// A random number that decides among equally loaded upstreams.
     pub tie_breaker: u64,
 }
 
+impl Query<'_> {
+    /// Whether an upstream may get the request: it was not tried and runs the required version.
+    pub(super) fn admits(&self, upstream: &Upstream) -> bool {
+        let entry = &upstream.entry;
+        let has_build = self.build.is_none_or(|build| entry.build == *build);
+        has_build && !self.tried.contains(&entry.id)
+    }
+}
+
 /// Result of the choice.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -66,7 +77,7 @@
     query: &Query<'_>,
 ) -> Decision {
     let all = ready.iter().map(|slot| &upstreams[*slot]);
-    let untried = all.filter(|upstream| !query.tried.contains(&upstream.entry.id));
+    let untried = all.filter(|upstream| query.admits(upstream));
     let untried: Vec<&Upstream> = untried.collect();
     let available = prefer(&untried, |upstream| upstream.health.is_available(now));
     let reachable = prefer(&available, |upstream| !is_unreachable(&upstream.entry.zone));
@@ -142,7 +153,7 @@
 }
 
 /// The upstream that most likely caches the session's prompt if the chosen one does not: the
-/// highest-ranked of the others, draining ones included.
+/// highest-ranked of the others of the same software version, draining ones included.
 fn likely_holder(
     now: Time,
     upstreams: &[Upstream],
@@ -152,7 +163,11 @@
 ) -> Option<SocketAddr> {
     let others = upstreams.iter().filter(|upstream| {
         let is_other = upstream.entry.id != chosen.entry.id;
-        is_other && upstream.entry.service == *service && upstream.health.is_available(now)
+        let is_compatible = upstream.entry.build == chosen.entry.build;
+        is_other
+            && is_compatible
+            && upstream.entry.service == *service
+            && upstream.health.is_available(now)
     });
     let first = others.max_by_key(|upstream| hash::score(session, upstream.id_hash));
     first.map(|upstream| upstream.entry.address)
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -365,7 +365,7 @@
     pub fn has_alternative(&mut self, now: Time, query: &Query<'_>) -> bool {
         let ready = self.ready.get(query.service).map_or(&[][..], Vec::as_slice);
         let upstreams = ready.iter().map(|slot| &self.upstreams[*slot]);
-        let mut others = upstreams.filter(|upstream| !query.tried.contains(&upstream.entry.id));
+        let mut others = upstreams.filter(|upstream| query.admits(upstream));
         let limits = self.settings.retries;
         let routers = self.routers;
         others.any(|upstream| upstream.health.is_available(now))
--- a/crates/snipeusher/tests/fleet_view.rs
+++ b/crates/snipeusher/tests/fleet_view.rs
@@ -76,6 +76,7 @@
         service: &service,
         session,
         max_connections: connections,
+        build: None,
         tried,
         tie_breaker: 5,
     };
--- a/crates/snipeusher/tests/outage.rs
+++ b/crates/snipeusher/tests/outage.rs
@@ -128,6 +128,7 @@
             service: &service(),
             session: Some(self.rng.random()),
             max_connections: 0,
+            build: None,
             tried: &[],
             tie_breaker: 0,
         };
