Determine at which software version a stream began when a caller takes it up

Cause: the router that a caller returns to knows nothing of the one that began the stream, and chose anew.

Each router remembers which service and version began a stream, by a hash of the identifier of its first request, and copies this within 150 ms to two peers of its zone, picked by rendezvous hashing of the stream. A router to which a stream is new asks the three peers that rank first. If none knows it and upstreams of the service ran only one version for as long as the route lets a stream last, it is that one; else the request is refused as not run. Callers that name no stream are served while one version runs. Nothing of this is stored; what is lost with routers leads to a refusal. Weighed: a version picked by a hash of the stream (no messages, but views of the list differ during each replacement and behind cuts), records in the store (calls are limited and priced, and it has outages), the version in what the caller gets (events and headers are the engine's).

Calls to peers share one set of connections (peer::link).

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod attempt;
+mod resume;
 mod stream;
 
 use std::io;
@@ -18,11 +19,13 @@
 use snipeusher::fleet::Query;
 use snipeusher::name;
 use snipeusher::route::Limits;
+use snipeusher::stream::Origin;
 use tokio::time::timeout_at;
 
 use self::admit::Admitted;
 use crate::dialect::Platform;
 use crate::lifecycle::Lifecycle;
+use crate::peer::Streams;
 use crate::refusal::Refusal;
 use crate::responder::Responder;
 use crate::server::Handler;
@@ -40,26 +43,31 @@
 
 /// Proxies the requests of callers to upstreams.
 #[derive(Debug)]
-pub struct Proxy<P>(pub Rc<Shared<P>>);
+pub struct Proxy<P> {
+    /// State of the process.
+    pub shared: Rc<Shared<P>>,
+    /// Origins of streams at peers.
+    pub streams: Rc<Streams>,
+}
 
 impl<P: Platform> Handler for Proxy<P> {
     fn limits(&self) -> Limits {
-        self.0.limits()
+        self.shared.limits()
     }
 
     fn lifecycle(&self) -> &Lifecycle {
-        &self.0.lifecycle
+        &self.shared.lifecycle
     }
 
     async fn handle(&self, request: Request, responder: &mut Responder<'_>) -> io::Result<()> {
-        match admit::admit(&*self.0, request) {
+        match admit::admit(&*self.shared, request) {
             Ok(admitted) => {
-                let mut exchange = Exchange::new(&self.0, admitted);
+                let mut exchange = Exchange::new(&self.shared, &self.streams, admitted);
                 exchange.run(responder).await
             }
             Err(rejection) => {
-                self.0.metrics.rejection(rejection.refusal.reason());
-                info!(self.0.log, "request: rejected";
+                self.shared.metrics.rejection(rejection.refusal.reason());
+                info!(self.shared.log, "request: rejected";
                     "id" => rejection.id, "reason" => rejection.refusal.reason(),
                     "configuration" => rejection.revision.0);
                 rejection.refusal.write(responder).await
@@ -101,14 +109,15 @@
 /// State of one request across its attempts.
 struct Exchange<'a, P: Platform> {
     shared: &'a Rc<Shared<P>>,
+    streams: &'a Streams,
     admitted: Admitted,
     events: crate::events::Parser,
     /// Upstreams of all attempts, in order.
     tried: Vec<name::Upstream>,
     /// Software version of the last of them.
     build: Option<name::Build>,
-    /// Version whose events were passed on; the stream may go on only there.
-    stream_build: Option<name::Build>,
+    /// What began the stream that the caller receives; the stream may go on only there.
+    origin: Option<Origin>,
     /// Attempts whose connection was open, so that bytes of the request may have been sent.
     sends: u32,
     /// Attempts that may have been executed.
@@ -123,15 +132,16 @@
 }
 
 impl<'a, P: Platform> Exchange<'a, P> {
-    fn new(shared: &'a Rc<Shared<P>>, admitted: Admitted) -> Self {
+    fn new(shared: &'a Rc<Shared<P>>, streams: &'a Streams, admitted: Admitted) -> Self {
         let last_event = admitted.request.last_event.clone();
         Self {
             shared,
+            streams,
             admitted,
             events: crate::events::Parser::after(last_event),
             tried: Vec::new(),
             build: None,
-            stream_build: None,
+            origin: None,
             sends: 0,
             runs: 0,
             declined: 0,
@@ -147,7 +157,7 @@
         self.shared
             .fleet
             .borrow_mut()
-            .record_request(now, &self.admitted.service);
+            .record_request(now, &self.admitted.target.service);
         let deadline = tokio::time::Instant::from_std(self.admitted.deadline);
         let ended = timeout_at(deadline, self.attempts(responder)).await;
         let (result, outcome) = match ended {
@@ -160,6 +170,9 @@
 
     /// Makes attempts until an upstream responds or no further attempt is allowed.
     async fn attempts(&mut self, responder: &mut Responder<'_>) -> (io::Result<()>, &'static str) {
+        if let Err(refusal) = self.restrict_to_origin().await {
+            return (self.refuse(refusal, responder).await, refusal.reason());
+        }
         loop {
             let placement = match self.place() {
                 Ok(placement) => placement,
@@ -206,7 +219,7 @@
                 address,
                 source,
             } => {
-                if self.sends > 0 && !fleet.try_retry(now, &self.admitted.service) {
+                if self.sends > 0 && !fleet.try_retry(now, &self.admitted.target.service) {
                     return Err(self.not_run("budget", self.retry_after()));
                 }
                 Ok(Placement {
@@ -216,17 +229,23 @@
                     source,
                 })
             }
-            Decision::Refuse { retry_after } => Err(self.not_run("no_upstream", retry_after)),
+            Decision::Refuse { retry_after } => {
+                let cause = match self.origin {
+                    Some(_) => "no_upstream_of_build",
+                    None => "no_upstream",
+                };
+                Err(self.not_run(cause, retry_after))
+            }
         }
     }
 
     /// Input for the choice of an upstream; `tie_breaker` decides between equals.
     fn query(&self, tie_breaker: u64) -> Query<'_> {
         Query {
-            service: &self.admitted.service,
-            session: self.admitted.session,
-            max_connections: self.admitted.connections,
-            build: self.stream_build.as_ref(),
+            service: &self.admitted.target.service,
+            session: self.admitted.target.session,
+            max_connections: self.admitted.target.connections,
+            build: self.origin.as_ref().map(|origin| &origin.build),
             tried: &self.tried,
             tie_breaker,
         }
--- a/crates/edge/src/exchange/admit.rs
+++ b/crates/edge/src/exchange/admit.rs
@@ -13,6 +13,7 @@
 use snipeusher::hash;
 use snipeusher::kv::Revision;
 use snipeusher::name;
+use snipeusher::route::Kind;
 use snipeusher::route::Route;
 use snipeusher::route::Table;
 use snipeusher::route::Tenant;
@@ -39,16 +40,58 @@
     pub(super) received: Instant,
     pub(super) deadline: Instant,
     pub(super) route: Arc<Route>,
+    pub(super) target: Target,
+    pub(super) workspace: Option<name::Workspace>,
+    pub(super) priority: u8,
+    /// Revision of the configuration it was admitted under.
+    pub(super) revision: Revision,
+    /// The configuration it was admitted under.
+    table: Rc<Table>,
+}
+
+impl Admitted {
+    /// Whether another upstream may continue the stream of events.
+    pub(super) fn is_resumable(&self) -> bool {
+        self.route.kind == Kind::Stream { resumable: true }
+    }
+
+    /// Whether the caller takes up a stream of which it has received events.
+    pub(super) fn takes_up_stream(&self) -> bool {
+        let request = &self.request;
+        self.is_resumable() && (request.last_event.is_some() || request.resumes.is_some())
+    }
+
+    /// Sends the request to another service; returns false if the route does not lead to it.
+    pub(super) fn select_service(&mut self, service: &name::Service) -> bool {
+        let mut backends = self.route.backends.iter();
+        let is_backend = backends.any(|known| known.weight > 0 && known.service == *service);
+        if is_backend {
+            self.target = Target::new(&self.table, service.clone(), &self.request);
+        }
+        is_backend
+    }
+}
+
+/// The service that a request goes to, and what its placement depends on.
+pub(super) struct Target {
     pub(super) service: name::Service,
     /// Maximum number of connections that one upstream of the service accepts; zero if not
     /// configured.
     pub(super) connections: u32,
-    pub(super) workspace: Option<name::Workspace>,
-    pub(super) priority: u8,
     /// Hash of the prompt prefix, to place requests that share it on the same engine.
     pub(super) session: Option<u64>,
-    /// Revision of the configuration it was admitted under.
-    pub(super) revision: Revision,
+}
+
+impl Target {
+    fn new(table: &Table, service: name::Service, request: &Request) -> Self {
+        let settings = table.services().get(&service);
+        let is_engine = settings.is_some_and(|service| service.engine);
+        Self {
+            connections: settings.map_or(0, |service| service.connections),
+            session: is_engine.then(|| prefix_hash(&request.parts)).flatten(),
+            service,
+        }
+    }
 }
 
 /// A request that was not admitted.
@@ -96,9 +139,7 @@
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let id = request.id.as_deref().unwrap_or_default();
     let service = route.backend(hash::bytes(id.as_bytes())).clone();
-    let settings = admission.table.services().get(&service);
-    let is_engine = settings.is_some_and(|service| service.engine);
-    let connections = settings.map_or(0, |service| service.connections);
+    let target = Target::new(&admission.table, service, &request);
     let tenant = admission.tenant;
     Ok(Admitted {
         method: head.method.clone(),
@@ -112,16 +153,11 @@
             .and_then(|tenant| tenant.priority)
             .unwrap_or(route.priority),
         workspace: tenant.map(|tenant| tenant.workspace.clone()),
-        session: if is_engine {
-            prefix_hash(&request.parts)
-        } else {
-            None
-        },
-        service,
-        connections,
+        target,
         route,
         request,
         revision,
+        table: admission.table,
     })
 }
 
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -101,7 +101,7 @@
     fn pooled(&self, placement: &Placement) -> Option<Connection> {
         let now = self.shared.now();
         let mut pool = self.shared.pool.borrow_mut();
-        pool.take(now, &placement.upstream, &self.admitted.service)
+        pool.take(now, &placement.upstream, &self.admitted.target.service)
     }
 
     /// Returns a connection to the pool. Idle connections take at most half of this router's share
@@ -112,7 +112,7 @@
             .shared
             .fleet
             .borrow()
-            .connection_share(self.admitted.connections);
+            .connection_share(self.admitted.target.connections);
         let limit = share as usize / 2;
         self.shared
             .pool
@@ -129,7 +129,7 @@
         );
         if let Some(idle) = connection.idle_before().filter(|_| is_end) {
             let now = self.shared.now();
-            let service = &self.admitted.service;
+            let service = &self.admitted.target.service;
             self.shared
                 .pool
                 .borrow_mut()
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -91,9 +91,7 @@
             let Some(events) = events else { continue };
             self.status.get_or_insert(reply.head.status);
             self.first_byte.get_or_insert_with(Instant::now);
-            if self.stream_build.is_none() {
-                self.stream_build.clone_from(&self.build);
-            }
+            self.record_origin();
             if let Err(error) = start(&reply, responder) {
                 return Step::Answered(Err(error));
             }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -68,6 +68,7 @@
     requests: Family<RequestLabels, Counter>,
     rejections: Family<OutcomeLabels, Counter>,
     attempts: Family<OutcomeLabels, Counter>,
+    streams_taken_up: Family<OutcomeLabels, Counter>,
     first_byte: Family<WorkspaceLabels, Histogram>,
     duration: Family<KindLabels, Histogram>,
     in_flight: Gauge,
@@ -96,6 +97,12 @@
             "Requests that were not admitted, by reason",
             rejections.clone(),
         );
+        let streams_taken_up = Family::default();
+        registry.register(
+            "streams_taken_up",
+            "Streams that callers took up, by how their software version was determined",
+            streams_taken_up.clone(),
+        );
         let attempts = Family::default();
         registry.register(
             "attempts",
@@ -144,6 +151,7 @@
             requests,
             rejections,
             attempts,
+            streams_taken_up,
             first_byte,
             duration,
             in_flight,
@@ -189,6 +197,14 @@
             .inc();
     }
 
+    /// Counts a request that takes a stream up, by how the stream's origin was determined or why it
+    /// was refused.
+    pub(crate) fn stream_taken_up(&self, outcome: &'static str) {
+        self.streams_taken_up
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+
     /// Counts the end of an attempt.
     pub(crate) fn attempt(&self, outcome: Outcome) {
         let outcome = match outcome {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -25,6 +25,7 @@
 use crate::peer;
 use crate::peer::Control;
 use crate::peer::Peers;
+use crate::peer::Streams;
 use crate::probe;
 use crate::responder::Responder;
 use crate::server;
@@ -93,7 +94,12 @@
     listen(shared, settings.ready, readiness).await?;
     let control = Control::new(Rc::clone(shared), Rc::clone(&peers));
     listen(shared, settings.control, control).await?;
-    listen(shared, settings.front, Proxy(Rc::clone(shared))).await?;
+    let streams = Rc::new(Streams::new(Rc::clone(&peers)));
+    let proxy = Proxy {
+        shared: Rc::clone(shared),
+        streams: Rc::clone(&streams),
+    };
+    listen(shared, settings.front, proxy).await?;
     if let Some(address) = settings.metrics {
         listen(shared, address, Exposition::new(Rc::clone(shared))).await?;
     }
@@ -104,6 +110,8 @@
         Rc::clone(&store),
     ));
     actix_rt::spawn(peer::fetch_rosters(Rc::clone(shared), store));
+    let copied = Rc::clone(shared);
+    actix_rt::spawn(async move { streams.copy(&copied).await });
     actix_rt::spawn(peer::report_outages(Rc::clone(shared), Rc::clone(&peers)));
     actix_rt::spawn(peer::run(Rc::clone(shared), peers));
     actix_rt::spawn(probe::run(Rc::clone(shared)));
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -10,9 +10,11 @@
 
 mod client;
 mod fetch;
+mod link;
 mod outage;
 mod peers;
 mod server;
+mod streams;
 
 use std::net::SocketAddr;
 
@@ -35,6 +37,8 @@
 pub use self::outage::report_outages;
 pub use self::peers::Peers;
 pub use self::server::Control;
+pub(crate) use self::streams::Answer;
+pub use self::streams::Streams;
 
 use crate::dialect::Platform;
 use crate::shared::Shared;
@@ -48,6 +52,10 @@
 const UPSTREAMS_PATH: &str = "/fleet/v4/upstreams";
 /// Path of reports of unreachable upstreams. They must not wait for the next exchange.
 const OUTAGE_PATH: &str = "/fleet/v4/outage";
+/// Path to which the origins of streams are copied.
+const ORIGINS_PATH: &str = "/fleet/v4/origins";
+/// Path of questions for the origin of one stream.
+const ORIGIN_PATH: &str = "/fleet/v4/origin";
 /// Largest body of a request or response between routers.
 const BYTES_MAX: usize = 4 << 20;
 
--- a/crates/edge/src/peer/client.rs
+++ b/crates/edge/src/peer/client.rs
@@ -1,7 +1,6 @@
 //! Exchanges started by this router.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,11 +8,6 @@
 
 use actix_http::Method;
 use actix_http::StatusCode;
-use actix_http::Uri;
-use actix_http::header;
-use actix_http::header::HeaderMap;
-use actix_http::header::HeaderValue;
-use bytes::Bytes;
 use futures_util::future::join_all;
 use slog::debug;
 use snafu::ResultExt as _;
@@ -21,15 +15,15 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use super::BYTES_MAX;
 use super::EXCHANGE_PATH;
 use super::Peers;
 use super::Response;
 use super::digest;
+use super::link::Call;
+use super::link::Links;
 use super::merge;
 use super::source;
 use crate::connection;
-use crate::connection::Connection;
 use crate::dialect::Platform;
 use crate::shared::Shared;
 
@@ -46,8 +40,6 @@
 const FANOUT: usize = 3;
 /// Pause after a change was sent, so that changes that follow are sent together.
 const BATCH_DELAY: Duration = Duration::from_millis(30);
-/// Time limit for connecting to a peer.
-pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time limit of an exchange.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -87,7 +79,7 @@
 /// Exchanges digests with peers in turn at the given interval, and at once with a few when
 /// something changed. Never returns.
 pub async fn run<P: Platform>(shared: Rc<Shared<P>>, peers: Rc<RefCell<Peers>>) {
-    let connections: Connections = RefCell::default();
+    let links = Links::default();
     let mut sent = shared.revisions();
     let mut interval = Duration::ZERO;
     loop {
@@ -106,7 +98,7 @@
         }
         let exchanges = addresses
             .into_iter()
-            .map(|address| exchange_within_limit(&shared, &peers, &connections, address));
+            .map(|address| exchange_within_limit(&shared, &peers, &links, address));
         join_all(exchanges).await;
         if has_changed {
             sleep(BATCH_DELAY).await;
@@ -131,73 +123,35 @@
     }
 }
 
-type Connections = RefCell<BTreeMap<SocketAddr, Connection>>;
-
 async fn exchange_within_limit<P: Platform>(
     shared: &Shared<P>,
     peers: &RefCell<Peers>,
-    connections: &Connections,
+    links: &Links,
     address: SocketAddr,
 ) {
-    let idle = connections.borrow_mut().remove(&address);
-    let exchange = exchange(shared, peers, address, idle);
-    match timeout(EXCHANGE_TIMEOUT, exchange)
-        .await
-        .unwrap_or(Err(Error::TimedOut))
-    {
-        Ok(connection) => {
-            connections.borrow_mut().insert(address, connection);
-        }
-        Err(error) => {
-            debug!(shared.log, "peer: exchange failed";
-                "peer" => %address, "error" => %error);
-        }
+    let exchange = exchange(shared, peers, links, address);
+    let exchanged = timeout(EXCHANGE_TIMEOUT, exchange).await;
+    if let Err(error) = exchanged.unwrap_or(Err(Error::TimedOut)) {
+        debug!(shared.log, "peer: exchange failed";
+            "peer" => %address, "error" => %error);
     }
 }
 
-/// Sends a request to a peer and reads the body of the response.
-pub(super) async fn call(
-    connection: &mut Connection,
-    address: SocketAddr,
-    method: Method,
-    path: &'static str,
-    body: Vec<u8>,
-) -> Result<Bytes, Error> {
-    let mut headers = HeaderMap::new();
-    if let Ok(host) = HeaderValue::try_from(address.to_string()) {
-        headers.insert(header::HOST, host);
-    }
-    let head = connection::request(method, Uri::from_static(path), headers);
-    connection
-        .send(head, &Bytes::from(body))
-        .context(ConnectionSnafu)?;
-    let head = connection.head().await.context(ConnectionSnafu)?;
-    let body = connection.body(BYTES_MAX).await.context(ConnectionSnafu)?;
-    if !head.status.is_success() {
-        return StatusSnafu {
-            status: head.status,
-        }
-        .fail();
-    }
-    Ok(body)
-}
-
 async fn exchange<P: Platform>(
     shared: &Shared<P>,
     peers: &RefCell<Peers>,
+    links: &Links,
     address: SocketAddr,
-    idle: Option<Connection>,
-) -> Result<Connection, Error> {
-    let idle = idle.and_then(|mut connection| connection.is_idle().then_some(connection));
-    let mut connection = match idle {
-        Some(connection) => connection,
-        None => Connection::open(address, CONNECT_TIMEOUT, &shared.http)
-            .await
-            .context(ConnectionSnafu)?,
-    };
+) -> Result<(), Error> {
+    let mut connection = links.open(address, &shared.http).await?;
     let digest = digest(shared, &mut peers.borrow_mut());
-    let body = rmp_serde::to_vec(&digest).context(EncodeSnafu)?;
-    let body = call(&mut connection, address, Method::POST, EXCHANGE_PATH, body).await?;
+    let call = Call {
+        method: Method::POST,
+        path: EXCHANGE_PATH,
+        body: rmp_serde::to_vec(&digest).context(EncodeSnafu)?,
+    };
+    let body = call.send(&mut connection, address).await?;
+    links.keep(address, connection);
     let response: Response = rmp_serde::from_slice(&body).context(DecodeSnafu)?;
     let mut peers = peers.borrow_mut();
     if let Some(upstreams) = response.upstreams {
@@ -210,5 +164,5 @@
         shared.rosters.record(shared, revision, source);
     }
     merge(shared, &mut peers, &response.digest);
-    Ok(connection)
+    Ok(())
 }
--- a/crates/edge/src/peer/fetch.rs
+++ b/crates/edge/src/peer/fetch.rs
@@ -24,12 +24,10 @@
 use super::CONFIGURATION_PATH;
 use super::Configuration;
 use super::UPSTREAMS_PATH;
-use super::client;
-use super::client::CONNECT_TIMEOUT;
-use super::client::ConnectionSnafu;
 use super::client::DecodeSnafu;
 use super::client::Error;
-use crate::connection::Connection;
+use super::link;
+use super::link::Call;
 use crate::dialect::Platform;
 use crate::shared::Shared;
 use crate::watch;
@@ -227,8 +225,11 @@
     address: SocketAddr,
     path: &'static str,
 ) -> Result<Bytes, Error> {
-    let connection = Connection::open(address, CONNECT_TIMEOUT, &shared.http).await;
-    let mut connection = connection.context(ConnectionSnafu)?;
-    let empty = Vec::new();
-    client::call(&mut connection, address, Method::GET, path, empty).await
+    let call = Call {
+        method: Method::GET,
+        path,
+        body: Vec::new(),
+    };
+    let mut connection = link::open(address, &shared.http).await?;
+    call.send(&mut connection, address).await
 }
--- a/crates/edge/src/peer/outage.rs
+++ b/crates/edge/src/peer/outage.rs
@@ -15,12 +15,10 @@
 use super::OUTAGE_PATH;
 use super::OutageReport;
 use super::Peers;
-use super::client;
-use super::client::CONNECT_TIMEOUT;
-use super::client::ConnectionSnafu;
 use super::client::EncodeSnafu;
 use super::client::Error;
-use crate::connection::Connection;
+use super::link;
+use super::link::Call;
 use crate::dialect::Platform;
 use crate::shared::Shared;
 
@@ -90,8 +88,12 @@
     report: &OutageReport,
 ) -> Result<(), Error> {
     let body = rmp_serde::to_vec(report).context(EncodeSnafu)?;
-    let connection = Connection::open(address, CONNECT_TIMEOUT, &shared.http).await;
-    let mut connection = connection.context(ConnectionSnafu)?;
-    client::call(&mut connection, address, Method::POST, OUTAGE_PATH, body).await?;
+    let call = Call {
+        method: Method::POST,
+        path: OUTAGE_PATH,
+        body,
+    };
+    let mut connection = link::open(address, &shared.http).await?;
+    call.send(&mut connection, address).await?;
     Ok(())
 }
--- a/crates/edge/src/peer/peers.rs
+++ b/crates/edge/src/peer/peers.rs
@@ -6,6 +6,7 @@
 use std::ops::Bound;
 use std::time::Duration;
 
+use snipeusher::hash;
 use snipeusher::name;
 use snipeusher::time::Time;
 
@@ -100,6 +101,19 @@
         local
     }
 
+    /// The first peers by rendezvous hashing of a key. Peers of the own availability zone come
+    /// first, since callers reach the routers of their zone.
+    pub fn ranked(&self, key: u64, count: usize) -> Vec<SocketAddr> {
+        let ranks = self.known.iter().map(|(host, known)| {
+            let score = hash::score(key, hash::bytes(host.as_str().as_bytes()));
+            (self.is_local(&known.zone), score, known.address)
+        });
+        let mut ranks: Vec<_> = ranks.collect();
+        ranks.sort_unstable_by(|left, right| right.cmp(left));
+        let ranks = ranks.into_iter().take(count);
+        ranks.map(|(_, _, address)| address).collect()
+    }
+
     /// Records the sender of a digest and the members listed in it.
     pub fn record(&mut self, now: Time, digest: &Digest) {
         self.update(&digest.host, &digest.zone, digest.address, now);
--- a/crates/edge/src/peer/server.rs
+++ b/crates/edge/src/peer/server.rs
@@ -14,12 +14,16 @@
 use snipeusher::fleet::Delta;
 use snipeusher::kv::Revision;
 use snipeusher::route::Limits;
+use snipeusher::stream::Group;
+use snipeusher::stream::Id;
 
 use super::BYTES_MAX;
 use super::CONFIGURATION_PATH;
 use super::Configuration;
 use super::Digest;
 use super::EXCHANGE_PATH;
+use super::ORIGIN_PATH;
+use super::ORIGINS_PATH;
 use super::OUTAGE_PATH;
 use super::OutageReport;
 use super::Peers;
@@ -28,6 +32,7 @@
 use super::digest;
 use super::merge;
 use super::outage;
+use super::streams;
 use crate::dialect::Platform;
 use crate::lifecycle::Lifecycle;
 use crate::responder::Responder;
@@ -70,6 +75,18 @@
         Ok(Vec::new())
     }
 
+    fn origins(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
+        let groups: Vec<Group> = self.decode(body)?;
+        streams::merge(&self.shared, groups);
+        Ok(Vec::new())
+    }
+
+    fn origin(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
+        let id: Id = self.decode(body)?;
+        let origins = self.shared.origins.borrow();
+        self.encode(&origins.get(id))
+    }
+
     fn exchange(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
         let received: Digest = self.decode(body)?;
         let own = digest(&self.shared, &mut self.peers.borrow_mut());
@@ -119,7 +136,7 @@
 
     fn decode<T: DeserializeOwned>(&self, body: &[u8]) -> Result<T, StatusCode> {
         rmp_serde::from_slice(body).map_err(|error| {
-            warn!(self.shared.log, "peer: digest unreadable"; "error" => %error);
+            warn!(self.shared.log, "peer: request cannot be decoded"; "error" => %error);
             StatusCode::BAD_REQUEST
         })
     }
@@ -155,6 +172,8 @@
             CONFIGURATION_PATH => self.configuration(),
             UPSTREAMS_PATH => self.upstreams(),
             OUTAGE_PATH => self.outage(&request.body),
+            ORIGINS_PATH => self.origins(&request.body),
+            ORIGIN_PATH => self.origin(&request.body),
             _ => Err(StatusCode::NOT_FOUND),
         };
         match body {
--- /dev/null
+++ b/crates/edge/src/peer/streams.rs
@@ -0,0 +1,182 @@
+//! Copies of the origins of streams at peers.
+//!
+//! A caller may take its stream up at any router of its availability zone, also after the router
+//! that began it was killed. Each router therefore sends the origins of its streams to two peers,
+//! chosen by rendezvous hashing of the stream, where the others find them without a search. See
+//! `docs/platform.md#streams`.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::Method;
+use futures_util::StreamExt as _;
+use futures_util::future::join_all;
+use futures_util::stream::FuturesUnordered;
+use slog::debug;
+use snafu::ResultExt as _;
+use snipeusher::stream::Group;
+use snipeusher::stream::Id;
+use snipeusher::stream::Origin;
+use snipeusher::stream::group;
+use tokio::time::sleep;
+
+use super::ORIGIN_PATH;
+use super::ORIGINS_PATH;
+use super::Peers;
+use super::client::DecodeSnafu;
+use super::client::EncodeSnafu;
+use super::client::Error;
+use super::link::Call;
+use super::link::Links;
+use crate::dialect::Platform;
+use crate::shared::Shared;
+
+/// Peers to which the origin of a stream is copied.
+const COPIES: usize = 2;
+/// Peers that are asked for the origin of a stream. One more than there are copies, since the
+/// router that began the stream and the one that asks rank different peers.
+const ASKED: usize = COPIES + 1;
+/// Time for which new origins are collected. Streams that began since the last copy cannot be
+/// resumed if their router is killed.
+const COLLECT_TIME: Duration = Duration::from_millis(150);
+/// Time limit of sending origins to a peer.
+const SEND_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time limit of a question for an origin, while a caller waits.
+const ASK_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// What peers answered to a question for the origin of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Answer {
+    /// A peer knows it.
+    Origin(Origin),
+    /// No peer that answered knows it, or there are no peers.
+    Unknown,
+    /// No peer answered.
+    Silent,
+}
+
+/// Sends origins of streams to peers and asks them for others.
+#[derive(Debug)]
+pub struct Streams {
+    peers: Rc<RefCell<Peers>>,
+    links: Links,
+}
+
+impl Streams {
+    /// Uses the peers that other tasks keep up to date.
+    pub fn new(peers: Rc<RefCell<Peers>>) -> Self {
+        Self {
+            peers,
+            links: Links::default(),
+        }
+    }
+
+    /// Copies the origins of the streams that this router begins. Never returns.
+    pub async fn copy<P: Platform>(&self, shared: &Shared<P>) {
+        loop {
+            shared.new_origins.notified().await;
+            sleep(COLLECT_TIME).await;
+            let unsent = shared.origins.borrow_mut().take_unsent();
+            let failed = self.send_to_ranked(shared, unsent, 0..COPIES).await;
+            self.send_to_ranked(shared, failed, COPIES..ASKED).await;
+        }
+    }
+
+    /// Sends each stream to the peers of these ranks; returns those that a peer did not receive.
+    async fn send_to_ranked<P: Platform>(
+        &self,
+        shared: &Shared<P>,
+        streams: Vec<(Id, Origin)>,
+        ranks: std::ops::Range<usize>,
+    ) -> Vec<(Id, Origin)> {
+        let mut batches: BTreeMap<SocketAddr, Vec<(Id, Origin)>> = BTreeMap::new();
+        for (id, origin) in streams {
+            let ranked = self.peers.borrow().ranked(id.0, ranks.end);
+            for address in ranked.into_iter().skip(ranks.start) {
+                let batch = batches.entry(address).or_default();
+                batch.push((id, origin.clone()));
+            }
+        }
+        let sends = batches.into_iter().map(|(address, batch)| async move {
+            match self.send(shared, address, &batch).await {
+                Ok(()) => Vec::new(),
+                Err(error) => {
+                    debug!(shared.log, "peer: origins of streams not sent";
+                        "peer" => %address, "streams" => batch.len(), "error" => %error);
+                    batch
+                }
+            }
+        });
+        join_all(sends).await.concat()
+    }
+
+    async fn send<P: Platform>(
+        &self,
+        shared: &Shared<P>,
+        address: SocketAddr,
+        batch: &[(Id, Origin)],
+    ) -> Result<(), Error> {
+        let groups = group(batch.iter().cloned());
+        let call = Call {
+            method: Method::POST,
+            path: ORIGINS_PATH,
+            body: rmp_serde::to_vec(&groups).context(EncodeSnafu)?,
+        };
+        self.links
+            .call(address, &shared.http, call, SEND_TIMEOUT)
+            .await?;
+        Ok(())
+    }
+
+    /// Asks the peers that should have a copy for the origin of a stream.
+    pub(crate) async fn ask<P: Platform>(&self, shared: &Shared<P>, id: Id) -> Answer {
+        let addresses = self.peers.borrow().ranked(id.0, ASKED);
+        let is_alone = addresses.is_empty();
+        let questions = addresses
+            .into_iter()
+            .map(|address| self.ask_peer(shared, address, id));
+        let mut questions: FuturesUnordered<_> = questions.collect();
+        let mut is_answered = is_alone;
+        while let Some(answer) = questions.next().await {
+            match answer {
+                Ok(Some(origin)) => return Answer::Origin(origin),
+                Ok(None) => is_answered = true,
+                Err(error) => {
+                    debug!(shared.log, "peer: origin of a stream not received"; "error" => %error);
+                }
+            }
+        }
+        if is_answered {
+            Answer::Unknown
+        } else {
+            Answer::Silent
+        }
+    }
+
+    async fn ask_peer<P: Platform>(
+        &self,
+        shared: &Shared<P>,
+        address: SocketAddr,
+        id: Id,
+    ) -> Result<Option<Origin>, Error> {
+        let call = Call {
+            method: Method::POST,
+            path: ORIGIN_PATH,
+            body: rmp_serde::to_vec(&id).context(EncodeSnafu)?,
+        };
+        let answer = self
+            .links
+            .call(address, &shared.http, call, ASK_TIMEOUT)
+            .await?;
+        rmp_serde::from_slice(&answer).context(DecodeSnafu)
+    }
+}
+
+/// Records the origins that a peer sent.
+pub(super) fn merge<P: Platform>(shared: &Shared<P>, groups: Vec<Group>) {
+    let now = shared.now();
+    shared.origins.borrow_mut().merge(now, groups);
+}
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -21,6 +21,7 @@
 use snipeusher::reader::Readers;
 use snipeusher::route::Limits;
 use snipeusher::route::Table;
+use snipeusher::stream::Origins;
 use snipeusher::time::Time;
 use tokio::sync::Notify;
 
@@ -88,6 +89,10 @@
     pub changed: Notify,
     /// Notified when there may be an outage to report to peers.
     pub outage: Notify,
+    /// Which software versions began the streams of this router and of peers.
+    pub origins: RefCell<Origins>,
+    /// Notified when there are origins that peers do not have.
+    pub new_origins: Notify,
     /// Configurations that peers announced.
     pub configurations: Announcement,
     /// Lists of upstreams that peers announced.
@@ -121,6 +126,8 @@
             )),
             changed: Notify::new(),
             outage: Notify::new(),
+            origins: RefCell::default(),
+            new_origins: Notify::new(),
             configurations: Announcement::default(),
             rosters: Announcement::default(),
             http: ServiceConfig::default(),
--- a/crates/snipeusher/src/fleet.rs
+++ b/crates/snipeusher/src/fleet.rs
@@ -5,6 +5,7 @@
 //! ([`Budget`]). It reads no clock and holds no socket. See `docs/platform.md#placement`.
 
 mod budget;
+mod builds;
 mod choice;
 mod health;
 mod load;
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::Budget;
 use super::Decision;
@@ -16,6 +17,7 @@
 use super::Roster;
 use super::Update;
 use super::Upstream;
+use super::builds::Builds;
 use super::choice;
 use super::zone::Zone;
 use crate::kv::Revision;
@@ -45,6 +47,7 @@
     upstreams: Vec<Upstream>,
     slots: BTreeMap<name::Upstream, usize>,
     ready: BTreeMap<name::Service, Vec<usize>>,
+    builds: Builds,
     /// When the next retained entry of the roster expires.
     refresh_at: Option<Time>,
     budgets: BTreeMap<name::Service, Budget>,
@@ -63,6 +66,7 @@
             upstreams: Vec::new(),
             slots: BTreeMap::new(),
             ready: BTreeMap::new(),
+            builds: Builds::default(),
             refresh_at: None,
             budgets: BTreeMap::new(),
             zones: BTreeMap::new(),
@@ -338,6 +342,17 @@
         self.roster.is_ready(now, id)
     }
 
+    /// The only software version that upstreams of a service run now and ran in the last minute, if
+    /// this router has known the upstreams for `age`.
+    pub fn sole_build(
+        &self,
+        now: Time,
+        service: &name::Service,
+        age: Duration,
+    ) -> Option<&name::Build> {
+        self.builds.sole(now, service, age)
+    }
+
     /// Uses up one retry of the service's budget; returns false if none remains.
     pub fn try_retry(&mut self, now: Time, service: &name::Service) -> bool {
         let limits = self.settings.retries;
@@ -461,6 +476,7 @@
                     .push(Upstream::new(entry.clone(), &self.settings.zone));
             }
         }
+        self.builds.update(now, roster.entries());
         self.ready.clear();
         for entry in roster.ready(now) {
             let slots = self.ready.entry(entry.service.clone()).or_default();
--- a/crates/snipeusher/src/lib.rs
+++ b/crates/snipeusher/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod request;
 pub mod retry;
 pub mod route;
+pub mod stream;
 pub mod template;
 pub mod time;
 pub mod upstream;
--- /dev/null
+++ b/crates/snipeusher/tests/stream.rs
@@ -0,0 +1,173 @@
+//! Software versions of streams: origins of streams, versions of a service, and the choice among
+//! upstreams of one version.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rstest::rstest;
+use snipeusher::fleet::Decision;
+use snipeusher::fleet::Entry;
+use snipeusher::fleet::Fleet;
+use snipeusher::fleet::Limits;
+use snipeusher::fleet::Query;
+use snipeusher::fleet::Settings;
+use snipeusher::kv::Revision;
+use snipeusher::name;
+use snipeusher::stream::Id;
+use snipeusher::stream::Origin;
+use snipeusher::stream::Origins;
+use snipeusher::stream::group;
+use snipeusher::time::Time;
+
+/// Longer than any caller takes its stream up again.
+const FORGOTTEN_MS: u64 = 61_000;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn service() -> name::Service {
+    name::Service::from("letters")
+}
+
+fn origin(build: &str) -> Origin {
+    Origin {
+        service: service(),
+        build: name::Build::from(build),
+    }
+}
+
+fn entry(index: u16, build: &str) -> Entry {
+    Entry {
+        id: name::Upstream::from(format!("e{index}")),
+        service: service(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000 + index)),
+        zone: name::Zone::from("here"),
+        build: name::Build::from(build),
+        slots: None,
+        draining: false,
+        incarnation: name::Incarnation(1),
+        revision: Revision(1),
+    }
+}
+
+fn fleet(builds: &[&str]) -> Fleet {
+    let mut fleet = Fleet::new(Settings {
+        zone: name::Zone::from("here"),
+        retries: Limits::default(),
+    });
+    list(&mut fleet, 0, 1, builds);
+    fleet
+}
+
+/// Applies a complete list with one upstream of each version.
+fn list(fleet: &mut Fleet, ms: u64, revision: u64, builds: &[&str]) {
+    let entries = (0..).zip(builds).map(|(index, build)| Entry {
+        revision: Revision(revision),
+        ..entry(index, build)
+    });
+    fleet.replace_all(at(ms), Revision(revision), entries.collect());
+}
+
+/// Guards against a stream whose version changes because a later router reports another one.
+#[rstest]
+fn the_first_origin_of_a_stream_stays() {
+    let mut origins = Origins::default();
+    assert!(origins.record(at(0), Id(1), origin("v1")));
+    assert!(!origins.record(at(1), Id(1), origin("v2")));
+    origins.merge(at(2), group([(Id(1), origin("v2")), (Id(2), origin("v2"))]));
+    assert_eq!(origins.get(Id(1)), Some(&origin("v1")));
+    assert_eq!(origins.get(Id(2)), Some(&origin("v2")));
+}
+
+/// Guards against origins of peers that are sent on, so that copies circulate without end.
+#[rstest]
+fn only_own_streams_are_sent_and_only_once() {
+    let mut origins = Origins::default();
+    origins.merge(at(0), group([(Id(1), origin("v1"))]));
+    origins.record(at(0), Id(2), origin("v1"));
+    assert_eq!(origins.take_unsent(), [(Id(2), origin("v1"))]);
+    assert_eq!(origins.take_unsent(), []);
+}
+
+/// Guards against memory that grows with all streams that ever began.
+#[rstest]
+fn old_origins_are_forgotten() {
+    let mut origins = Origins::default();
+    for stream in 0..1_000 {
+        origins.record(at(stream), Id(stream), origin("v1"));
+    }
+    origins.record(at(FORGOTTEN_MS), Id(5_000), origin("v1"));
+    assert_eq!(origins.get(Id(0)), None);
+    assert_eq!(origins.get(Id(999)), None);
+    assert!(origins.len() < 1_000, "{}", origins.len());
+    for stream in 10_000..200_000 {
+        origins.record(at(FORGOTTEN_MS), Id(stream), origin("v1"));
+    }
+    assert!(origins.len() <= 65_536, "{}", origins.len());
+    assert!(origins.take_unsent().len() <= 4_096);
+}
+
+/// Guards against a guess of the version while a second one serves, served shortly before, or may
+/// have served before this router knew the upstreams.
+#[rstest]
+fn the_sole_version_is_one_that_no_other_preceded() {
+    let age = Duration::from_secs(12);
+    let mut fleet = fleet(&["v1", "v1"]);
+    let sole = |fleet: &Fleet, ms: u64| {
+        let build = fleet.sole_build(at(ms), &service(), age);
+        build.map(|build| build.as_str().to_owned())
+    };
+    assert_eq!(sole(&fleet, 11_000), None);
+    assert_eq!(sole(&fleet, 12_000), Some("v1".to_owned()));
+    list(&mut fleet, 13_000, 2, &["v1", "v2"]);
+    assert_eq!(sole(&fleet, 14_000), None);
+    list(&mut fleet, 15_000, 3, &["v2", "v2"]);
+    assert_eq!(sole(&fleet, 16_000), None);
+    assert_eq!(sole(&fleet, 15_000 + FORGOTTEN_MS), Some("v2".to_owned()));
+    assert_eq!(
+        fleet.sole_build(at(80_000), &name::Service::from("other"), age),
+        None
+    );
+}
+
+/// Guards against a stream that goes on at another version, against a prompt that is copied from
+/// an engine of another version, and against a refusal while an upstream of the version is left.
+#[rstest]
+#[case("v1", &[], true)]
+#[case("v1", &["e0"], true)]
+#[case("v1", &["e0", "e2"], false)]
+#[case("v3", &[], false)]
+fn only_upstreams_of_the_version_are_chosen(
+    #[case] build: &str,
+    #[case] tried: &[&str],
+    #[case] is_sent: bool,
+) {
+    let mut fleet = fleet(&["v1", "v2", "v1", "v2"]);
+    let tried: Vec<name::Upstream> = tried.iter().map(|id| name::Upstream::from(*id)).collect();
+    let build = name::Build::from(build);
+    for session in 0..50 {
+        let query = Query {
+            service: &service(),
+            session: Some(session),
+            max_connections: 0,
+            build: Some(&build),
+            tried: &tried,
+            tie_breaker: session,
+        };
+        assert_eq!(fleet.has_alternative(at(1), &query), is_sent);
+        match fleet.choose(at(1), &query) {
+            Decision::Send {
+                upstream,
+                build: chosen,
+                source,
+                ..
+            } => {
+                assert!(is_sent && chosen == build && !tried.contains(&upstream));
+                let source = source.map(|source| source.port() % 2);
+                assert!(source.is_none_or(|source| source == 0), "copied from v2");
+            }
+            Decision::Refuse { .. } => assert!(!is_sent),
+        }
+    }
+}
