Order revisions of the store by their era first

Revision becomes a pair of the era and the number within it, ordered by the era. Nothing sets an era yet. One of era zero is serialized as its number alone, so stored documents and messages keep their form; the test holds both forms.

--- a/crates/cli/src/document.rs
+++ b/crates/cli/src/document.rs
@@ -109,7 +109,7 @@
         ));
     }
     let missing_name = || match revision {
-        Some(revision) => format!("revision {} of {name}", revision.0),
+        Some(revision) => format!("revision {} of {name}", revision.number),
         None => name.to_string(),
     };
     let Some(revision) = revision else {
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -119,7 +119,7 @@
                 let request = Request {
                     change: Change::Rollback {
                         name: kind.name(&rollback.name),
-                        to: Revision(rollback.revision),
+                        to: Revision::new(rollback.revision),
                     },
                     expect: rollback.expect,
                     wait: rollback.wait,
@@ -136,7 +136,7 @@
             }
             Action::Get(get) => {
                 let name = kind.name(&get.name);
-                let revision = get.revision.map(Revision);
+                let revision = get.revision.map(Revision::new);
                 let (revision, text) = document::text(&self.gateway, &name, revision).await?;
                 let json = json!({"document": name.path(), "revision": revision, "text": text});
                 Ok(Output::success(text, json))
@@ -160,7 +160,7 @@
             &self.gateway,
             request.change,
             self.settings.author(),
-            request.expect.map(Revision),
+            request.expect.map(Revision::new),
             self.settings.edit_timeout(),
         )
         .await;
@@ -171,7 +171,7 @@
             Outcome::Unavailable => return Err(Error::NotWritten),
             Outcome::Unresolved(edit) => return Err(Error::Unresolved { edit }),
         };
-        let mut text = format!("{name} {label}, revision {}", revision.0);
+        let mut text = format!("{name} {label}, revision {}", revision.number);
         let mut json = json!({"document": name.path(), "outcome": label, "revision": revision});
         let mut code = 0;
         if request.wait {
@@ -194,7 +194,7 @@
             if kind.matches(name) && record.text.is_some() {
                 lines.push(format!(
                     "{name} revision {} by {}",
-                    revision.0, record.author
+                    revision.number, record.author
                 ));
                 entries.push(json!({
                     "document": name.path(),
@@ -222,7 +222,7 @@
                 (current, file)
             }
             (None, Some(revision)) => {
-                let revision = Some(Revision(revision));
+                let revision = Some(Revision::new(revision));
                 (
                     document::text(&self.gateway, &name, revision).await?.1,
                     current,
@@ -288,7 +288,7 @@
         });
         let discovery = routers::discover(&self.settings.routers).await;
         let mut lines = vec![match highest {
-            Some(highest) => format!("key-value service: highest revision {}", highest.0),
+            Some(highest) => format!("key-value service: highest revision {}", highest.number),
             None => "key-value service: no answer".to_owned(),
         }];
         let mut entries = Vec::new();
@@ -300,7 +300,7 @@
             lines.push(format!(
                 "{address} {}: revision {}, {}, {}",
                 page.host,
-                configuration.highest.0,
+                configuration.highest.number,
                 if configuration.ready {
                     "ready"
                 } else {
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -192,7 +192,12 @@
         execution.stdout, execution.stderr
     );
     assert!(execution.stderr.contains(text), "{}", execution.stderr);
-    assert_eq!(fixture.server.with_memory(|memory| memory.revision().0), 2);
+    assert_eq!(
+        fixture
+            .server
+            .with_memory(|memory| memory.revision().number),
+        2
+    );
 }
 
 /// Guards against a wrong exit code when the service is unavailable or a reply is lost.
--- a/crates/dev/src/replay/store.rs
+++ b/crates/dev/src/replay/store.rs
@@ -140,7 +140,7 @@
 /// It depends only on the arguments, so that unrelated messages don't alter which routers receive a
 /// change before an outage.
 fn watch_lag(seed: u64, node: usize, revision: Revision) -> Duration {
-    let draw = hash::mix(seed, hash::mix(node as u64, revision.0));
+    let draw = hash::mix(seed, hash::mix(node as u64, revision.number));
     Duration::from_micros(draw % (WATCH_LAG_MS * 1_000 + 1))
 }
 
@@ -203,7 +203,7 @@
     pub(super) fn publish_writes(&mut self) {
         let now = self.now;
         self.store.memory.expire(now);
-        let from = Revision(self.store.published.0 + 1);
+        let from = Revision::new(self.store.published.number + 1);
         for write in self.store.memory.log(from) {
             let documents = write.entries.iter().map(|entry| &entry.key);
             let mut keys = documents.chain(&write.deleted);
@@ -219,7 +219,9 @@
         let watches: Vec<_> = self.store.watches.clone().into_iter().collect();
         for (node, from) in watches {
             let writes = self.store.memory.log(from).to_vec();
-            self.store.watches.insert(node, Revision(current.0 + 1));
+            self.store
+                .watches
+                .insert(node, Revision::new(current.number + 1));
             for write in writes {
                 let lag = LATENCY + watch_lag(self.trace.header.seed, node, write.revision);
                 self.schedule(now + lag, Step::WatchUpdate(node, Box::new(write)));
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -69,7 +69,7 @@
                 self.shared.metrics.rejection(rejection.refusal.reason());
                 info!(self.shared.log, "request: rejected";
                     "id" => rejection.id, "reason" => rejection.refusal.reason(),
-                    "configuration" => rejection.revision.0);
+                    "configuration" => rejection.revision.number);
                 rejection.refusal.write(responder).await
             }
         }
@@ -326,7 +326,7 @@
             "events" => self.events.count(),
             "first_ms" => first_byte.map(|first| first.as_millis() as u64),
             "ms" => elapsed.as_millis() as u64,
-            "configuration" => admitted.revision.0);
+            "configuration" => admitted.revision.number);
     }
 }
 
--- a/crates/edge/src/exchange/admit.rs
+++ b/crates/edge/src/exchange/admit.rs
@@ -108,7 +108,9 @@
     let head = inbound.head.head();
     let request = shared.platform.request(&head.headers);
     let table = shared.table();
-    let revision = table.as_ref().map_or(Revision(0), |table| table.revision());
+    let revision = table
+        .as_ref()
+        .map_or(Revision::new(0), |table| table.revision());
     let admission = Admission::decide(table, head.headers.get(header::HOST), &head.uri, &request);
     let admission = match admission {
         Ok(admission) => admission,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -288,7 +288,10 @@
         metrics
             .store_unreachable
             .set(i64::from(self.shared.is_store_unreachable()));
-        let revision = self.shared.table().map_or(0, |table| table.revision().0);
+        let revision = self
+            .shared
+            .table()
+            .map_or(0, |table| table.revision().number);
         metrics.configuration.set(revision.cast_signed());
         let mut text = String::new();
         text::encode(&mut text, &metrics.registry)?;
--- a/crates/edge/src/peer/fetch.rs
+++ b/crates/edge/src/peer/fetch.rs
@@ -144,7 +144,7 @@
         let delta: Delta = rmp_serde::from_slice(body).context(DecodeSnafu)?;
         let revision = delta.revision;
         info!(shared.log, "upstreams: received";
-            "count" => delta.entries.len(), "revision" => revision.0);
+            "count" => delta.entries.len(), "revision" => revision.number);
         let now = shared.now();
         shared.fleet.borrow_mut().merge(now, delta);
         shared.record_change();
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -207,7 +207,7 @@
         match self.platform.table(revision, value) {
             Ok(table) => {
                 info!(self.log, "configuration: in force";
-                    "version" => table.version(), "revision" => revision.0,
+                    "version" => table.version(), "revision" => revision.number,
                     "routes" => table.len(), "source" => source);
                 *self.table.borrow_mut() = Some(Rc::new(table));
                 self.configured_at.set(self.now());
@@ -219,7 +219,7 @@
             }
             Err(error) => {
                 warn!(self.log, "configuration: unreadable, the last one stays in force";
-                    "revision" => revision.0, "source" => source, "error" => %error);
+                    "revision" => revision.number, "source" => source, "error" => %error);
             }
         }
     }
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -141,7 +141,7 @@
             lost_ms: shared
                 .store_unreachable_since()
                 .map(|since| millis(now, since)),
-            upstreams_revision: fleet.roster().revision().0,
+            upstreams_revision: fleet.roster().revision().number,
         },
         routers: fleet.routers(),
         retries_left,
@@ -153,7 +153,7 @@
     let table = shared.table()?;
     Some(Configuration {
         version: table.version(),
-        revision: table.revision().0,
+        revision: table.revision().number,
         routes: table.len(),
         age_ms: millis(now, shared.configured_at()),
     })
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -128,7 +128,7 @@
         }
     }
     info!(shared.log, "upstreams: listed";
-        "count" => upstreams.len(), "revision" => revision.0);
+        "count" => upstreams.len(), "revision" => revision.number);
     let now = shared.now();
     shared
         .fleet
@@ -236,7 +236,7 @@
         Ok(entry) => {
             info!(shared.log, "upstream: entry";
                 "upstream" => id.as_str(), "service" => entry.service.as_str(),
-                "draining" => entry.draining, "revision" => entry.revision.0);
+                "draining" => entry.draining, "revision" => entry.revision.number);
             Update::Written(entry)
         }
         Err(error) => {
@@ -248,7 +248,7 @@
 
 fn removed_at<P: Platform>(shared: &Shared<P>, id: name::Upstream, revision: Revision) -> Update {
     info!(shared.log, "upstream: entry removed";
-        "upstream" => id.as_str(), "revision" => revision.0);
+        "upstream" => id.as_str(), "revision" => revision.number);
     Update::Removed(id, revision)
 }
 
--- a/crates/edge/tests/bulk.rs
+++ b/crates/edge/tests/bulk.rs
@@ -48,19 +48,19 @@
 
 impl Peer {
     fn digest(&self) -> Response {
-        let revision = Revision(self.upstreams.get());
+        let revision = Revision::new(self.upstreams.get());
         Response {
             digest: Digest {
                 host: name::Host::from(format!("peer-{}", self.zone)),
                 zone: name::Zone::from(self.zone),
                 address: self.address,
-                configuration: Some(Revision(1)),
+                configuration: Some(Revision::new(1)),
                 upstreams: revision,
                 loads: Vec::new(),
                 readers: Vec::new(),
                 members: Vec::new(),
             },
-            upstreams: (revision.0 > 0).then(|| Delta {
+            upstreams: (revision.number > 0).then(|| Delta {
                 revision,
                 complete: true,
                 entries: vec![self.entry.clone()],
@@ -90,7 +90,7 @@
         let body = if is_configuration {
             actix_rt::time::sleep(TRANSFER_TIME).await;
             rmp_serde::to_vec(&Configuration {
-                revision: Revision(1),
+                revision: Revision::new(1),
                 value: Bytes::from_static(DEFAULT.as_bytes()),
             })
         } else {
@@ -123,7 +123,7 @@
             slots: None,
             draining: false,
             incarnation: name::Incarnation(1),
-            revision: Revision(2),
+            revision: Revision::new(2),
         },
         zone,
         delivers,
--- a/crates/edge/tests/common/store.rs
+++ b/crates/edge/tests/common/store.rs
@@ -109,11 +109,11 @@
     }
 
     fn next(&self) -> Revision {
-        Revision(self.state.changes.borrow().len() as u64 + 1)
+        Revision::new(self.state.changes.borrow().len() as u64 + 1)
     }
 
     fn revision(&self) -> Revision {
-        Revision(self.state.changes.borrow().len() as u64)
+        Revision::new(self.state.changes.borrow().len() as u64)
     }
 }
 
@@ -144,7 +144,12 @@
                 if !store.reachable.get() {
                     return Some((Err(Fault::Lost), (store, from)));
                 }
-                let next = store.state.changes.borrow().get(from.0 as usize).cloned();
+                let next = store
+                    .state
+                    .changes
+                    .borrow()
+                    .get(from.number as usize)
+                    .cloned();
                 if let Some(change) = next {
                     let revision = change.revision;
                     return Some((Ok(change), (store, revision)));
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -34,7 +34,7 @@
         zone: zone(1, zones),
         address: address(1),
         configuration: None,
-        upstreams: Revision(0),
+        upstreams: Revision::new(0),
         loads: Vec::new(),
         readers: Vec::new(),
         members: members.collect(),
--- a/crates/edge/tests/propagation.rs
+++ b/crates/edge/tests/propagation.rs
@@ -97,7 +97,7 @@
     let (node, store) = single(&[]).await;
     store.configure(CHANGED);
     until("the change is in force", || version(&node) == Some(2)).await;
-    let revision = snipeusher::kv::Revision(1);
+    let revision = snipeusher::kv::Revision::new(1);
     node.shared.configure(revision, DEFAULT.as_bytes(), "peer");
     assert_eq!(version(&node), Some(2));
 }
--- a/crates/edge/tests/serialized.rs
+++ b/crates/edge/tests/serialized.rs
@@ -49,8 +49,8 @@
         host: "front-1".into(),
         zone: "zone-1".into(),
         address: address(),
-        configuration: Some(Revision(300)),
-        upstreams: Revision(301),
+        configuration: Some(Revision::new(300)),
+        upstreams: Revision::new(301),
         loads: vec![Observation {
             upstream: "engine-1".into(),
             load: 4,
@@ -89,15 +89,15 @@
         slots: Some(9),
         draining: true,
         incarnation: Incarnation(10),
-        revision: Revision(11),
+        revision: Revision::new(11),
     };
     let removal = Removal {
         id: "engine-2".into(),
-        revision: Revision(12),
+        revision: Revision::new(12),
         keep_ms: 13,
     };
     let delta = Delta {
-        revision: Revision(14),
+        revision: Revision::new(14),
         complete: true,
         entries: vec![entry],
         removed: vec![removal],
@@ -113,7 +113,7 @@
 #[test]
 fn a_configuration_keeps_its_form() {
     let configuration = Configuration {
-        revision: Revision(15),
+        revision: Revision::new(15),
         value: Bytes::from_static(b"{}"),
     };
     assert_form("configuration.hex", &configuration);
--- a/crates/fakes/src/kv/json.rs
+++ b/crates/fakes/src/kv/json.rs
@@ -30,7 +30,7 @@
                 0 => Call::Range(range),
                 _ => Call::Changed {
                     range,
-                    after: Revision(u64::try_from(min_revision).ok()? - 1),
+                    after: Revision::new(u64::try_from(min_revision).ok()? - 1),
                 },
             })
         }
@@ -51,7 +51,7 @@
         return None;
     };
     let from = u64::try_from(integer(create, "start_revision")?).ok()?;
-    Some((prefix, Revision(from)))
+    Some((prefix, Revision::new(from)))
 }
 
 /// Reads a 64-bit integer, which JSON carries as a string; an absent field is zero.
@@ -100,7 +100,7 @@
 fn compare(object: &Value) -> Option<Compare> {
     let result = object.get("result")?.as_str()?;
     let target = object.get("target")?.as_str()?;
-    let revision = |field| Some(Revision(u64::try_from(integer(object, field)?).ok()?));
+    let revision = |field| Some(Revision::new(u64::try_from(integer(object, field)?).ok()?));
     match (result, target, range(object)?) {
         ("EQUAL", "MOD", Range::Key(key)) => {
             Some(Compare::Modified(key, revision("mod_revision")?))
@@ -110,7 +110,7 @@
         }
         ("LESS", "MOD", Range::Prefix(prefix)) => {
             let below = revision("mod_revision")?;
-            Some(Compare::Unchanged(prefix, Revision(below.0 - 1)))
+            Some(Compare::Unchanged(prefix, Revision::new(below.number - 1)))
         }
         _ => None,
     }
@@ -137,15 +137,15 @@
 }
 
 fn header(revision: Revision) -> Value {
-    json!({"cluster_id": "1", "member_id": "1", "revision": revision.0.to_string()})
+    json!({"cluster_id": "1", "member_id": "1", "revision": revision.number.to_string()})
 }
 
 fn key_value(entry: &Entry) -> Value {
     let mut object = json!({
         "key": STANDARD.encode(&entry.key),
         "value": STANDARD.encode(&entry.value),
-        "create_revision": entry.created.0.to_string(),
-        "mod_revision": entry.modified.0.to_string(),
+        "create_revision": entry.created.number.to_string(),
+        "mod_revision": entry.modified.number.to_string(),
         "version": "1",
     });
     if let Some(lease) = entry.lease {
@@ -211,7 +211,7 @@
         .iter()
         .filter(|key| key.starts_with(prefix))
         .map(|key| {
-            let revision = write.revision.0.to_string();
+            let revision = write.revision.number.to_string();
             json!({"type": "DELETE", "kv": {"key": STANDARD.encode(key), "mod_revision": revision}})
         });
     let events: Vec<_> = written.chain(deleted).collect();
--- a/crates/fakes/src/kv/memory.rs
+++ b/crates/fakes/src/kv/memory.rs
@@ -46,7 +46,7 @@
 impl Memory {
     /// Current revision of the store.
     pub const fn revision(&self) -> Revision {
-        Revision(self.revision)
+        Revision::new(self.revision)
     }
 
     /// Returns the entry of a key.
@@ -85,7 +85,7 @@
     pub fn call(&mut self, now: Time, call: &Call) -> Result<Reply, Fault> {
         self.expire(now);
         match call {
-            Call::Range(range) => Ok(self.range(range, Revision(0))),
+            Call::Range(range) => Ok(self.range(range, Revision::new(0))),
             Call::Changed { range, after } => Ok(self.range(range, *after)),
             Call::Txn(txn) => self.txn(txn),
             Call::Grant { ttl_s } => {
@@ -134,7 +134,7 @@
             self.keys.remove(key);
         }
         self.log.push(Write {
-            revision: Revision(self.revision),
+            revision: Revision::new(self.revision),
             entries: Vec::new(),
             deleted: keys,
         });
@@ -170,7 +170,7 @@
         let (succeeded, results) = self.apply(txn, &mut decisions.into_iter(), &mut write);
         if !write.entries.is_empty() || !write.deleted.is_empty() {
             self.revision += 1;
-            write.revision = Revision(self.revision);
+            write.revision = Revision::new(self.revision);
             self.log.push(write);
         }
         Ok(Reply::Txn {
@@ -252,7 +252,7 @@
     }
 
     fn put(&mut self, key: &str, value: &[u8], lease: Option<Lease>) -> Entry {
-        let modified = Revision(self.revision + 1);
+        let modified = Revision::new(self.revision + 1);
         let entry = Entry {
             key: key.to_owned(),
             value: value.to_vec(),
@@ -269,13 +269,13 @@
             Compare::Modified(key, revision) => {
                 self.keys
                     .get(key)
-                    .map_or(Revision(0), |entry| entry.modified)
+                    .map_or(Revision::new(0), |entry| entry.modified)
                     == *revision
             }
             Compare::Created(key, revision) => {
                 self.keys
                     .get(key)
-                    .map_or(Revision(0), |entry| entry.created)
+                    .map_or(Revision::new(0), |entry| entry.created)
                     == *revision
             }
             Compare::Unchanged(prefix, revision) => self
--- a/crates/fakes/src/kv/server.rs
+++ b/crates/fakes/src/kv/server.rs
@@ -401,7 +401,7 @@
             lines.push(line(&message));
         }
     }
-    let next = Revision(state.memory.revision().0 + 1);
+    let next = Revision::new(state.memory.revision().number + 1);
     (
         state.faults.event_delay,
         lines.concat().into(),
--- a/crates/router/src/configuration.rs
+++ b/crates/router/src/configuration.rs
@@ -175,7 +175,7 @@
                 }
                 Action::Apply { policy, revision } => {
                     info!(self.log, "configuration: policy applied";
-                        "workspace" => policy.workspace.as_str(), "revision" => revision.0);
+                        "workspace" => policy.workspace.as_str(), "revision" => revision.number);
                     applied.push(*policy);
                 }
                 Action::Remove(workspace) => {
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -158,7 +158,7 @@
         name: "operator".to_owned(),
         at_ms: 0,
     };
-    let id = EditId(u128::from(server.with_memory(|memory| memory.revision().0)) + 1);
+    let id = EditId(u128::from(server.with_memory(|memory| memory.revision().number)) + 1);
     let deadline = Time::from_millis(1_000);
     let mut edit = Edit::new(change, author, id, None, Time(0), deadline);
     edit.handle(Time(0), None);
--- a/crates/router/tests/configuration.rs
+++ b/crates/router/tests/configuration.rs
@@ -53,7 +53,7 @@
         panic!("{outcome:?}");
     };
     let status = fleet.status().await;
-    status["configuration"]["documents"]["workspace/reading-circle"] == revision.0
+    status["configuration"]["documents"]["workspace/reading-circle"] == revision.number
 }
 
 /// Guards against a router that reports ready although the service was unavailable at its start, or
--- a/crates/snipeusher/src/claim/claims/arrive.rs
+++ b/crates/snipeusher/src/claim/claims/arrive.rs
@@ -59,7 +59,7 @@
         let entry = Entry {
             fingerprint,
             attempt: self.attempts,
-            expected: Revision(0),
+            expected: Revision::new(0),
             process_local,
             state,
         };
--- a/crates/snipeusher/src/claim/claims/settle.rs
+++ b/crates/snipeusher/src/claim/claims/settle.rs
@@ -56,7 +56,7 @@
         };
         let Some(Found { revision, record }) = found else {
             // The released claim expired after it was read, so the key no longer exists.
-            self.retry_claim(now, item, request, deadline, Revision(0));
+            self.retry_claim(now, item, request, deadline, Revision::new(0));
             return None;
         };
         let Some(record) = record else {
--- a/crates/snipeusher/src/config/plan.rs
+++ b/crates/snipeusher/src/config/plan.rs
@@ -116,7 +116,7 @@
         other: String,
     },
     /// The history does not contain the version.
-    #[snafu(display("the history of {name} has no revision {}", revision.0))]
+    #[snafu(display("the history of {name} has no revision {}", revision.number))]
     NoVersion {
         /// The document.
         name: Name,
@@ -134,8 +134,8 @@
     /// Another operator changed the document first.
     #[snafu(display(
         "{name} was changed by {author:?} in revision {}, this change expected revision {}",
-        found.0,
-        expected.0
+        found.number,
+        expected.number
     ))]
     Conflict {
         /// The document.
--- a/crates/snipeusher/src/config/replica.rs
+++ b/crates/snipeusher/src/config/replica.rs
@@ -81,7 +81,7 @@
         Self {
             set: Set::default(),
             state: State::Waiting(now),
-            synced_revision: Revision(0),
+            synced_revision: Revision::new(0),
             behind: None,
             advanced_at: now,
             next_exchange: now,
@@ -161,7 +161,7 @@
 
     fn read(&mut self) {
         let range = Range::Prefix(PREFIX.to_owned());
-        let call = if self.synced_revision == Revision(0) {
+        let call = if self.synced_revision == Revision::new(0) {
             Call::Range(range)
         } else {
             let after = self.synced_revision;
@@ -185,7 +185,10 @@
         self.behind = None;
         self.synced_revision = self.synced_revision.max(revision);
         self.apply_change(revision, &entries, &[]);
-        let from = Revision(self.synced_revision.0 + 1);
+        let from = Revision {
+            number: self.synced_revision.number + 1,
+            ..self.synced_revision
+        };
         self.actions.push_back(Action::Watch { from });
         self.set_ready();
     }
@@ -238,7 +241,7 @@
         let above = if theirs.highest > own.highest {
             own.highest
         } else {
-            Revision(0)
+            Revision::new(0)
         };
         let span = self.set.span(above, theirs.highest);
         self.send(peer, Exchange::Request(span));
--- a/crates/snipeusher/src/config/set.rs
+++ b/crates/snipeusher/src/config/set.rs
@@ -197,7 +197,10 @@
 }
 
 fn fingerprint(document: &Document) -> u64 {
-    hash::mix(hash::bytes(document.path.as_bytes()), document.revision.0)
+    hash::mix(
+        hash::bytes(document.path.as_bytes()),
+        document.revision.number,
+    )
 }
 
 fn parse(document: &Document) -> Result<Content, String> {
--- a/crates/snipeusher/src/config/snapshot.rs
+++ b/crates/snipeusher/src/config/snapshot.rs
@@ -45,7 +45,7 @@
     pub fn revision_of(&self, name: &Name) -> Revision {
         self.documents
             .get(name)
-            .map_or(Revision(0), |(revision, _)| *revision)
+            .map_or(Revision::new(0), |(revision, _)| *revision)
     }
 
     /// The text of a document, unless it is deleted.
--- a/crates/snipeusher/src/kv.rs
+++ b/crates/snipeusher/src/kv.rs
@@ -5,17 +5,89 @@
 
 mod backoff;
 
+use std::fmt;
+
 use serde::Deserialize;
 use serde::Serialize;
 
 pub use self::backoff::Backoff;
 
-/// A revision of the whole store; in conditions, zero means that the key does not exist.
+/// Number of times that the store was restored from a copy.
+///
+/// A store that comes back from an older copy gives out the same revisions again for other changes.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(transparent)]
-pub struct Revision(pub u64);
+pub struct Era(pub u64);
+
+impl fmt::Display for Era {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// A revision of the whole store; in conditions, zero means that the key does not exist.
+///
+/// Revisions are ordered by their era first. One of era zero is written as its number alone, as it
+/// was before there were eras.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(from = "RevisionForm", into = "RevisionForm")]
+pub struct Revision {
+    /// Era in which the store gave out the number.
+    pub era: Era,
+    /// Number within the era.
+    pub number: u64,
+}
+
+impl Revision {
+    /// A revision of a store that was never restored.
+    pub const fn new(number: u64) -> Self {
+        Self {
+            era: Era(0),
+            number,
+        }
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.era == Era::default() {
+            write!(f, "{}", self.number)
+        } else {
+            write!(f, "{}/{}", self.era, self.number)
+        }
+    }
+}
+
+/// Serialized form of a [`Revision`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(untagged)]
+enum RevisionForm {
+    Number(u64),
+    WithEra(Era, u64),
+}
+
+impl From<RevisionForm> for Revision {
+    fn from(form: RevisionForm) -> Self {
+        match form {
+            RevisionForm::Number(number) => Self::new(number),
+            RevisionForm::WithEra(era, number) => Self { era, number },
+        }
+    }
+}
+
+impl From<Revision> for RevisionForm {
+    fn from(revision: Revision) -> Self {
+        if revision.era == Era::default() {
+            Self::Number(revision.number)
+        } else {
+            Self::WithEra(revision.era, revision.number)
+        }
+    }
+}
 
 /// Id of a lease in the service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/crates/snipeusher/src/lease/candidate.rs
+++ b/crates/snipeusher/src/lease/candidate.rs
@@ -234,7 +234,7 @@
         let key = self.settings.key.clone();
         let value = serde_json::to_vec(&self.settings.owner).unwrap_or_default();
         Call::Txn(Txn {
-            compare: vec![Compare::Created(key.clone(), Revision(0))],
+            compare: vec![Compare::Created(key.clone(), Revision::new(0))],
             success: vec![Op::Put {
                 key: key.clone(),
                 value,
--- a/crates/snipeusher/tests/config.rs
+++ b/crates/snipeusher/tests/config.rs
@@ -376,7 +376,7 @@
         let Some(next) = self.routers[router].watch else {
             return;
         };
-        let log = self.network.memory.log(Revision(0));
+        let log = self.network.memory.log(Revision::new(0));
         let write = match replay {
             Some(nth) if !log.is_empty() => log[nth % log.len()].clone(),
             Some(_) => return,
@@ -384,7 +384,7 @@
                 let Some(write) = self.network.memory.log(next).first().cloned() else {
                     return;
                 };
-                self.routers[router].watch = Some(Revision(write.revision.0 + 1));
+                self.routers[router].watch = Some(Revision::new(write.revision.number + 1));
                 write
             }
         };
@@ -440,7 +440,7 @@
     /// Checks each edit's outcome against the writes in the store's log.
     fn check_reports(&self) {
         let mut written: BTreeMap<EditId, Vec<Revision>> = BTreeMap::new();
-        for write in self.network.memory.log(Revision(0)) {
+        for write in self.network.memory.log(Revision::new(0)) {
             for document in write.entries.iter().filter_map(Document::from_entry) {
                 let stored = Record::decode(&document.value).unwrap();
                 written.entry(stored.edit).or_default().push(write.revision);
@@ -604,7 +604,7 @@
 fn many_documents_are_exchanged_in_small_messages() {
     let document = |number: u64| Document {
         path: format!("template/t{number}").into(),
-        revision: Revision(number),
+        revision: Revision::new(number),
         value: "x".repeat(if number == 7 { 300_000 } else { 5_000 }).into(),
     };
     let mut replicas = [Replica::new(Time(0), 1), Replica::new(Time(0), 2)];
@@ -645,7 +645,7 @@
         _ => None,
     });
     let empty = Reply::Range {
-        revision: Revision(5),
+        revision: Revision::new(5),
         entries: Vec::new(),
     };
     peer.handle(
--- a/crates/snipeusher/tests/edit.rs
+++ b/crates/snipeusher/tests/edit.rs
@@ -177,7 +177,7 @@
         reply
     });
     if applied {
-        assert_eq!(outcome, Outcome::Applied(Revision(2)));
+        assert_eq!(outcome, Outcome::Applied(Revision::new(2)));
     } else {
         assert!(
             matches!(outcome, Outcome::Refused(Refusal::Conflict { .. })),
@@ -232,7 +232,7 @@
         apply(memory, 2, put(template("b"), template_text("b", "p", 0)));
         send(memory, call, Delivery::Deliver)
     });
-    assert_eq!(outcome, Outcome::Applied(Revision(2)));
+    assert_eq!(outcome, Outcome::Applied(Revision::new(2)));
     assert_eq!(snapshot(&memory).documents.len(), 2);
 }
 
@@ -261,7 +261,7 @@
     "has no parameter \"q\""
 )]
 #[case(put(template("a"), format!("{}#{}", template_text("a", "p", 0), "x".repeat(300_000))), "at most 204800")]
-#[case(Change::Rollback { name: template("a"), to: Revision(99) }, "has no revision 99")]
+#[case(Change::Rollback { name: template("a"), to: Revision::new(99) }, "has no revision 99")]
 #[case(Change::Set { name: workspace("w"), parameter: "p".into(), value: 0.into() }, "must be at least 1")]
 #[case(Change::Set { name: template("a"), parameter: "q".into(), value: 0.into() }, "no parameter \"q\"")]
 fn invalid_and_breaking_changes_are_rejected(#[case] change: Change, #[case] reason: &str) {
@@ -303,18 +303,21 @@
     };
     assert_eq!(
         apply(&mut memory, 3, set.clone()),
-        Outcome::Applied(Revision(3))
+        Outcome::Applied(Revision::new(3))
+    );
+    assert_eq!(
+        apply(&mut memory, 4, set),
+        Outcome::Unchanged(Revision::new(3))
     );
-    assert_eq!(apply(&mut memory, 4, set), Outcome::Unchanged(Revision(3)));
     let changed = snapshot(&memory).template(&"a".into()).unwrap();
     assert_eq!(changed.parameters["p"].default, 9.into());
     let rollback = Change::Rollback {
         name: template("a"),
-        to: Revision(1),
+        to: Revision::new(1),
     };
     assert_eq!(
         apply(&mut memory, 5, rollback),
-        Outcome::Applied(Revision(4))
+        Outcome::Applied(Revision::new(4))
     );
     assert_eq!(
         snapshot(&memory).text(&template("a")),
@@ -322,16 +325,19 @@
     );
     assert_eq!(
         apply(&mut memory, 6, Change::Delete(workspace("w"))),
-        Outcome::Applied(Revision(5))
+        Outcome::Applied(Revision::new(5))
     );
     assert_eq!(
         apply(&mut memory, 7, Change::Delete(template("a"))),
-        Outcome::Applied(Revision(6))
+        Outcome::Applied(Revision::new(6))
     );
     assert_eq!(snapshot(&memory).text(&template("a")), None);
     let history = &memory.get(&template("a").history_key()).unwrap().value;
     let revisions: Vec<_> = History::decode(history).unwrap().versions;
-    let revisions: Vec<_> = revisions.iter().map(|version| version.revision.0).collect();
+    let revisions: Vec<_> = revisions
+        .iter()
+        .map(|version| version.revision.number)
+        .collect();
     assert_eq!(revisions, [4, 3, 1]);
 }
 
--- a/crates/snipeusher/tests/fetch.rs
+++ b/crates/snipeusher/tests/fetch.rs
@@ -16,7 +16,7 @@
 use snipeusher::time::Time;
 
 /// The announced revision.
-const NEWEST: Revision = Revision(2);
+const NEWEST: Revision = Revision::new(2);
 /// Time that a transfer takes if no other one shares the link.
 const TRANSFER_MS: u64 = 25;
 /// Transfers that a router sends at once.
@@ -96,7 +96,7 @@
             self.receive(now, router);
             return;
         }
-        let mut query = query(Some(Revision(1)), Size::Small);
+        let mut query = query(Some(Revision::new(1)), Size::Small);
         query.random = self.rng.random();
         match self.fetches[router].next(Time::from_millis(now), &query) {
             Some(Step::Peer(peer, _limit)) => {
@@ -152,7 +152,7 @@
 fn the_store_is_read_when_no_peer_delivers() {
     let mut fetch = Fetch::default();
     fetch.announce(Time::from_millis(0), NEWEST, source(1, true));
-    let query = query(Some(Revision(1)), Size::Small);
+    let query = query(Some(Revision::new(1)), Size::Small);
     let first = fetch.next(Time::from_millis(0), &query);
     assert!(matches!(first, Some(Step::Peer(1, _))), "{first:?}");
     fetch.remove(1);
@@ -172,7 +172,7 @@
 fn large_data_is_read_from_the_store() {
     let mut fetch = Fetch::default();
     fetch.announce(Time::from_millis(0), NEWEST, source(1, true));
-    let mut query = query(Some(Revision(1)), Size::Large);
+    let mut query = query(Some(Revision::new(1)), Size::Large);
     assert_eq!(
         fetch.next(Time::from_millis(0), &query),
         Some(Step::Store),
@@ -188,7 +188,7 @@
 fn a_peer_of_the_own_zone_is_awaited_and_preferred() {
     let mut fetch = Fetch::default();
     fetch.announce(Time::from_millis(0), NEWEST, source(1, false));
-    let query = query(Some(Revision(1)), Size::Small);
+    let query = query(Some(Revision::new(1)), Size::Small);
     let first = fetch.next(Time::from_millis(0), &query);
     assert!(matches!(first, Some(Step::Wait(_))), "{first:?}");
     fetch.announce(Time::from_millis(30), NEWEST, source(2, true));
@@ -206,11 +206,11 @@
     assert_eq!(fetch.next(now, &query(Some(NEWEST), Size::Small)), None);
     fetch.record_received(NEWEST);
     assert_eq!(
-        fetch.next(now, &query(Some(Revision(1)), Size::Small)),
+        fetch.next(now, &query(Some(Revision::new(1)), Size::Small)),
         None
     );
-    assert!(fetch.announce(now, Revision(3), source(1, true)));
-    let step = fetch.next(now, &query(Some(Revision(1)), Size::Small));
+    assert!(fetch.announce(now, Revision::new(3), source(1, true)));
+    let step = fetch.next(now, &query(Some(Revision::new(1)), Size::Small));
     assert!(matches!(step, Some(Step::Peer(1, _))), "{step:?}");
 }
 
--- a/crates/snipeusher/tests/fleet_view.rs
+++ b/crates/snipeusher/tests/fleet_view.rs
@@ -41,7 +41,7 @@
         slots: Some(8),
         draining: false,
         incarnation: name::Incarnation(1),
-        revision: Revision(revision),
+        revision: Revision::new(revision),
     }
 }
 
@@ -51,7 +51,7 @@
         retries: Limits::default(),
     });
     let entries = (0..count).map(|index| entry(index, 1)).collect();
-    fleet.replace_all(at(0), Revision(1), entries);
+    fleet.replace_all(at(0), Revision::new(1), entries);
     fleet
 }
 
@@ -193,7 +193,7 @@
         .address;
     let mut leaving = fleet.roster().get(&first).expect("it is listed").clone();
     leaving.draining = true;
-    leaving.revision = Revision(2);
+    leaving.revision = Revision::new(2);
     fleet.upsert(at(2), leaving);
     match choose(&mut fleet, at(3), Some(3), &[]) {
         Decision::Send {
@@ -233,7 +233,7 @@
         leaving.draining = true;
         fleet.upsert(at(10), leaving);
     } else {
-        fleet.remove(at(10), &id, Revision(5));
+        fleet.remove(at(10), &id, Revision::new(5));
     }
     assert!(!fleet.is_ready(at(10), &id));
     for point in 0..20 {
@@ -246,9 +246,9 @@
 fn an_older_revision_does_not_undo_a_removal() {
     let mut roster = Roster::default();
     roster.upsert(entry(0, 3));
-    roster.remove(at(1), &name::Upstream::from("e0"), Revision(4));
+    roster.remove(at(1), &name::Upstream::from("e0"), Revision::new(4));
     let stale = Delta {
-        revision: Revision(3),
+        revision: Revision::new(3),
         complete: true,
         entries: vec![entry(0, 3)],
         removed: Vec::new(),
@@ -267,7 +267,7 @@
     roster.upsert(leaving);
     roster.store_disconnected();
     roster.store_reconnected(at(1_000), true);
-    roster.replace_all(at(1_000), Revision(9), Vec::new());
+    roster.replace_all(at(1_000), Revision::new(9), Vec::new());
     let ready: Vec<&str> = roster.ready(at(1_500)).map(|e| e.id.as_str()).collect();
     assert_eq!(ready, ["e0"], "only the one that was not leaving");
     assert_eq!(roster.ready(at(3_400)).count(), 0);
@@ -284,9 +284,9 @@
     roster.upsert(entry(0, 1));
     roster.store_disconnected();
     roster.store_reconnected(at(1_000), false);
-    roster.remove(at(1_100), &name::Upstream::from("e0"), Revision(2));
+    roster.remove(at(1_100), &name::Upstream::from("e0"), Revision::new(2));
     assert_eq!(roster.ready(at(1_100)).count(), 0);
-    let delta = roster.changes_since(at(1_100), Revision(1));
+    let delta = roster.changes_since(at(1_100), Revision::new(1));
     assert_eq!(delta.removed[0].keep_ms, 0);
 }
 
@@ -296,11 +296,11 @@
     let mut reader = Roster::default();
     reader.upsert(entry(0, 1));
     let mut peer = Roster::default();
-    peer.merge(at(0), reader.changes_since(at(0), Revision(0)));
+    peer.merge(at(0), reader.changes_since(at(0), Revision::new(0)));
     assert_eq!(peer.ready(at(0)).count(), 1);
     reader.store_disconnected();
     reader.store_reconnected(at(1_000), true);
-    reader.remove(at(1_000), &name::Upstream::from("e0"), Revision(2));
+    reader.remove(at(1_000), &name::Upstream::from("e0"), Revision::new(2));
     peer.merge(at(1_100), reader.changes_since(at(1_100), peer.revision()));
     assert_eq!(peer.ready(at(1_200)).count(), 1);
     assert_eq!(peer.ready(at(3_500)).count(), 0);
@@ -314,14 +314,14 @@
         reader.upsert(entry(index, 1 + u64::from(index)));
     }
     let mut peer = Roster::default();
-    peer.merge(at(0), reader.changes_since(at(0), Revision(0)));
-    reader.remove(at(1), &name::Upstream::from("e1"), Revision(7));
+    peer.merge(at(0), reader.changes_since(at(0), Revision::new(0)));
+    reader.remove(at(1), &name::Upstream::from("e1"), Revision::new(7));
     let delta = reader.changes_since(at(1), peer.revision());
     assert!(!delta.complete);
     assert!(delta.entries.is_empty());
     peer.merge(at(2), delta);
     assert_eq!(peer.ready(at(2)).count(), 3);
-    assert_eq!(peer.revision(), Revision(7));
+    assert_eq!(peer.revision(), Revision::new(7));
 }
 
 /// Guards against a delta that lacks removals from before the sender's complete list.
@@ -331,7 +331,7 @@
     peer.upsert(entry(0, 1));
     peer.upsert(entry(1, 2));
     let mut reader = Roster::default();
-    reader.replace_all(at(0), Revision(9), vec![entry(1, 2)]);
+    reader.replace_all(at(0), Revision::new(9), vec![entry(1, 2)]);
     let delta = reader.changes_since(at(0), peer.revision());
     assert!(delta.complete);
     peer.merge(at(1), delta);
@@ -526,19 +526,22 @@
     let entry = fleet.upstreams()[0].entry.clone();
     let written = |revision: u64, draining: bool| {
         let mut entry = entry.clone();
-        entry.revision = Revision(revision);
+        entry.revision = Revision::new(revision);
         entry.draining = draining;
         Update::Written(entry)
     };
     let updates = [
         written(100, true),
-        Update::Removed(entry.id.clone(), Revision(101)),
+        Update::Removed(entry.id.clone(), Revision::new(101)),
         written(102, false),
     ];
     fleet.apply(at(5), updates);
     assert_eq!(fleet.upstreams().len(), before);
     assert!(fleet.is_ready(at(5), &entry.id));
-    fleet.apply(at(6), [Update::Removed(entry.id.clone(), Revision(103))]);
+    fleet.apply(
+        at(6),
+        [Update::Removed(entry.id.clone(), Revision::new(103))],
+    );
     assert_eq!(fleet.upstreams().len(), before - 1);
-    assert_eq!(fleet.roster().revision(), Revision(103));
+    assert_eq!(fleet.roster().revision(), Revision::new(103));
 }
--- a/crates/snipeusher/tests/lease.rs
+++ b/crates/snipeusher/tests/lease.rs
@@ -206,7 +206,7 @@
         }
         self.accepted = fence;
         // The store's log shows independently of the order whether a holder had this token.
-        let log = self.network.memory.log(Revision(0));
+        let log = self.network.memory.log(Revision::new(0));
         let creations = log.iter().flat_map(|write| &write.entries);
         let is_known = creations
             .filter(|entry| entry.key == KEY)
@@ -236,7 +236,7 @@
 
     /// Delivers the watch event of an earlier change; `back` counts from the latest.
     fn watch(&mut self, process: usize, back: usize) {
-        let log = self.network.memory.log(Revision(0));
+        let log = self.network.memory.log(Revision::new(0));
         let Some(write) = log.iter().rev().nth(back) else {
             return;
         };
@@ -262,7 +262,7 @@
             created: BTreeMap::new(),
             holds: BTreeMap::new(),
             orders: Vec::new(),
-            accepted: Revision(0),
+            accepted: Revision::new(0),
         }
     }
 
--- a/crates/snipeusher/tests/member.rs
+++ b/crates/snipeusher/tests/member.rs
@@ -343,7 +343,7 @@
     fleet.network.loss = 0.1;
     fleet.run(Duration::from_secs(5));
     let digest = Digest {
-        highest: Revision(7),
+        highest: Revision::new(7),
         hash: 7,
         ready: true,
     };
@@ -353,8 +353,8 @@
         assert_eq!(node.digests["router-0"], digest, "{}", node.settings.host);
     }
     let spans = (0..300).map(|number| Span {
-        above: Revision(number),
-        upto: Revision(number + 1),
+        above: Revision::new(number),
+        upto: Revision::new(number + 1),
         hash: u64::MAX - number,
     });
     let exchange = Exchange::Parts(spans.collect());
--- a/crates/snipeusher/tests/outage.rs
+++ b/crates/snipeusher/tests/outage.rs
@@ -45,7 +45,7 @@
         slots: None,
         draining: false,
         incarnation: name::Incarnation(1),
-        revision: Revision(1),
+        revision: Revision::new(1),
     }
 }
 
@@ -57,7 +57,7 @@
     let mut view = Fleet::new(settings);
     let entries = ["a", "b", "c", "d", "e"].map(|zone| (0..UPSTREAMS).map(|i| entry(zone, i)));
     let entries = entries.into_iter().flatten().collect();
-    view.replace_all(Time::default(), Revision(1), entries);
+    view.replace_all(Time::default(), Revision::new(1), entries);
     view
 }
 
--- a/crates/snipeusher/tests/route.rs
+++ b/crates/snipeusher/tests/route.rs
@@ -34,7 +34,7 @@
 }
 
 fn table() -> Table {
-    let mut builder = Builder::new(Revision(7), 3);
+    let mut builder = Builder::new(Revision::new(7), 3);
     for (name, host, prefix) in [
         ("root", "a.example", "/"),
         ("books", "a.example", "/books/"),
@@ -78,7 +78,7 @@
 #[case("/books")]
 #[case("")]
 fn a_prefix_without_slashes_is_rejected(#[case] prefix: &str) {
-    let mut builder = Builder::new(Revision(1), 1);
+    let mut builder = Builder::new(Revision::new(1), 1);
     let added = builder.route("a.example", prefix, route("books", &[("shelf", 1)]));
     assert!(matches!(added, Err(Error::Prefix { .. })), "{added:?}");
 }
@@ -87,7 +87,7 @@
 #[case(&[])]
 #[case(&[("shelf", 0)])]
 fn a_route_without_a_weighted_backend_is_rejected(#[case] backends: &[(&str, u32)]) {
-    let mut builder = Builder::new(Revision(1), 1);
+    let mut builder = Builder::new(Revision::new(1), 1);
     let added = builder.route("a.example", "/", route("books", backends));
     assert!(matches!(added, Err(Error::NoBackend { .. })), "{added:?}");
 }
--- a/crates/snipeusher/tests/serialized.rs
+++ b/crates/snipeusher/tests/serialized.rs
@@ -10,10 +10,12 @@
 use std::fs;
 use std::path::Path;
 
+use rstest::rstest;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snipeusher::claim;
 use snipeusher::config;
+use snipeusher::kv::Era;
 use snipeusher::kv::Revision;
 use snipeusher::lease;
 use snipeusher::load::Work;
@@ -73,7 +75,7 @@
         sent_ms: 1_700_000_000_000,
         known: Some((Incarnation(6), 8)),
         digest: config::Digest {
-            highest: Revision(300),
+            highest: Revision::new(300),
             hash: 9,
             ready: true,
         },
@@ -137,13 +139,13 @@
 #[test]
 fn configuration_exchanges_keep_their_form() {
     let span = config::Span {
-        above: Revision(1),
-        upto: Revision(2),
+        above: Revision::new(1),
+        upto: Revision::new(2),
         hash: 3,
     };
     let document = config::Document {
         path: "template/letters".into(),
-        revision: Revision(4),
+        revision: Revision::new(4),
         value: "{}".into(),
     };
     let exchanges = [
@@ -202,7 +204,7 @@
     let edit = config::EditId(0x1234);
     let recent = config::Commit {
         edit: config::EditId(1),
-        revision: Revision(2),
+        revision: Revision::new(2),
     };
     let document = config::Record {
         text: Some("models = [\"model-1\"]".to_owned()),
@@ -214,7 +216,7 @@
     };
     assert_json("stored.json", &document);
     let version = config::Version {
-        revision: Revision(3),
+        revision: Revision::new(3),
         text: None,
         edit,
         author: "operator".to_owned(),
@@ -235,3 +237,23 @@
     };
     assert_json("lease-owner.json", &owner);
 }
+
+/// Guards against revisions of a restored store that are ordered by their number alone, and against
+/// a form that an older release cannot read as long as the store was never restored.
+#[rstest]
+#[case(Revision::new(900), "cd0384")]
+#[case(Revision { era: Era(1), number: 870 }, "9201cd0366")]
+fn revisions_are_ordered_by_era_first(#[case] revision: Revision, #[case] form: &str) {
+    let bytes = rmp_serde::to_vec(&revision).expect("it can be written");
+    assert_eq!(hex::encode(&bytes), form);
+    let read: Revision = rmp_serde::from_slice(&bytes).expect("it can be read");
+    assert_eq!(read, revision);
+    let json = serde_json::to_string(&revision).expect("it can be written");
+    let read: Revision = serde_json::from_str(&json).expect("it can be read");
+    assert_eq!(read, revision);
+    let restored = Revision {
+        era: Era(2),
+        number: 1,
+    };
+    assert!(revision < restored);
+}
--- a/crates/snipeusher/tests/stream.rs
+++ b/crates/snipeusher/tests/stream.rs
@@ -47,7 +47,7 @@
         slots: None,
         draining: false,
         incarnation: name::Incarnation(1),
-        revision: Revision(1),
+        revision: Revision::new(1),
     }
 }
 
@@ -63,10 +63,10 @@
 /// Applies a complete list with one upstream of each version.
 fn list(fleet: &mut Fleet, ms: u64, revision: u64, builds: &[&str]) {
     let entries = (0..).zip(builds).map(|(index, build)| Entry {
-        revision: Revision(revision),
+        revision: Revision::new(revision),
         ..entry(index, build)
     });
-    fleet.replace_all(at(ms), Revision(revision), entries.collect());
+    fleet.replace_all(at(ms), Revision::new(revision), entries.collect());
 }
 
 /// Guards against a stream whose version changes because a later router reports another one.
--- a/crates/store/src/gateway.rs
+++ b/crates/store/src/gateway.rs
@@ -197,7 +197,7 @@
 impl Store for Gateway {
     async fn call(&self, call: Call) -> Result<Reply, Fault> {
         match call {
-            Call::Range(range) => self.range(&range, Revision(0)).await,
+            Call::Range(range) => self.range(&range, Revision::new(0)).await,
             Call::Changed { range, after } => self.range(&range, after).await,
             Call::Txn(txn) => {
                 let request = TxnRequest::from(&txn);
--- a/crates/store/src/message.rs
+++ b/crates/store/src/message.rs
@@ -83,10 +83,10 @@
             Range::Key(key) => (encode(key), None),
             Range::Prefix(prefix) => (encode(prefix), Some(range_end(prefix))),
         };
-        let min_mod_revision = if after == Revision(0) {
+        let min_mod_revision = if after == Revision::new(0) {
             0
         } else {
-            after.0.cast_signed() + 1
+            after.number.cast_signed() + 1
         };
         Self {
             key,
@@ -121,17 +121,17 @@
         };
         match compare {
             Compare::Modified(key, revision) => Self {
-                mod_revision: Some(revision.0.to_string()),
+                mod_revision: Some(revision.number.to_string()),
                 ..equal(key, "MOD")
             },
             Compare::Created(key, revision) => Self {
-                create_revision: Some(revision.0.to_string()),
+                create_revision: Some(revision.number.to_string()),
                 ..equal(key, "CREATE")
             },
             Compare::Unchanged(prefix, revision) => Self {
                 result: "LESS",
                 range_end: Some(range_end(prefix)),
-                mod_revision: Some((revision.0 + 1).to_string()),
+                mod_revision: Some((revision.number + 1).to_string()),
                 ..equal(prefix, "MOD")
             },
         }
@@ -164,7 +164,7 @@
                 lease: lease.map_or(0, |lease| lease.0),
             },
             Op::Delete { key } => Self::DeleteRange { key: encode(key) },
-            Op::Range(range) => Self::Range(RangeRequest::new(range, Revision(0))),
+            Op::Range(range) => Self::Range(RangeRequest::new(range, Revision::new(0))),
             Op::Txn(txn) => Self::Txn(txn.into()),
         }
     }
@@ -219,7 +219,7 @@
             create_request: WatchCreate {
                 key: encode(prefix),
                 range_end: range_end(prefix),
-                start_revision: from.0.cast_signed(),
+                start_revision: from.number.cast_signed(),
                 progress_notify: true,
             },
         }
@@ -235,7 +235,7 @@
 
 impl Header {
     pub(crate) fn revision(&self) -> Revision {
-        Revision(self.revision.max(0) as u64)
+        Revision::new(self.revision.max(0) as u64)
     }
 }
 
@@ -262,8 +262,8 @@
         Some(Entry {
             key: self.key()?,
             value: STANDARD.decode(&self.value).ok()?,
-            created: Revision(self.create_revision.max(0) as u64),
-            modified: Revision(self.mod_revision.max(0) as u64),
+            created: Revision::new(self.create_revision.max(0) as u64),
+            modified: Revision::new(self.mod_revision.max(0) as u64),
             lease: (self.lease != 0).then_some(Lease(self.lease)),
         })
     }
--- a/crates/store/tests/gateway.rs
+++ b/crates/store/tests/gateway.rs
@@ -31,7 +31,7 @@
 
 fn put(key: &str, value: &str, lease: Option<Lease>) -> Call {
     Call::Txn(Txn {
-        compare: vec![Compare::Modified(key.to_owned(), Revision(0))],
+        compare: vec![Compare::Modified(key.to_owned(), Revision::new(0))],
         success: vec![Op::Put {
             key: key.to_owned(),
             value: value.into(),
@@ -64,7 +64,7 @@
     assert_eq!(
         reply,
         Reply::Txn {
-            revision: Revision(1),
+            revision: Revision::new(1),
             succeeded: true,
             results: vec![Output::Written],
         }
@@ -107,13 +107,13 @@
     );
     let newer = Call::Changed {
         range: prefix("a/"),
-        after: Revision(1),
+        after: Revision::new(1),
     };
     assert_eq!(keys(&gateway, newer).await, ["a/2"]);
 
     let unchanged = |revision| {
         Call::Txn(Txn {
-            compare: vec![Compare::Unchanged("a/".to_owned(), Revision(revision))],
+            compare: vec![Compare::Unchanged("a/".to_owned(), Revision::new(revision))],
             success: vec![Op::Delete {
                 key: "a/2".to_owned(),
             }],
@@ -194,17 +194,17 @@
     gateway.call(put("a/1", "before", None)).await.unwrap();
     let (server, gateway) = watch_until_disconnected(server, gateway).await;
     server.set_faults(|faults| faults.down = true);
-    let mut changes = pin!(gateway.watch("a/", Revision(1)));
+    let mut changes = pin!(gateway.watch("a/", Revision::new(1)));
     assert_eq!(changes.next().await, Some(Err(Fault::Lost)));
     assert_eq!(changes.next().await, None);
 }
 
 async fn watch_until_disconnected(server: Server, gateway: Gateway) -> (Server, Gateway) {
-    let mut changes = Box::pin(gateway.watch("a/", Revision(1)));
+    let mut changes = Box::pin(gateway.watch("a/", Revision::new(1)));
     let first = changes.next().await.unwrap().unwrap();
     assert_eq!(
         (first.revision, first.entries[0].key.as_str()),
-        (Revision(1), "a/1")
+        (Revision::new(1), "a/1")
     );
     server.set_faults(|faults| faults.duplicate_events = true);
     gateway.call(put("b/1", "elsewhere", None)).await.unwrap();
@@ -214,7 +214,7 @@
         let next = changes.next().await.unwrap().unwrap();
         assert_eq!(
             (next.revision, next.entries[0].value.len()),
-            (Revision(3), 300_000)
+            (Revision::new(3), 300_000)
         );
     }
     let delete = Op::Delete {
