Send nothing new to upstreams that announce their leaving or ask for a pause

An announcement excludes that incarnation at once, is reported to the peers of the zone with the outages, and holds whatever the store lists until a new start. If all have asked for a pause, callers are refused at once until the soonest end and some jitter. A pause is no failure of the upstream's health. Repeated or malformed headers count as absent, and are counted.

An upstream that drained or was removed is also not taken back from an older entry of a restored store (fleet::departure).

--- a/crates/cli/src/nodes.rs
+++ b/crates/cli/src/nodes.rs
@@ -107,6 +107,8 @@
         let reason = match upstream.state {
             State::Ready => continue,
             State::Leaving => "leaving or no longer listed",
+            State::Announced => "leaving, as it said itself",
+            State::Paused => "asked for a pause",
             State::Unreachable => "cannot be connected to",
             State::Ejected => "set aside, it failed too often",
             State::Silent => "has requests and says nothing",
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -68,6 +68,12 @@
     pub signed: bool,
     /// Load of the upstream.
     pub load: Option<Report>,
+    /// Whether the upstream announces that it shuts down.
+    pub leaving: bool,
+    /// Time for which the upstream asks this router to send it nothing.
+    pub pause: Option<Duration>,
+    /// Headers that are ignored since they are repeated or cannot be parsed.
+    pub malformed: u32,
 }
 
 /// Reads and writes the headers of one platform.
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -15,6 +15,7 @@
 use actix_http::header::HeaderMap;
 use bytes::Bytes;
 use slog::info;
+use snipeusher::fleet::Cause;
 use snipeusher::fleet::Decision;
 use snipeusher::fleet::Query;
 use snipeusher::name;
@@ -229,10 +230,11 @@
                     source,
                 })
             }
-            Decision::Refuse { retry_after } => {
-                let cause = match self.origin {
-                    Some(_) => "no_upstream_of_build",
-                    None => "no_upstream",
+            Decision::Refuse { cause, retry_after } => {
+                let cause = match (cause, &self.origin) {
+                    (Cause::Paused, _) => "paused",
+                    (Cause::NoUpstream, Some(_)) => "no_upstream_of_build",
+                    (Cause::NoUpstream, None) => "no_upstream",
                 };
                 Err(self.not_run(cause, retry_after))
             }
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -74,12 +74,11 @@
             return Step::Lost;
         };
         guard.record_activity();
-        let now = shared.now();
-        if let Some(load) = reply.facts.load {
-            shared.fleet.borrow_mut().record_load(now, &upstream, load);
-        }
+        self.record_facts(&upstream, &reply.facts);
         if reply.facts.declined {
-            return self.declined(&upstream, connection, guard).await;
+            return self
+                .declined(&upstream, connection, &reply.facts, guard)
+                .await;
         }
         if self.admitted.route.kind.is_stream() && reply.head.status.is_success() {
             return self
@@ -90,6 +89,26 @@
             .await
     }
 
+    /// Records what the headers of a response say about the upstream.
+    fn record_facts(&self, upstream: &name::Upstream, facts: &Response) {
+        let shared = self.shared;
+        let now = shared.now();
+        let mut fleet = shared.fleet.borrow_mut();
+        if let Some(load) = facts.load {
+            fleet.record_load(now, upstream, load);
+        }
+        if facts.leaving && fleet.record_leaving(now, upstream) {
+            info!(shared.log, "upstream: leaving"; "upstream" => upstream.as_str());
+            shared.outage.notify_one();
+        }
+        if let Some(pause) = facts.pause {
+            fleet.record_pause(now, upstream, pause);
+            info!(shared.log, "upstream: paused";
+                "upstream" => upstream.as_str(), "ms" => pause.as_millis() as u64);
+        }
+        shared.metrics.malformed_headers(facts.malformed);
+    }
+
     async fn connection(&self, placement: &Placement) -> Result<Connection, connection::Error> {
         if let Some(connection) = self.pooled(placement) {
             return Ok(connection);
@@ -206,10 +225,14 @@
         &mut self,
         upstream: &name::Upstream,
         mut connection: Connection,
+        facts: &Response,
         guard: Guard<'_, P>,
     ) -> Step {
         self.runs -= 1;
-        guard.finish(Outcome::Declined);
+        guard.finish(match facts.pause {
+            Some(_) => Outcome::Paused,
+            None => Outcome::Declined,
+        });
         info!(self.shared.log, "request: declined";
             "id" => self.admitted.request.id.as_deref(), "upstream" => upstream.as_str());
         if connection.body(BODY_BYTES_MAX).await.is_ok() {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -69,6 +69,7 @@
     rejections: Family<OutcomeLabels, Counter>,
     attempts: Family<OutcomeLabels, Counter>,
     streams_taken_up: Family<OutcomeLabels, Counter>,
+    malformed_headers: Counter,
     first_byte: Family<WorkspaceLabels, Histogram>,
     duration: Family<KindLabels, Histogram>,
     in_flight: Gauge,
@@ -103,6 +104,12 @@
             "Streams that callers took up, by how their software version was determined",
             streams_taken_up.clone(),
         );
+        let malformed_headers = Counter::default();
+        registry.register(
+            "malformed_headers",
+            "Headers of upstreams that were ignored, since they were repeated or malformed",
+            malformed_headers.clone(),
+        );
         let attempts = Family::default();
         registry.register(
             "attempts",
@@ -152,6 +159,7 @@
             rejections,
             attempts,
             streams_taken_up,
+            malformed_headers,
             first_byte,
             duration,
             in_flight,
@@ -205,12 +213,18 @@
             .inc();
     }
 
+    /// Counts headers of upstreams that are ignored since they are repeated or cannot be parsed.
+    pub(crate) fn malformed_headers(&self, count: u32) {
+        self.malformed_headers.inc_by(u64::from(count));
+    }
+
     /// Counts the end of an attempt.
     pub(crate) fn attempt(&self, outcome: Outcome) {
         let outcome = match outcome {
             Outcome::Served => "served",
             Outcome::Failed => "failed",
             Outcome::Declined => "declined",
+            Outcome::Paused => "paused",
             Outcome::Unreachable => "unreachable",
             Outcome::Lost => "lost",
             Outcome::Abandoned => "abandoned",
--- a/crates/edge/src/peer/outage.rs
+++ b/crates/edge/src/peer/outage.rs
@@ -10,6 +10,7 @@
 use slog::debug;
 use slog::info;
 use snafu::ResultExt as _;
+use snipeusher::fleet::Outage;
 use tokio::time::timeout;
 
 use super::OUTAGE_PATH;
@@ -35,7 +36,8 @@
             continue;
         };
         info!(shared.log, "upstream: outage reported";
-            "zones" => names(&outage.zones), "upstreams" => names(&outage.upstreams));
+            "zones" => names(&outage.zones), "upstreams" => names(&outage.upstreams),
+            "leaving" => leaving(&outage));
         let report = OutageReport {
             host: shared.settings.host.clone(),
             zone: shared.settings.fleet.zone.clone(),
@@ -61,7 +63,8 @@
         info!(shared.log, "upstream: outage received";
             "peer" => report.host.as_str(),
             "zones" => names(&report.outage.zones),
-            "upstreams" => names(&report.outage.upstreams));
+            "upstreams" => names(&report.outage.upstreams),
+            "leaving" => leaving(&report.outage));
     }
 }
 
@@ -70,6 +73,11 @@
     names.join(" ")
 }
 
+fn leaving(outage: &Outage) -> String {
+    let ids = outage.leaving.iter().map(|leaving| &leaving.upstream);
+    names(&ids.collect::<Vec<_>>())
+}
+
 async fn send_within_limit<P: Platform>(
     shared: &Shared<P>,
     address: SocketAddr,
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -103,6 +103,10 @@
 pub enum State {
     /// It is draining, or no longer listed in the store.
     Leaving,
+    /// It said itself that it shuts down.
+    Announced,
+    /// It asked this router for a pause.
+    Paused,
     /// No connection could be opened.
     Unreachable,
     /// Ejected after too many failures.
@@ -161,8 +165,12 @@
 
 fn upstream(fleet: &Fleet, known: &fleet::Upstream, now: Time) -> Upstream {
     let id = &known.entry.id;
-    let state = if !fleet.is_ready(now, id) {
+    let state = if fleet.has_announced_leaving(known) {
+        State::Announced
+    } else if !fleet.is_ready(now, id) {
         State::Leaving
+    } else if known.is_paused(now) {
+        State::Paused
     } else if known.health.is_unreachable() {
         State::Unreachable
     } else if known.health.is_ejected() {
--- a/crates/edge/tests/common/engine.rs
+++ b/crates/edge/tests/common/engine.rs
@@ -174,6 +174,15 @@
     ))
 }
 
+/// A complete response with further headers, each ended by a line break.
+pub fn response_with(id: &str, status: &str, headers: &str, body: &str) -> Act {
+    let length = body.len();
+    Act::Write(format!(
+        "HTTP/1.1 {status}\r\nT-Id: {id}\r\nT-Signature: s\r\n{headers}Content-Length: {length}\r\n\r\n\
+         {body}"
+    ))
+}
+
 /// The head of a stream.
 pub fn stream(id: &str) -> Act {
     Act::Write(format!(
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -44,6 +44,7 @@
         fleet: fleet::Settings {
             zone: name::Zone::from("here"),
             retries: fleet::Limits::default(),
+            pause_max: Duration::from_mins(1),
         },
     };
     let (front, ready, control) = (settings.front, settings.ready, settings.control);
--- a/crates/edge/tests/common/platform.rs
+++ b/crates/edge/tests/common/platform.rs
@@ -85,6 +85,11 @@
                     waiting: 0,
                     slots: 8,
                 }),
+            leaving: headers.contains_key("t-leaving"),
+            pause: text(headers, "t-pause")
+                .and_then(|text| text.parse().ok())
+                .map(Duration::from_millis),
+            malformed: 0,
         }
     }
 }
--- a/crates/snipeusher/src/fleet.rs
+++ b/crates/snipeusher/src/fleet.rs
@@ -7,6 +7,7 @@
 mod budget;
 mod builds;
 mod choice;
+mod departure;
 mod health;
 mod load;
 mod outage;
@@ -17,8 +18,10 @@
 
 pub use self::budget::Budget;
 pub use self::budget::Limits;
+pub use self::choice::Cause;
 pub use self::choice::Decision;
 pub use self::choice::Query;
+pub use self::departure::Leaving;
 pub use self::health::Health;
 pub use self::health::Outcome;
 pub use self::load::Load;
--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -20,6 +20,9 @@
 /// `Retry-After` of a refusal for lack of an upstream.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// Upper bound of the jitter added to the end of a pause, so that callers do not return together.
+const PAUSE_JITTER_MS: u64 = 250;
+
 /// What the choice of an upstream depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct Query<'a> {
@@ -38,11 +41,17 @@
 }
 
 impl Query<'_> {
-    /// Whether an upstream may get the request: it was not tried and runs the required version.
-    pub(super) fn admits(&self, upstream: &Upstream) -> bool {
-        let entry = &upstream.entry;
-        let has_build = self.build.is_none_or(|build| entry.build == *build);
-        has_build && !self.tried.contains(&entry.id)
+    /// Whether an upstream runs the required software version.
+    fn suits(&self, upstream: &Upstream) -> bool {
+        self.build
+            .is_none_or(|build| upstream.entry.build == *build)
+    }
+
+    /// Whether an upstream may get the request at `now`: it runs the required version, was not
+    /// tried and has not asked for a pause.
+    pub(super) fn admits(&self, now: Time, upstream: &Upstream) -> bool {
+        let is_tried = self.tried.contains(&upstream.entry.id);
+        self.suits(upstream) && !is_tried && !upstream.is_paused(now)
     }
 }
 
@@ -62,11 +71,22 @@
     },
     /// Refuse the request.
     Refuse {
+        /// Why.
+        cause: Cause,
         /// When the caller may retry.
         retry_after: Duration,
     },
 }
 
+/// Why no upstream gets a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// There is none, or all were tried.
+    NoUpstream,
+    /// All have asked for a pause.
+    Paused,
+}
+
 /// Chooses among the ready upstreams of a service.
 pub(super) fn choose(
     now: Time,
@@ -77,7 +97,7 @@
     query: &Query<'_>,
 ) -> Decision {
     let all = ready.iter().map(|slot| &upstreams[*slot]);
-    let untried = all.filter(|upstream| query.admits(upstream));
+    let untried = all.filter(|upstream| query.admits(now, upstream));
     let untried: Vec<&Upstream> = untried.collect();
     let available = prefer(&untried, |upstream| upstream.health.is_available(now));
     let reachable = prefer(&available, |upstream| !is_unreachable(&upstream.entry.zone));
@@ -100,7 +120,26 @@
             address: upstream.entry.address,
             source: source(upstream),
         },
+        None => refuse(now, upstreams, ready, query),
+    }
+}
+
+/// Refuses a request. If all upstreams have asked for a pause, the caller may return when the first
+/// pause ends.
+fn refuse(now: Time, upstreams: &[Upstream], ready: &[usize], query: &Query<'_>) -> Decision {
+    let ready = ready.iter().map(|slot| &upstreams[*slot]);
+    let ends = ready
+        .filter(|upstream| query.suits(upstream))
+        .map(|upstream| upstream.paused_until.filter(|_| upstream.is_paused(now)));
+    // An upstream without a pause counts as `None`, which is the least.
+    match ends.min().flatten() {
+        Some(end) => Decision::Refuse {
+            cause: Cause::Paused,
+            retry_after: end.since(now)
+                + Duration::from_millis(query.tie_breaker % PAUSE_JITTER_MS),
+        },
         None => Decision::Refuse {
+            cause: Cause::NoUpstream,
             retry_after: NO_UPSTREAM_RETRY_AFTER,
         },
     }
--- a/crates/snipeusher/src/fleet/health.rs
+++ b/crates/snipeusher/src/fleet/health.rs
@@ -32,6 +32,8 @@
     Failed,
     /// It rejected the request without running it.
     Declined,
+    /// It rejected the request without running it and asked for a pause.
+    Paused,
     /// No connection could be opened.
     Unreachable,
     /// The connection broke, the answer was invalid, or none came in time.
@@ -111,7 +113,7 @@
     pub fn record_outcome(&mut self, now: Time, outcome: Outcome, service_rate: f64) -> bool {
         let is_trial = std::mem::take(&mut self.trial_in_flight);
         match outcome {
-            Outcome::Abandoned => return false,
+            Outcome::Abandoned | Outcome::Paused => return false,
             Outcome::Served => {
                 self.record_failure(0.0);
                 self.losses = 0;
--- a/crates/snipeusher/src/fleet/outage.rs
+++ b/crates/snipeusher/src/fleet/outage.rs
@@ -1,4 +1,5 @@
-//! Upstreams and availability zones that a router cannot reach, as reported to its peers.
+//! Upstreams and availability zones that a router cannot reach, and upstreams that told it that they
+//! shut down, as reported to its peers.
 //!
 //! In a large fleet each router sends few requests to any one upstream. If each router had to lose
 //! requests of its own before it avoids an upstream, the losses would grow with the number of
@@ -8,9 +9,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Leaving;
 use crate::name;
 
-/// What a router cannot reach.
+/// What a router cannot reach, or must not use any more.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Outage {
@@ -18,11 +20,13 @@
     pub zones: Vec<name::Zone>,
     /// Upstreams to which no connection could be opened.
     pub upstreams: Vec<name::Upstream>,
+    /// Upstreams that said that they shut down.
+    pub leaving: Vec<Leaving>,
 }
 
 impl Outage {
     /// Whether it names nothing.
     pub const fn is_empty(&self) -> bool {
-        self.zones.is_empty() && self.upstreams.is_empty()
+        self.zones.is_empty() && self.upstreams.is_empty() && self.leaving.is_empty()
     }
 }
--- a/crates/snipeusher/src/fleet/roster.rs
+++ b/crates/snipeusher/src/fleet/roster.rs
@@ -9,6 +9,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::departure::Departures;
+use super::departure::Evidence;
+use super::departure::Leaving;
+use super::departure::Verdict;
 use crate::kv::Revision;
 use crate::name;
 use crate::time::Time;
@@ -100,6 +104,7 @@
     removed: VecDeque<Removed>,
     /// All removals after this revision are in `removed`.
     history_start: Revision,
+    departures: Departures,
     store_disconnected: bool,
     store_back_at: Option<Time>,
 }
@@ -159,8 +164,18 @@
     }
 
     /// Applies an entry, unless a newer revision of it is known.
-    pub fn upsert(&mut self, entry: Entry) {
+    pub fn upsert(&mut self, mut entry: Entry) {
         self.revision = self.revision.max(entry.revision);
+        match self.departures.judge(&entry) {
+            Verdict::Valid => {}
+            Verdict::Leaving => entry.draining = true,
+            Verdict::Gone => return,
+        }
+        if entry.draining {
+            let evidence = Evidence::Draining(entry.revision);
+            self.departures
+                .record(&entry.id, entry.incarnation, evidence);
+        }
         let known = self.rows.get(&entry.id);
         if known.is_none_or(|row| row.entry.revision < entry.revision) {
             let row = Row {
@@ -171,6 +186,28 @@
         }
     }
 
+    /// Records that an upstream said that it shuts down. Returns whether this is news.
+    pub fn record_leaving(&mut self, leaving: &Leaving) -> bool {
+        let row = self.rows.get_mut(&leaving.upstream);
+        let is_earlier = row
+            .as_ref()
+            .is_some_and(|row| row.entry.incarnation != leaving.incarnation);
+        if is_earlier || self.departures.is_announced(leaving) {
+            return false;
+        }
+        if let Some(row) = row {
+            row.entry.draining = true;
+        }
+        let (id, incarnation) = (&leaving.upstream, leaving.incarnation);
+        self.departures.record(id, incarnation, Evidence::Announced);
+        true
+    }
+
+    /// Whether an incarnation of an upstream said that it shuts down.
+    pub fn is_announced(&self, leaving: &Leaving) -> bool {
+        self.departures.is_announced(leaving)
+    }
+
     /// Applies a removal reported by the store.
     pub fn remove(&mut self, now: Time, id: &name::Upstream, revision: Revision) {
         self.revision = self.revision.max(revision);
@@ -257,8 +294,12 @@
 
     /// Drops retained entries whose upstreams did not register again in time.
     pub fn expire(&mut self, now: Time) {
-        self.rows
-            .retain(|_, row| row.retained_until.is_none_or(|until| now < until));
+        let rows = self.rows.iter();
+        let expired = rows.filter(|(_, row)| row.retained_until.is_some_and(|until| until <= now));
+        let expired: Vec<name::Upstream> = expired.map(|(id, _)| id.clone()).collect();
+        for id in expired {
+            self.drop_row(&id);
+        }
     }
 
     /// Known upstreams that are missing from a complete list at a revision.
@@ -280,6 +321,13 @@
         (now < until && !is_leaving).then_some(until)
     }
 
+    fn drop_row(&mut self, id: &name::Upstream) {
+        if let Some(row) = self.rows.remove(id) {
+            let evidence = Evidence::Removed(row.entry.revision);
+            self.departures.record(id, row.entry.incarnation, evidence);
+        }
+    }
+
     fn remove_row(&mut self, id: name::Upstream, revision: Revision, until: Option<Time>) {
         match until {
             Some(until) => {
@@ -287,9 +335,7 @@
                     row.retained_until.get_or_insert(until);
                 }
             }
-            None => {
-                self.rows.remove(&id);
-            }
+            None => self.drop_row(&id),
         }
         let removed = Removed {
             id,
--- a/crates/snipeusher/src/fleet/upstream.rs
+++ b/crates/snipeusher/src/fleet/upstream.rs
@@ -4,6 +4,7 @@
 
 use super::Entry;
 use super::Health;
+use super::Leaving;
 use super::Load;
 use super::zone::REPORTS_IGNORED_FOR;
 use crate::hash;
@@ -33,6 +34,8 @@
     pub silence_counted: bool,
     /// Whether a connection attempt has to show if it is reachable.
     pub is_doubtful: bool,
+    /// End of the pause that it asked this router for.
+    pub paused_until: Option<Time>,
     /// Until when reports of peers are ignored.
     reports_ignored_until: Time,
 }
@@ -48,6 +51,7 @@
             silent_since: None,
             silence_counted: false,
             is_doubtful: false,
+            paused_until: None,
             reports_ignored_until: Time::default(),
         }
     }
@@ -63,6 +67,19 @@
         is_news
     }
 
+    /// The announcement that its present incarnation shuts down.
+    pub(super) fn leaving(&self) -> Leaving {
+        Leaving {
+            upstream: self.entry.id.clone(),
+            incarnation: self.entry.incarnation,
+        }
+    }
+
+    /// Whether it asked this router to send nothing now.
+    pub fn is_paused(&self, now: Time) -> bool {
+        self.paused_until.is_some_and(|until| now < until)
+    }
+
     /// Whether it has sent nothing for so long that other upstreams are preferred.
     pub fn is_silent(&self, now: Time) -> bool {
         self.silent_since
@@ -79,6 +96,7 @@
     pub(super) fn update(&mut self, entry: Entry, zone: &name::Zone) {
         if entry.incarnation != self.entry.incarnation || entry.address != self.entry.address {
             self.health = Health::default();
+            self.paused_until = None;
         }
         self.local = entry.zone == *zone;
         self.entry = entry;
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -8,6 +8,7 @@
 use super::Decision;
 use super::Delta;
 use super::Entry;
+use super::Leaving;
 use super::Limits;
 use super::Observation;
 use super::Outage;
@@ -37,6 +38,8 @@
     pub zone: name::Zone,
     /// Limits of the retries to one service.
     pub retries: Limits,
+    /// Longest pause that an upstream may ask for.
+    pub pause_max: Duration,
 }
 
 /// One router's view of all upstreams: registration, load, health and retry budgets.
@@ -266,6 +269,9 @@
                 self.outage.zones.push(name.clone());
             }
         }
+        for leaving in &outage.leaving {
+            self.leave(now, leaving);
+        }
         for id in &outage.upstreams {
             let upstream = self.upstream_mut(id);
             if upstream.is_some_and(|upstream| upstream.record_report(now)) {
@@ -275,6 +281,38 @@
         !self.outage.is_empty()
     }
 
+    /// Records that an upstream said in a response that it shuts down. Returns whether this is news.
+    pub fn record_leaving(&mut self, now: Time, id: &name::Upstream) -> bool {
+        let Some(upstream) = self.upstream(id) else {
+            return false;
+        };
+        let leaving = upstream.leaving();
+        self.leave(now, &leaving)
+    }
+
+    /// Excludes an upstream that shuts down from new requests; news is passed on to peers.
+    fn leave(&mut self, now: Time, leaving: &Leaving) -> bool {
+        let is_news = self.roster.record_leaving(leaving);
+        if is_news {
+            self.outage.leaving.push(leaving.clone());
+            self.refresh(now);
+        }
+        is_news
+    }
+
+    /// Whether an upstream said itself that it shuts down.
+    pub fn has_announced_leaving(&self, upstream: &Upstream) -> bool {
+        self.roster.is_announced(&upstream.leaving())
+    }
+
+    /// Records that an upstream asked this router to send it nothing for a time.
+    pub fn record_pause(&mut self, now: Time, id: &name::Upstream, pause: Duration) {
+        let pause = pause.min(self.settings.pause_max);
+        if let Some(upstream) = self.upstream_mut(id) {
+            upstream.paused_until = upstream.paused_until.max(Some(now + pause));
+        }
+    }
+
     /// Records whether a connection to an upstream could be opened. Returns true if the upstream or
     /// its zone was unreachable until now.
     pub fn record_probe(&mut self, now: Time, id: &name::Upstream, is_connected: bool) -> bool {
@@ -380,7 +418,7 @@
     pub fn has_alternative(&mut self, now: Time, query: &Query<'_>) -> bool {
         let ready = self.ready.get(query.service).map_or(&[][..], Vec::as_slice);
         let upstreams = ready.iter().map(|slot| &self.upstreams[*slot]);
-        let mut others = upstreams.filter(|upstream| query.admits(upstream));
+        let mut others = upstreams.filter(|upstream| query.admits(now, upstream));
         let limits = self.settings.retries;
         let routers = self.routers;
         others.any(|upstream| upstream.health.is_available(now))
--- a/crates/snipeusher/tests/fleet_view.rs
+++ b/crates/snipeusher/tests/fleet_view.rs
@@ -49,6 +49,7 @@
     let mut fleet = Fleet::new(Settings {
         zone: name::Zone::from("even"),
         retries: Limits::default(),
+        pause_max: Duration::from_mins(1),
     });
     let entries = (0..count).map(|index| entry(index, 1)).collect();
     fleet.replace_all(at(0), Revision::new(1), entries);
--- a/crates/snipeusher/tests/outage.rs
+++ b/crates/snipeusher/tests/outage.rs
@@ -53,6 +53,7 @@
     let settings = fleet::Settings {
         zone: name::Zone::from("a"),
         retries: fleet::Limits::default(),
+        pause_max: Duration::from_mins(1),
     };
     let mut view = Fleet::new(settings);
     let entries = ["a", "b", "c", "d", "e"].map(|zone| (0..UPSTREAMS).map(|i| entry(zone, i)));
@@ -201,6 +202,7 @@
         let outage = Outage {
             zones: vec![name::Zone::from("e")],
             upstreams: Vec::new(),
+            leaving: Vec::new(),
         };
         assert!(
             view.merge_outage(routers.now, &outage),
@@ -219,6 +221,7 @@
     let outage = Outage {
         zones: vec![name::Zone::from("c")],
         upstreams: vec![id.clone()],
+        leaving: Vec::new(),
     };
     assert!(routers.views[0].merge_outage(routers.now, &outage));
     routers.run(Duration::from_secs(2));
@@ -236,6 +239,7 @@
     let outage = Outage {
         zones: vec![name::Zone::from("nowhere")],
         upstreams: vec![name::Upstream::from("nobody")],
+        leaving: Vec::new(),
     };
     assert!(!view.merge_outage(Time::from_millis(5), &outage));
     assert_eq!(view.take_outage(), None);
