End the retention of a removed upstream before its drain ends

The engine left without notice 50 ms after the return, so the router used it for 2.26 s more.

Entries that are missing from the first list are kept as before. The test failed before.

--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -44,6 +44,7 @@
         fleet: fleet::Settings {
             zone: name::Zone::from("here"),
             retries: fleet::Limits::default(),
+            drain: Duration::from_secs(2),
             pause_max: Duration::from_mins(1),
         },
     };
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -160,6 +160,14 @@
         })
     }
 
+    /// Reads an optional duration in milliseconds, which may have a fraction.
+    pub fn optional_millis(&mut self, key: &'static str) -> Option<Duration> {
+        const EXPECTED: &str = "a number that is not negative, as a time in milliseconds";
+        self.take(key, EXPECTED, |value| {
+            Duration::try_from_secs_f64(number(value)? / 1_000.0).ok()
+        })
+    }
+
     /// Reads a list of socket addresses; empty by default.
     pub fn addresses(&mut self, key: &'static str) -> Vec<SocketAddr> {
         let expected = "a list of addresses such as \"127.0.0.1:8080\"";
--- a/crates/snipeusher/src/fleet/roster.rs
+++ b/crates/snipeusher/src/fleet/roster.rs
@@ -20,6 +20,11 @@
 /// Time after an outage of the store for which removed entries are kept. All leases expire
 /// together in a long outage, and the upstreams register again within this time.
 const OUTAGE_RETENTION: Duration = Duration::from_millis(2_300);
+/// Time for which an upstream that leaves still serves requests, unless the settings say otherwise.
+const DRAIN: Duration = Duration::from_secs(2);
+/// Share of that time for which an entry removed after the store's return is kept. The rest covers
+/// the way of the removal to this router and its peers, and that of the last request.
+const REMOVED_SHARE: f64 = 0.7;
 /// Removals kept for deltas. A peer that has missed more of them gets the complete list.
 const REMOVALS_MAX: usize = 512;
 
@@ -97,8 +102,10 @@
 }
 
 /// Upstreams registered in the store, at the highest revision received from the store or a peer.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Roster {
+    /// Time for which an upstream that leaves still serves requests.
+    drain: Duration,
     rows: BTreeMap<name::Upstream, Row>,
     revision: Revision,
     removed: VecDeque<Removed>,
@@ -109,7 +116,28 @@
     store_back_at: Option<Time>,
 }
 
+impl Default for Roster {
+    fn default() -> Self {
+        Self::new(DRAIN)
+    }
+}
+
 impl Roster {
+    /// Creates an empty roster; `drain` is the time for which an upstream that leaves still serves
+    /// requests.
+    pub fn new(drain: Duration) -> Self {
+        Self {
+            drain,
+            rows: BTreeMap::new(),
+            revision: Revision::default(),
+            removed: VecDeque::new(),
+            history_start: Revision::default(),
+            departures: Departures::default(),
+            store_disconnected: false,
+            store_back_at: None,
+        }
+    }
+
     /// Revision up to which all changes have been applied.
     pub const fn revision(&self) -> Revision {
         self.revision
@@ -213,7 +241,10 @@
         self.revision = self.revision.max(revision);
         let known = self.rows.get(id);
         if known.is_some_and(|row| row.entry.revision <= revision) {
+            // The upstream may leave without notice instead of having lost its lease.
+            let latest = now + self.drain.mul_f64(REMOVED_SHARE);
             let until = self.retention_deadline(now, id);
+            let until = until.map(|until| until.min(latest));
             self.remove_row(id.clone(), revision, until);
         }
     }
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -38,6 +38,8 @@
     pub zone: name::Zone,
     /// Limits of the retries to one service.
     pub retries: Limits,
+    /// Time for which an upstream that leaves still serves requests.
+    pub drain: Duration,
     /// Longest pause that an upstream may ask for.
     pub pause_max: Duration,
 }
@@ -64,8 +66,8 @@
     /// Creates an empty view.
     pub fn new(settings: Settings) -> Self {
         Self {
+            roster: Roster::new(settings.drain),
             settings,
-            roster: Roster::default(),
             upstreams: Vec::new(),
             slots: BTreeMap::new(),
             ready: BTreeMap::new(),
--- a/crates/snipeusher/tests/departure.rs
+++ b/crates/snipeusher/tests/departure.rs
@@ -54,6 +54,7 @@
     let mut fleet = Fleet::new(Settings {
         zone: name::Zone::from("here"),
         retries: Limits::default(),
+        drain: Duration::from_secs(2),
         pause_max: Duration::from_secs(10),
     });
     let entries = ["a", "b"].map(|id| entry(id, 1, revision(0, 10)));
--- a/crates/snipeusher/tests/fleet_view.rs
+++ b/crates/snipeusher/tests/fleet_view.rs
@@ -49,6 +49,7 @@
     let mut fleet = Fleet::new(Settings {
         zone: name::Zone::from("even"),
         retries: Limits::default(),
+        drain: Duration::from_secs(2),
         pause_max: Duration::from_mins(1),
     });
     let entries = (0..count).map(|index| entry(index, 1)).collect();
@@ -277,6 +278,23 @@
     assert_eq!(roster.ready(at(3_400)).count(), 1, "it came back");
 }
 
+/// Guards against requests to an upstream that was removed without notice after the store's return,
+/// beyond the time for which it still serves them.
+#[rstest]
+fn a_removal_after_the_return_of_the_store_is_final_before_the_drain_ends() {
+    let mut roster = Roster::default();
+    roster.upsert(entry(0, 1));
+    roster.store_disconnected();
+    roster.store_reconnected(at(1_000), true);
+    roster.remove(at(1_050), &name::Upstream::from("e0"), Revision::new(2));
+    assert_eq!(
+        roster.ready(at(1_100)).count(),
+        1,
+        "its lease may have expired"
+    );
+    assert_eq!(roster.ready(at(2_800)).count(), 0);
+}
+
 /// Guards against a router that alone had lost the store, takes a genuine removal for an expired
 /// lease and reports that to its peers.
 #[rstest]
--- a/crates/snipeusher/tests/outage.rs
+++ b/crates/snipeusher/tests/outage.rs
@@ -53,6 +53,7 @@
     let settings = fleet::Settings {
         zone: name::Zone::from("a"),
         retries: fleet::Limits::default(),
+        drain: Duration::from_secs(2),
         pause_max: Duration::from_mins(1),
     };
     let mut view = Fleet::new(settings);
--- a/crates/snipeusher/tests/stream.rs
+++ b/crates/snipeusher/tests/stream.rs
@@ -55,6 +55,7 @@
     let mut fleet = Fleet::new(Settings {
         zone: name::Zone::from("here"),
         retries: Limits::default(),
+        drain: Duration::from_secs(2),
         pause_max: Duration::from_mins(1),
     });
     list(&mut fleet, 0, 1, builds);
