Follow a store that comes back from an older copy

A watch ends in a new era; its reader lists the store after up to 150 ms. - Configurations are ordered by the operators' version first, which stays true, then by revision; peers announce both. So none goes back, and those that are written again are applied although their revisions were used before. Drains and removals that were acknowledged hold until a new start, a new registration or a later write. - A conditional write or a lease of the libraries whose call meets a restored store counts as in doubt, or lost.

--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -28,6 +28,7 @@
 use snipeusher::kv::Revision;
 use snipeusher::name;
 use snipeusher::reader::Reader;
+use snipeusher::route::Position;
 
 pub use self::client::interval;
 pub use self::client::run;
@@ -83,8 +84,8 @@
     pub zone: name::Zone,
     /// Address for exchanges.
     pub address: SocketAddr,
-    /// Revision of the configuration in force.
-    pub configuration: Option<Revision>,
+    /// Position of the configuration in force.
+    pub configuration: Option<Position>,
     /// Revision of the store up to which the upstreams are known.
     pub upstreams: Revision,
     /// Loads of upstreams, observed or received from other routers.
@@ -136,7 +137,7 @@
         host: shared.settings.host.clone(),
         zone: shared.settings.fleet.zone.clone(),
         address: shared.settings.control,
-        configuration: shared.document().map(|document| document.revision),
+        configuration: shared.document().map(|document| document.position),
         upstreams: fleet.roster().revision(),
         loads: fleet.observations(now),
         readers: shared.readers.borrow().list(now),
@@ -152,11 +153,11 @@
     let now = shared.now();
     peers.record(now, digest);
     shared.readers.borrow_mut().merge(now, &digest.readers);
-    if let Some(revision) = digest.configuration
+    if let Some(position) = digest.configuration
         && digest.configuration > shared.revisions().0
     {
         let source = source(peers, digest);
-        shared.configurations.record(shared, revision, source);
+        shared.configurations.record(shared, position, source);
     }
     let mut fleet = shared.fleet.borrow_mut();
     fleet.set_routers(peers.len(now) + 1);
--- a/crates/edge/src/peer/fetch.rs
+++ b/crates/edge/src/peer/fetch.rs
@@ -16,6 +16,7 @@
 use snipeusher::fetch::Step;
 use snipeusher::fleet::Delta;
 use snipeusher::kv::Revision;
+use snipeusher::route::Position;
 use snipeusher_store::Store;
 use tokio::sync::Notify;
 use tokio::time::sleep;
@@ -36,24 +37,21 @@
 const SMALL_BYTES: usize = 128 << 10;
 
 /// Newer data that peers announced.
+///
+/// `K` orders the versions of the data.
 #[derive(Debug, Default)]
-pub struct Announcement {
-    fetch: RefCell<Fetch<SocketAddr>>,
+pub struct Announcement<K> {
+    fetch: RefCell<Fetch<SocketAddr, K>>,
     notify: Notify,
 }
 
-impl Announcement {
-    /// Records that a peer has a revision.
-    pub fn record<P: Platform>(
-        &self,
-        shared: &Shared<P>,
-        revision: Revision,
-        source: Source<SocketAddr>,
-    ) {
+impl<K: Copy + Ord> Announcement<K> {
+    /// Records that a peer has a version.
+    pub fn record<P: Platform>(&self, shared: &Shared<P>, version: K, source: Source<SocketAddr>) {
         let is_news = self
             .fetch
             .borrow_mut()
-            .announce(shared.now(), revision, source);
+            .announce(shared.now(), version, source);
         if is_news {
             self.notify.notify_one();
         }
@@ -62,16 +60,19 @@
 
 /// A kind of data that routers copy from each other.
 trait Topic<P: Platform> {
+    /// Orders the versions of the data.
+    type Version: Copy + Ord;
+
     /// Path at which peers serve it.
     const PATH: &'static str;
     /// Name in logs.
     const NAME: &'static str;
 
     /// Announcements of the data.
-    fn announcement(shared: &Shared<P>) -> &Announcement;
+    fn announcement(shared: &Shared<P>) -> &Announcement<Self::Version>;
 
-    /// Revision that this router has.
-    fn known(shared: &Shared<P>) -> Option<Revision>;
+    /// Version that this router has.
+    fn known(shared: &Shared<P>) -> Option<Self::Version>;
 
     /// Expected size of the data.
     fn size(shared: &Shared<P>) -> Size;
@@ -79,21 +80,23 @@
     /// Whether this task may read the data from the store.
     fn may_read_store(shared: &Shared<P>) -> bool;
 
-    /// Decodes the data and applies it; returns its revision.
-    fn apply(shared: &Shared<P>, body: &Bytes) -> Result<Revision, Error>;
+    /// Decodes the data and applies it; returns its version, or `None` if it cannot be used.
+    fn apply(shared: &Shared<P>, body: &Bytes) -> Result<Option<Self::Version>, Error>;
 }
 
 struct ConfigurationTopic;
 
 impl<P: Platform> Topic<P> for ConfigurationTopic {
+    type Version = Position;
+
     const PATH: &'static str = CONFIGURATION_PATH;
     const NAME: &'static str = "configuration";
 
-    fn announcement(shared: &Shared<P>) -> &Announcement {
+    fn announcement(shared: &Shared<P>) -> &Announcement<Position> {
         &shared.configurations
     }
 
-    fn known(shared: &Shared<P>) -> Option<Revision> {
+    fn known(shared: &Shared<P>) -> Option<Position> {
         shared.revisions().0
     }
 
@@ -110,20 +113,21 @@
         !shared.is_store_unreachable()
     }
 
-    fn apply(shared: &Shared<P>, body: &Bytes) -> Result<Revision, Error> {
+    fn apply(shared: &Shared<P>, body: &Bytes) -> Result<Option<Position>, Error> {
         let configuration: Configuration = rmp_serde::from_slice(body).context(DecodeSnafu)?;
-        shared.configure(configuration.revision, &configuration.value, "peer");
-        Ok(configuration.revision)
+        Ok(shared.configure(configuration.revision, &configuration.value, "peer"))
     }
 }
 
 struct RosterTopic;
 
 impl<P: Platform> Topic<P> for RosterTopic {
+    type Version = Revision;
+
     const PATH: &'static str = UPSTREAMS_PATH;
     const NAME: &'static str = "upstreams";
 
-    fn announcement(shared: &Shared<P>) -> &Announcement {
+    fn announcement(shared: &Shared<P>) -> &Announcement<Revision> {
         &shared.rosters
     }
 
@@ -140,7 +144,7 @@
         false
     }
 
-    fn apply(shared: &Shared<P>, body: &Bytes) -> Result<Revision, Error> {
+    fn apply(shared: &Shared<P>, body: &Bytes) -> Result<Option<Revision>, Error> {
         let delta: Delta = rmp_serde::from_slice(body).context(DecodeSnafu)?;
         let revision = delta.revision;
         info!(shared.log, "upstreams: received";
@@ -148,7 +152,7 @@
         let now = shared.now();
         shared.fleet.borrow_mut().merge(now, delta);
         shared.record_change();
-        Ok(revision)
+        Ok(Some(revision))
     }
 }
 
@@ -187,7 +191,7 @@
     fetch.next(shared.now(), &query)
 }
 
-/// Copies the data of a peer. A peer that does not deliver the announced revision is removed from
+/// Copies the data of a peer. A peer that does not deliver the announced version is removed from
 /// the sources until it announces it again.
 async fn copy<T: Topic<P>, P: Platform>(shared: &Shared<P>, address: SocketAddr, limit: Duration) {
     let requested = timeout(limit, request(shared, address, T::PATH)).await;
@@ -195,12 +199,13 @@
     let applied = body.and_then(|body| T::apply(shared, &body));
     let mut fetch = T::announcement(shared).fetch.borrow_mut();
     match applied {
-        Ok(revision) => {
-            fetch.record_received(revision);
-            if !fetch.is_current(revision) {
+        Ok(Some(version)) => {
+            fetch.record_received(version);
+            if !fetch.is_current(version) {
                 fetch.remove(address);
             }
         }
+        Ok(None) => fetch.remove(address),
         Err(error) => {
             fetch.remove(address);
             info!(shared.log, "peer: copy not received";
--- a/crates/edge/src/peer/server.rs
+++ b/crates/edge/src/peer/server.rs
@@ -129,7 +129,7 @@
     fn configuration(&self) -> Result<Vec<u8>, StatusCode> {
         let document = self.shared.document().ok_or(StatusCode::NOT_FOUND)?;
         self.encode(&Configuration {
-            revision: document.revision,
+            revision: document.position.revision,
             value: document.value,
         })
     }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -20,6 +20,7 @@
 use snipeusher::name;
 use snipeusher::reader::Readers;
 use snipeusher::route::Limits;
+use snipeusher::route::Position;
 use snipeusher::route::Table;
 use snipeusher::stream::Origins;
 use snipeusher::time::Time;
@@ -58,8 +59,8 @@
 /// The configuration as stored, to serve to peers that cannot reach the store.
 #[derive(Clone, Debug)]
 pub struct Document {
-    /// Revision of the store that set it.
-    pub revision: Revision,
+    /// Its position in the sequence that the operators wrote.
+    pub position: Position,
     /// The stored bytes.
     pub value: Bytes,
 }
@@ -94,9 +95,9 @@
     /// Notified when there are origins that peers do not have.
     pub new_origins: Notify,
     /// Configurations that peers announced.
-    pub configurations: Announcement,
+    pub configurations: Announcement<Position>,
     /// Lists of upstreams that peers announced.
-    pub rosters: Announcement,
+    pub rosters: Announcement<Revision>,
     /// Shared state of the HTTP codecs, such as the date.
     pub http: ServiceConfig,
     table: RefCell<Option<Rc<Table>>>,
@@ -162,10 +163,10 @@
         self.document.borrow().clone()
     }
 
-    /// Revisions of the known configuration and of the known upstreams.
-    pub fn revisions(&self) -> (Option<Revision>, Revision) {
+    /// Position of the known configuration and revision of the known upstreams.
+    pub fn revisions(&self) -> (Option<Position>, Revision) {
         let document = self.document.borrow();
-        let configuration = document.as_ref().map(|document| document.revision);
+        let configuration = document.as_ref().map(|document| document.position);
         (configuration, self.fleet.borrow().roster().revision())
     }
 
@@ -196,30 +197,46 @@
         self.is_loaded() && !self.lifecycle.is_leaving()
     }
 
-    /// Applies a configuration unless the one in force has the same or a newer revision.
+    /// Applies a configuration unless the one in force has the same or a later position. Returns its
+    /// position, or `None` if it cannot be decoded.
     ///
-    /// Revisions come from the store, so the check holds for a configuration from any source.
-    pub fn configure(&self, revision: Revision, value: &[u8], source: &'static str) {
-        let known = self.document.borrow().as_ref().map(|known| known.revision);
-        if known.is_some_and(|known| known >= revision) {
-            return;
+    /// Positions come from the operators and the store, so the check holds for a configuration from
+    /// any source.
+    pub fn configure(
+        &self,
+        revision: Revision,
+        value: &[u8],
+        source: &'static str,
+    ) -> Option<Position> {
+        let known = self.document.borrow().as_ref().map(|known| known.position);
+        if let Some(known) = known.filter(|known| known.revision == revision) {
+            return Some(known);
         }
         match self.platform.table(revision, value) {
+            Ok(table) if known.is_some_and(|known| known >= table.position()) => {
+                info!(self.log, "configuration: older one ignored";
+                    "version" => table.version(), "revision" => revision.number,
+                    "era" => revision.era.0, "source" => source);
+                Some(table.position())
+            }
             Ok(table) => {
+                let position = table.position();
                 info!(self.log, "configuration: in force";
                     "version" => table.version(), "revision" => revision.number,
-                    "routes" => table.len(), "source" => source);
+                    "era" => revision.era.0, "routes" => table.len(), "source" => source);
                 *self.table.borrow_mut() = Some(Rc::new(table));
                 self.configured_at.set(self.now());
                 *self.document.borrow_mut() = Some(Document {
-                    revision,
+                    position,
                     value: Bytes::copy_from_slice(value),
                 });
                 self.record_change();
+                Some(position)
             }
             Err(error) => {
                 warn!(self.log, "configuration: unreadable, the last one stays in force";
                     "revision" => revision.number, "source" => source, "error" => %error);
+                None
             }
         }
     }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -9,6 +9,7 @@
 use futures_util::StreamExt as _;
 use slog::info;
 use slog::warn;
+use snipeusher::fleet::Entry;
 use snipeusher::fleet::Update;
 use snipeusher::kv;
 use snipeusher::kv::Call;
@@ -32,6 +33,9 @@
 /// once.
 const RETRY_DELAY_MAX_MS: u64 = 1_000;
 
+/// Time within which the readers list a restored store, since all of them notice it at once.
+const RESTORE_SPREAD_MS: u64 = 150;
+
 /// Delay before the next watch call after one with changes. Changes that follow arrive together, so
 /// that a rollout of many upstreams does not cost a call for each.
 const BATCH_DELAY: Duration = Duration::from_millis(250);
@@ -73,6 +77,10 @@
             Err(Error::Watch(fault)) => {
                 info!(shared.log, "store: watch lost"; "cause" => cause(fault));
                 delay_ms = RETRY_DELAY_MS;
+                if fault == Fault::Restored {
+                    let spread = shared.random() % RESTORE_SPREAD_MS;
+                    sleep(Duration::from_millis(spread)).await;
+                }
             }
             Err(Error::List(fault)) => {
                 shared.set_store_reachable(false, cause(fault));
@@ -128,12 +136,8 @@
         }
     }
     info!(shared.log, "upstreams: listed";
-        "count" => upstreams.len(), "revision" => revision.number);
-    let now = shared.now();
-    shared
-        .fleet
-        .borrow_mut()
-        .replace_all(now, revision, upstreams);
+        "count" => upstreams.len(), "revision" => revision.number, "era" => revision.era.0);
+    replace_upstreams(shared, revision, upstreams);
     // Read after the upstreams, since the watch continues from their revision and repeats a change
     // made in between.
     configuration(shared, store).await.map_err(Error::List)?;
@@ -141,6 +145,21 @@
     Ok(())
 }
 
+/// Applies a list of upstreams, and tells what is left of them if the store was restored.
+fn replace_upstreams<P: Platform>(shared: &Shared<P>, revision: Revision, entries: Vec<Entry>) {
+    let now = shared.now();
+    let before = shared.revisions().1;
+    let mut fleet = shared.fleet.borrow_mut();
+    fleet.replace_all(now, revision, entries);
+    if revision.era > before.era {
+        let roster = fleet.roster();
+        info!(shared.log, "store: restored";
+            "era" => revision.era.0, "revision" => revision.number,
+            "era_before" => before.era.0, "revision_before" => before.number,
+            "upstreams" => roster.entries().count(), "ready" => roster.ready(now).count());
+    }
+}
+
 /// Reads the configuration.
 pub(crate) async fn configuration<P: Platform, S: Store>(
     shared: &Shared<P>,
@@ -257,5 +276,6 @@
         Fault::NotSent => "unreachable",
         Fault::Lost => "no answer",
         Fault::Refused => "refused",
+        Fault::Restored => "the store was restored",
     }
 }
--- a/crates/edge/tests/bulk.rs
+++ b/crates/edge/tests/bulk.rs
@@ -22,6 +22,7 @@
 use snipeusher::kv::Revision;
 use snipeusher::name;
 use snipeusher::route::Limits;
+use snipeusher::route::Position;
 use snipeusher_edge::lifecycle::Lifecycle;
 use snipeusher_edge::peer::Configuration;
 use snipeusher_edge::peer::Digest;
@@ -54,7 +55,10 @@
                 host: name::Host::from(format!("peer-{}", self.zone)),
                 zone: name::Zone::from(self.zone),
                 address: self.address,
-                configuration: Some(Revision::new(1)),
+                configuration: Some(Position {
+                    version: 1,
+                    revision: Revision::new(1),
+                }),
                 upstreams: revision,
                 loads: Vec::new(),
                 readers: Vec::new(),
--- a/crates/edge/tests/common/caller.rs
+++ b/crates/edge/tests/common/caller.rs
@@ -47,7 +47,11 @@
     }
 
     pub async fn write(&mut self, text: &str) {
-        let written = self.stream.write_all(text.as_bytes()).await;
+        self.write_bytes(text.as_bytes()).await;
+    }
+
+    pub async fn write_bytes(&mut self, bytes: &[u8]) {
+        let written = self.stream.write_all(bytes).await;
         written.expect("the router reads");
     }
 
--- a/crates/edge/tests/common/store.rs
+++ b/crates/edge/tests/common/store.rs
@@ -12,6 +12,7 @@
 use futures_util::stream;
 use snipeusher::kv;
 use snipeusher::kv::Call;
+use snipeusher::kv::Era;
 use snipeusher::kv::Fault;
 use snipeusher::kv::Range;
 use snipeusher::kv::Reply;
@@ -25,6 +26,7 @@
 struct State {
     keys: RefCell<BTreeMap<String, kv::Entry>>,
     changes: RefCell<Vec<Change>>,
+    era: Cell<Era>,
     calls: Cell<u64>,
 }
 
@@ -80,6 +82,30 @@
         self.put(&format!("up/{id}"), &entry);
     }
 
+    /// Takes the store back to an earlier revision, as a restored copy does. Later revisions are
+    /// given out again.
+    pub fn restore(&self, revision: Revision) {
+        let state = &self.state;
+        state.era.set(Era(state.era.get().0 + 1));
+        let mut changes = state.changes.borrow_mut();
+        changes.truncate(revision.number as usize);
+        let mut keys = BTreeMap::new();
+        for change in changes.iter() {
+            for entry in &change.entries {
+                keys.insert(entry.key.clone(), entry.clone());
+            }
+            for key in &change.deleted {
+                keys.remove(key);
+            }
+        }
+        *state.keys.borrow_mut() = keys;
+    }
+
+    /// The present revision.
+    pub fn revision(&self) -> Revision {
+        self.in_era(self.state.changes.borrow().len() as u64)
+    }
+
     pub fn put(&self, key: &str, value: &str) {
         let revision = self.next();
         let entry = kv::Entry {
@@ -109,11 +135,21 @@
     }
 
     fn next(&self) -> Revision {
-        Revision::new(self.state.changes.borrow().len() as u64 + 1)
+        self.in_era(self.state.changes.borrow().len() as u64 + 1)
     }
 
-    fn revision(&self) -> Revision {
-        Revision::new(self.state.changes.borrow().len() as u64)
+    fn in_era(&self, number: u64) -> Revision {
+        let era = self.state.era.get();
+        Revision { era, number }
+    }
+
+    /// An entry with its revisions in the present era, as the client returns it.
+    fn present(&self, entry: &kv::Entry) -> kv::Entry {
+        kv::Entry {
+            created: self.in_era(entry.created.number),
+            modified: self.in_era(entry.modified.number),
+            ..entry.clone()
+        }
     }
 }
 
@@ -130,7 +166,7 @@
         let found = keys.values().filter(|entry| entry.key.starts_with(&prefix));
         Ok(Reply::Range {
             revision: self.revision(),
-            entries: found.cloned().collect(),
+            entries: found.map(|entry| self.present(entry)).collect(),
         })
     }
 
@@ -141,7 +177,7 @@
         stream::unfold((store, from), |(store, from)| async move {
             // Without changes the watch returns after a second.
             for _ in 0..100 {
-                if !store.reachable.get() {
+                if !store.reachable.get() || from.era != store.state.era.get() {
                     return Some((Err(Fault::Lost), (store, from)));
                 }
                 let next = store
--- a/crates/edge/tests/control_cost.rs
+++ b/crates/edge/tests/control_cost.rs
@@ -8,6 +8,7 @@
 use snipeusher::kv::Revision;
 use snipeusher::name;
 use snipeusher::reader::Reader;
+use snipeusher::route::Position;
 use snipeusher_edge::peer::Digest;
 use snipeusher_edge::peer::Member;
 use snipeusher_edge::peer::interval;
@@ -45,7 +46,10 @@
         host: host(0),
         zone: zone(0),
         address,
-        configuration: Some(Revision::new(1 << 40)),
+        configuration: Some(Position {
+            version: 1 << 40,
+            revision: Revision::new(1 << 40),
+        }),
         upstreams: Revision::new(1 << 40),
         loads: loads.collect(),
         readers: readers.collect(),
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -1,5 +1,7 @@
 //! Order of exchanges with peers: mostly those of the own availability zone.
 
+mod common;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -100,3 +102,25 @@
         assert!(remote.count() >= 1);
     }
 }
+
+/// Guards against a router of the release before, whose messages have another form, that disturbs
+/// the routers of this one.
+#[actix_rt::test]
+async fn a_digest_of_the_release_before_is_declined_without_harm() {
+    let (node, _store) = common::single(&[]).await;
+    let before = node.shared.revisions();
+    let digest = include_str!("serialized/digest-v3.hex").trim_end();
+    let digest = hex::decode(digest).expect("the file holds hexadecimal digits");
+    for (path, status) in [("/fleet/v3/exchange", 404), ("/fleet/v4/exchange", 400)] {
+        let length = digest.len();
+        let head = format!("POST {path} HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n");
+        let mut caller = common::caller::Caller::connect(node.control).await;
+        caller
+            .write_bytes(&[head.as_bytes(), &digest].concat())
+            .await;
+        let answer = caller.read().await.expect("a response");
+        assert_eq!(answer.status, status, "{path}");
+    }
+    assert_eq!(node.shared.revisions(), before);
+    assert_eq!(node.shared.fleet.borrow().routers(), 1);
+}
--- a/crates/edge/tests/serialized.rs
+++ b/crates/edge/tests/serialized.rs
@@ -19,6 +19,10 @@
 use snipeusher::kv::Revision;
 use snipeusher::name::Incarnation;
 use snipeusher::reader::Reader;
+use snipeusher::route::Position;
+use snipeusher::stream::Group;
+use snipeusher::stream::Id;
+use snipeusher::stream::Origin;
 use snipeusher_edge::peer::Configuration;
 use snipeusher_edge::peer::Digest;
 use snipeusher_edge::peer::Member;
@@ -49,7 +53,10 @@
         host: "front-1".into(),
         zone: "zone-1".into(),
         address: address(),
-        configuration: Some(Revision::new(300)),
+        configuration: Some(Position {
+            version: 30,
+            revision: Revision::new(300),
+        }),
         upstreams: Revision::new(301),
         loads: vec![Observation {
             upstream: "engine-1".into(),
@@ -109,6 +116,20 @@
     assert_form("answer.hex", &response);
 }
 
+/// Guards against origins of streams that routers of the release before cannot read.
+#[test]
+fn origins_of_streams_keep_their_form() {
+    let origin = Origin {
+        service: "chat".into(),
+        build: "v1".into(),
+    };
+    let groups = vec![Group {
+        origin,
+        streams: vec![Id(16), Id(17)],
+    }];
+    assert_form("origins.hex", &groups);
+}
+
 /// Guards against a configuration that routers of the release before cannot fetch.
 #[test]
 fn a_configuration_keeps_its_form() {
--- a/crates/snipeusher/src/config/edit.rs
+++ b/crates/snipeusher/src/config/edit.rs
@@ -183,7 +183,7 @@
                     self.state = State::Waiting(now);
                 }
                 Err(Fault::NotSent | Fault::Refused) => self.retry(now),
-                Ok(_) | Err(Fault::Lost) => {
+                Ok(_) | Err(Fault::Lost | Fault::Restored) => {
                     self.in_doubt = true;
                     self.retry(now);
                 }
--- a/crates/snipeusher/src/fetch.rs
+++ b/crates/snipeusher/src/fetch.rs
@@ -63,9 +63,9 @@
 
 /// State of this router that the decision depends on.
 #[derive(Clone, Copy, Debug)]
-pub struct Query {
-    /// Revision that the router has; `None` if it has no data yet.
-    pub known: Option<Revision>,
+pub struct Query<K> {
+    /// Version that the router has; `None` if it has no data yet.
+    pub known: Option<K>,
     /// Expected size of the data.
     pub size: Size,
     /// Whether the data can be read from the store.
@@ -75,37 +75,39 @@
 }
 
 /// The newest data that peers announced, and the peers that have it.
+///
+/// `K` orders the versions of the data, such as a revision of the store.
 #[derive(Clone, Debug)]
-pub struct Fetch<A> {
-    revision: Revision,
+pub struct Fetch<A, K = Revision> {
+    newest: K,
     sources: Vec<Source<A>>,
     announced_at: Time,
     /// When the store may be asked again.
     store_at: Time,
-    /// Revision up to which everything was received.
-    received: Revision,
+    /// Version up to which everything was received.
+    received: K,
 }
 
-impl<A> Default for Fetch<A> {
+impl<A, K: Default> Default for Fetch<A, K> {
     fn default() -> Self {
         Self {
-            revision: Revision::default(),
+            newest: K::default(),
             sources: Vec::new(),
             announced_at: Time::default(),
             store_at: Time::default(),
-            received: Revision::default(),
+            received: K::default(),
         }
     }
 }
 
-impl<A: Copy + PartialEq> Fetch<A> {
-    /// Records that a peer has a revision. Returns whether this is news.
-    pub fn announce(&mut self, now: Time, revision: Revision, source: Source<A>) -> bool {
-        if revision < self.revision {
+impl<A: Copy + PartialEq, K: Copy + Ord> Fetch<A, K> {
+    /// Records that a peer has a version. Returns whether this is news.
+    pub fn announce(&mut self, now: Time, version: K, source: Source<A>) -> bool {
+        if version < self.newest {
             return false;
         }
-        if revision > self.revision {
-            self.revision = revision;
+        if version > self.newest {
+            self.newest = version;
             self.sources.clear();
             self.announced_at = now;
         }
@@ -125,14 +127,14 @@
         self.sources.retain(|source| source.address != address);
     }
 
-    /// Records that a revision was received. One that cannot be decoded is not requested again.
-    pub fn record_received(&mut self, revision: Revision) {
-        self.received = self.received.max(revision);
+    /// Records that a version was received. One that cannot be decoded is not requested again.
+    pub fn record_received(&mut self, version: K) {
+        self.received = self.received.max(version);
     }
 
-    /// Whether a received revision is at least the announced one.
-    pub fn is_current(&self, received: Revision) -> bool {
-        received >= self.revision
+    /// Whether a received version is at least the announced one.
+    pub fn is_current(&self, received: K) -> bool {
+        received >= self.newest
     }
 
     /// Records that the store was asked.
@@ -141,9 +143,9 @@
     }
 
     /// The next step; `None` until a peer announces something newer than `query.known`.
-    pub fn next(&self, now: Time, query: &Query) -> Option<Step<A>> {
-        let has_newest = query.known.is_some_and(|known| known >= self.revision);
-        if has_newest || self.received >= self.revision {
+    pub fn next(&self, now: Time, query: &Query<K>) -> Option<Step<A>> {
+        let has_newest = query.known.is_some_and(|known| known >= self.newest);
+        if has_newest || self.received >= self.newest {
             return None;
         }
         let is_start = query.known.is_none();
--- a/crates/snipeusher/src/fleet/departure.rs
+++ b/crates/snipeusher/src/fleet/departure.rs
@@ -107,8 +107,9 @@
     /// Judges an entry of the store.
     ///
     /// Within an era the store's later word on its own entries counts. In a later era an entry may
-    /// be an older write that was restored.
-    pub(super) fn judge(&self, entry: &Entry) -> Verdict {
+    /// be an older write that was restored: one that is no newer than the first list of the era,
+    /// which was read at `era_start`, and than the last write known before.
+    pub(super) fn judge(&self, entry: &Entry, era_start: Revision) -> Verdict {
         let Some(departure) = self.known.get(&entry.id) else {
             return Verdict::Valid;
         };
@@ -119,7 +120,9 @@
             Evidence::Announced => Verdict::Leaving,
             Evidence::Draining(at) if entry.revision.era > at.era => Verdict::Leaving,
             Evidence::Removed(at)
-                if entry.revision.era > at.era && entry.revision.number <= at.number =>
+                if entry.revision.era > at.era
+                    && entry.revision.number <= at.number
+                    && entry.revision <= era_start =>
             {
                 Verdict::Gone
             }
--- a/crates/snipeusher/src/fleet/roster.rs
+++ b/crates/snipeusher/src/fleet/roster.rs
@@ -112,6 +112,8 @@
     /// All removals after this revision are in `removed`.
     history_start: Revision,
     departures: Departures,
+    /// Revision of the first list of the store's present era.
+    era_start: Revision,
     store_disconnected: bool,
     store_back_at: Option<Time>,
 }
@@ -133,6 +135,7 @@
             removed: VecDeque::new(),
             history_start: Revision::default(),
             departures: Departures::default(),
+            era_start: Revision::default(),
             store_disconnected: false,
             store_back_at: None,
         }
@@ -194,7 +197,7 @@
     /// Applies an entry, unless a newer revision of it is known.
     pub fn upsert(&mut self, mut entry: Entry) {
         self.revision = self.revision.max(entry.revision);
-        match self.departures.judge(&entry) {
+        match self.departures.judge(&entry, self.era_start) {
             Verdict::Valid => {}
             Verdict::Leaving => entry.draining = true,
             Verdict::Gone => return,
@@ -259,6 +262,7 @@
         if revision < self.revision {
             return;
         }
+        self.enter_era(now, revision);
         for id in self.unlisted(revision, &entries) {
             let until = self.retention_deadline(now, &id);
             self.remove_row(id, revision, until);
@@ -276,13 +280,17 @@
         if delta.revision <= self.revision {
             return;
         }
+        let is_new_era = self.enter_era(now, delta.revision);
         if delta.complete {
             let kept = delta.removed.iter().filter(|removal| removal.keep_ms > 0);
             let kept: BTreeSet<name::Upstream> = kept.map(|removal| removal.id.clone()).collect();
             self.history_start = delta.revision;
             for id in self.unlisted(delta.revision, &delta.entries) {
                 if !kept.contains(&id) {
-                    self.remove_row(id, delta.revision, None);
+                    // The peer has the same list, so only what may register again is kept.
+                    let until = self.retention_deadline(now, &id);
+                    let until = until.filter(|_| is_new_era);
+                    self.remove_row(id, delta.revision, until);
                 }
             }
         }
@@ -333,6 +341,17 @@
         }
     }
 
+    /// Notes that the store was restored, if a revision is of a later era: what the copy lacks may
+    /// register again, as after an outage. Returns whether it is.
+    fn enter_era(&mut self, now: Time, revision: Revision) -> bool {
+        let is_new = revision.era > self.revision.era && !self.is_unsynced();
+        if is_new {
+            self.store_back_at = Some(now);
+            self.era_start = revision;
+        }
+        is_new
+    }
+
     /// Known upstreams that are missing from a complete list at a revision.
     fn unlisted(&self, revision: Revision, entries: &[Entry]) -> Vec<name::Upstream> {
         let listed: BTreeSet<&name::Upstream> = entries.iter().map(|entry| &entry.id).collect();
--- a/crates/snipeusher/src/kv.rs
+++ b/crates/snipeusher/src/kv.rs
@@ -284,4 +284,6 @@
     Lost,
     /// The service rejected the call without effect, for example because a lease does not exist.
     Refused,
+    /// The service was restored from a copy, so that revisions known before do not continue.
+    Restored,
 }
--- a/crates/snipeusher/src/lease/candidate.rs
+++ b/crates/snipeusher/src/lease/candidate.rs
@@ -406,7 +406,7 @@
                 hold.next_renewal = sent + self.renewal_interval();
                 self.state = State::Holding(hold);
             }
-            Ok(_) | Err(Fault::Refused) => self.follow(now, true),
+            Ok(_) | Err(Fault::Refused | Fault::Restored) => self.follow(now, true),
             Err(Fault::NotSent | Fault::Lost) => {
                 hold.next_renewal = now + self.backoff.fail();
                 self.state = State::Holding(hold);
--- a/crates/snipeusher/src/route.rs
+++ b/crates/snipeusher/src/route.rs
@@ -13,6 +13,7 @@
 
 pub use self::table::Builder;
 pub use self::table::Error;
+pub use self::table::Position;
 pub use self::table::Table;
 
 /// Whether requests may be retried, and whether the answer is streamed.
--- a/crates/snipeusher/src/route/table.rs
+++ b/crates/snipeusher/src/route/table.rs
@@ -4,6 +4,8 @@
 use std::fmt;
 use std::sync::Arc;
 
+use serde::Deserialize;
+use serde::Serialize;
 use snafu::Snafu;
 use snafu::ensure;
 
@@ -14,6 +16,19 @@
 use crate::kv::Revision;
 use crate::name;
 
+/// Position of a configuration in the sequence that the operators wrote.
+///
+/// The operators' version comes first, since it stays true when the store is restored from an older
+/// copy, which gives out revisions again. See `docs/platform.md#configuration`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Position {
+    /// Version that operators assigned to the configuration.
+    pub version: u64,
+    /// Revision of the store that holds it.
+    pub revision: Revision,
+}
+
 /// Why a configuration cannot be compiled.
 #[derive(Debug, PartialEq, Eq, Snafu)]
 pub enum Error {
@@ -105,6 +120,14 @@
         self.0.revision
     }
 
+    /// Position in the sequence that the operators wrote.
+    pub const fn position(&self) -> Position {
+        Position {
+            version: self.0.version,
+            revision: self.0.revision,
+        }
+    }
+
     /// Version that operators assigned to the configuration.
     pub const fn version(&self) -> u64 {
         self.0.version
--- a/crates/snipeusher/tests/departure.rs
+++ b/crates/snipeusher/tests/departure.rs
@@ -161,6 +161,21 @@
     assert!(is_ready(&fleet, "b"));
 }
 
+/// Guards against an upstream that registers again late after a restore, at a revision that was
+/// given out before, and is taken for its old entry.
+#[rstest]
+fn a_late_registration_counts_although_its_number_was_used_before() {
+    let mut fleet = fleet();
+    fleet.upsert(at(1), entry("a", 1, revision(0, 20)));
+    let only = vec![entry("b", 1, revision(1, 10))];
+    fleet.replace_all(at(2), revision(1, 12), only);
+    assert!(is_ready(&fleet, "a"), "it may register again");
+    assert!(!fleet.is_ready(at(2_400), &name::Upstream::from("a")));
+    fleet.upsert(at(3_000), entry("b", 1, revision(1, 13)));
+    fleet.upsert(at(3_100), entry("a", 1, revision(1, 14)));
+    assert!(fleet.is_ready(at(3_200), &name::Upstream::from("a")));
+}
+
 /// Guards against requests during a pause, a pause without an end, and a refusal that names a time
 /// at which the upstream is still paused.
 #[rstest]
--- a/crates/snipeusher/tests/fetch.rs
+++ b/crates/snipeusher/tests/fetch.rs
@@ -24,7 +24,7 @@
 /// Peers to which a router announces new data.
 const FANOUT: usize = 4;
 
-fn query(known: Option<Revision>, size: Size) -> Query {
+fn query(known: Option<Revision>, size: Size) -> Query<Revision> {
     Query {
         known,
         size,
