--- a/crates/cli/src/nodes.rs
+++ b/crates/cli/src/nodes.rs
@@ -84,8 +84,9 @@
         format!("{address} {} in {}: {phase}", status.host, status.zone),
         format!("  {configuration}"),
         format!(
-            "  {store}, upstreams of revision {}",
-            status.store.upstreams_revision
+            "  {store}, upstreams of revision {}{}",
+            status.store.upstreams_revision,
+            era(status.store.era)
         ),
         format!(
             "  {} routers, {} open requests",
@@ -124,3 +125,12 @@
     }
     lines
 }
+
+/// The era of a store that was restored; nothing for one that never was.
+fn era(era: u64) -> String {
+    if era == 0 {
+        String::new()
+    } else {
+        format!(" in era {era}")
+    }
+}
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -34,6 +34,7 @@
 use crate::server::Request;
 use crate::shared::Shared;
 use crate::status;
+use crate::status::State;
 
 /// Upper bounds of the histogram buckets, chosen around the latency objectives of 0.1 to 0.8 s.
 const BUCKETS_S: [f64; 10] = [0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0];
@@ -51,6 +52,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabels {
+    cause: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct KindLabels {
     kind: &'static str,
@@ -76,7 +82,9 @@
     configuration: Gauge,
     upstreams: Gauge,
     ejected: Gauge,
+    unused: Family<CauseLabels, Gauge>,
     store_unreachable: Gauge,
+    store_era: Gauge,
 }
 
 fn histogram() -> Histogram {
@@ -153,6 +161,18 @@
             ejected,
             store_unreachable,
         ] = gauges;
+        let unused = Family::default();
+        registry.register(
+            "upstreams_unused",
+            "Upstreams that get no requests while others do, by cause",
+            unused.clone(),
+        );
+        let store_era = Gauge::default();
+        registry.register(
+            "store_era",
+            "Number of times that the store was restored from a copy",
+            store_era.clone(),
+        );
         Self {
             registry,
             requests,
@@ -166,7 +186,9 @@
             configuration,
             upstreams,
             ejected,
+            unused,
             store_unreachable,
+            store_era,
         }
     }
 }
@@ -288,6 +310,15 @@
 
     fn text(&self) -> Result<String, std::fmt::Error> {
         let metrics = &self.shared.metrics;
+        let status = status::read(&self.shared);
+        for state in State::UNUSED {
+            let known = status.upstreams.iter();
+            let count = known.filter(|upstream| upstream.state == state).count();
+            let cause = state.label();
+            let unused = metrics.unused.get_or_create(&CauseLabels { cause });
+            unused.set(gauge_value(count));
+        }
+        metrics.store_era.set(status.store.era.cast_signed());
         let fleet = self.shared.fleet.borrow();
         let upstreams = fleet.upstreams();
         let ejected = upstreams
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -63,6 +63,9 @@
     pub lost_ms: Option<u64>,
     /// Revision up to which the upstreams are known.
     pub upstreams_revision: u64,
+    /// Number of times that the store was restored from a copy, as far as this router knows.
+    #[serde(default)]
+    pub era: u64,
 }
 
 /// Retry budget of one service.
@@ -118,6 +121,31 @@
     Ready,
 }
 
+impl State {
+    /// All states in which an upstream receives no requests, or only if no other is left.
+    pub(crate) const UNUSED: [Self; 6] = [
+        Self::Leaving,
+        Self::Announced,
+        Self::Paused,
+        Self::Unreachable,
+        Self::Ejected,
+        Self::Silent,
+    ];
+
+    /// The label of metrics.
+    pub(crate) const fn label(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::Announced => "announced",
+            Self::Paused => "paused",
+            Self::Unreachable => "unreachable",
+            Self::Ejected => "set_aside",
+            Self::Silent => "silent",
+            Self::Ready => "ready",
+        }
+    }
+}
+
 /// Reads the current status.
 pub fn read<P: Platform>(shared: &Shared<P>) -> Status {
     let now = shared.now();
@@ -146,6 +174,7 @@
                 .store_unreachable_since()
                 .map(|since| millis(now, since)),
             upstreams_revision: fleet.roster().revision().number,
+            era: fleet.roster().revision().era.0,
         },
         routers: fleet.routers(),
         retries_left,
