Send origins of streams without waiting for peers that do not answer

A peer that is dark delayed the batches that followed by up to 0.6 s. A request that takes up a stream is sent to the service of the one that began it, also where the weights of a route split it. Version names are copied only when they are new.

--- a/crates/edge/src/exchange/admit.rs
+++ b/crates/edge/src/exchange/admit.rs
@@ -139,8 +139,10 @@
     let time_limit = request
         .deadline
         .map_or(route.timeout, |deadline| deadline.min(route.timeout));
-    let id = request.id.as_deref().unwrap_or_default();
-    let service = route.backend(hash::bytes(id.as_bytes())).clone();
+    // A request that takes a stream up goes to the service of the one that began it.
+    let began = request.resumes.as_deref().or(request.id.as_deref());
+    let point = hash::bytes(began.unwrap_or_default().as_bytes());
+    let service = route.backend(point).clone();
     let target = Target::new(&admission.table, service, &request);
     let tenant = admission.tenant;
     Ok(Admitted {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -110,8 +110,7 @@
         Rc::clone(&store),
     ));
     actix_rt::spawn(peer::fetch_rosters(Rc::clone(shared), store));
-    let copied = Rc::clone(shared);
-    actix_rt::spawn(async move { streams.copy(&copied).await });
+    actix_rt::spawn(streams.copy(Rc::clone(shared)));
     actix_rt::spawn(peer::report_outages(Rc::clone(shared), Rc::clone(&peers)));
     actix_rt::spawn(peer::run(Rc::clone(shared), peers));
     actix_rt::spawn(probe::run(Rc::clone(shared)));
--- a/crates/edge/src/peer/streams.rs
+++ b/crates/edge/src/peer/streams.rs
@@ -8,6 +8,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -75,22 +76,30 @@
     }
 
     /// Copies the origins of the streams that this router begins. Never returns.
-    pub async fn copy<P: Platform>(&self, shared: &Shared<P>) {
+    pub async fn copy<P: Platform>(self: Rc<Self>, shared: Rc<Shared<P>>) {
         loop {
             shared.new_origins.notified().await;
             sleep(COLLECT_TIME).await;
             let unsent = shared.origins.borrow_mut().take_unsent();
-            let failed = self.send_to_ranked(shared, unsent, 0..COPIES).await;
-            self.send_to_ranked(shared, failed, COPIES..ASKED).await;
+            let (streams, shared) = (Rc::clone(&self), Rc::clone(&shared));
+            // A peer that does not answer must not delay the origins that follow.
+            actix_rt::spawn(async move { streams.send_copies(&shared, unsent).await });
         }
     }
 
+    /// Sends each stream to the peers that rank first, and to the next one in place of a peer that
+    /// does not receive it.
+    async fn send_copies<P: Platform>(&self, shared: &Shared<P>, unsent: Vec<(Id, Origin)>) {
+        let failed = self.send_to_ranked(shared, unsent, 0..COPIES).await;
+        self.send_to_ranked(shared, failed, COPIES..ASKED).await;
+    }
+
     /// Sends each stream to the peers of these ranks; returns those that a peer did not receive.
     async fn send_to_ranked<P: Platform>(
         &self,
         shared: &Shared<P>,
         streams: Vec<(Id, Origin)>,
-        ranks: std::ops::Range<usize>,
+        ranks: Range<usize>,
     ) -> Vec<(Id, Origin)> {
         let mut batches: BTreeMap<SocketAddr, Vec<(Id, Origin)>> = BTreeMap::new();
         for (id, origin) in streams {
--- a/crates/snipeusher/src/fleet/builds.rs
+++ b/crates/snipeusher/src/fleet/builds.rs
@@ -31,11 +31,22 @@
         }
         for entry in entries {
             self.known_since.get_or_insert(now);
-            let builds = self.services.entry(entry.service.clone()).or_default();
-            builds.insert(entry.build.clone(), None);
+            self.record_present(entry);
         }
     }
 
+    /// Lists of thousands of upstreams hold few versions, so names are copied only for new ones.
+    fn record_present(&mut self, entry: &Entry) {
+        let known = self.services.get_mut(&entry.service);
+        let known = known.and_then(|builds| builds.get_mut(&entry.build));
+        if let Some(left) = known {
+            *left = None;
+            return;
+        }
+        let builds = self.services.entry(entry.service.clone()).or_default();
+        builds.insert(entry.build.clone(), None);
+    }
+
     /// The only version that upstreams of a service run now and ran in the last minute, if the
     /// upstreams have been known for `age`.
     pub(super) fn sole(
