--- a/crates/edge/tests/restore.rs
+++ b/crates/edge/tests/restore.rs
@@ -180,3 +180,28 @@
     until_version(&nodes, 4).await;
     until_era(&nodes, &store).await;
 }
+
+/// Guards against a start of the whole fleet that never gets ready, or serves an old era, since the
+/// store is restored meanwhile.
+#[actix_rt::test]
+async fn a_restore_during_the_start_of_all_routers_is_followed() {
+    let engine = engine().await;
+    let store = Store::new();
+    store.configure(DEFAULT);
+    store.upstream("e0", "letters", engine.address, "ready");
+    let copy = store.revision();
+    store.configure(&version(2, "/second/"));
+    let mut nodes: Vec<Node> = Vec::new();
+    for index in 1..=4 {
+        let seeds = nodes.first().map(|first| first.control);
+        let name = format!("host-{index}");
+        nodes.push(common::start(&name, &store, seeds.into_iter().collect()).await);
+        if index == 2 {
+            store.restore(copy);
+        }
+    }
+    store.configure(&version(3, "/third/"));
+    until_version(&nodes, 3).await;
+    until_era(&nodes, &store).await;
+    until_status(&nodes, "/third/", 200).await;
+}
