Copy origins of streams only while several software versions run

Copies of every stream cost about 350 bytes, a tenth more control traffic at nine routers by calculation, also while one version runs and the origin is plain. They now wait and are sent when a second version appears, so a stream that began before it can still be taken up (test). A peer that is asked also answers from what it knows of the service's versions: a router that has just started cannot tell, its peers can.

--- a/crates/edge/src/exchange/resume.rs
+++ b/crates/edge/src/exchange/resume.rs
@@ -14,6 +14,7 @@
 use super::Exchange;
 use crate::dialect::Platform;
 use crate::peer::Answer;
+use crate::peer::Question;
 use crate::refusal::Refusal;
 
 /// How the origin of a stream was determined.
@@ -71,15 +72,16 @@
         if let Some(origin) = known {
             return Some((origin, Source::Memory));
         }
-        match self.streams.ask(self.shared, id).await {
-            Answer::Origin(origin) => {
-                let now = self.shared.now();
-                let mut origins = self.shared.origins.borrow_mut();
-                origins.insert(now, id, origin.clone());
-                Some((origin, Source::Peer))
-            }
-            // Upstreams that this router never knew may have begun an older stream.
-            Answer::Unknown => self.sole_origin(self.admitted.route.timeout),
+        // Upstreams that a router never knew may have begun a stream of longer ago.
+        let age = self.admitted.route.timeout;
+        let question = Question {
+            stream: id,
+            service: self.admitted.target.service.clone(),
+            age_ms: age.as_millis() as u64,
+        };
+        match self.streams.ask(self.shared, question).await {
+            Answer::Origin(origin) => Some((origin, Source::Peer)),
+            Answer::Unknown => self.sole_origin(age),
             // This router may be cut off and know an old list of upstreams.
             Answer::Silent => None,
         }
@@ -87,14 +89,8 @@
 
     /// The origin of all streams of the service while all its upstreams run one version.
     fn sole_origin(&self, age: Duration) -> Option<(Origin, Source)> {
-        let now = self.shared.now();
         let service = &self.admitted.target.service;
-        let fleet = self.shared.fleet.borrow();
-        let build = fleet.sole_build(now, service, age)?.clone();
-        let origin = Origin {
-            service: service.clone(),
-            build,
-        };
+        let origin = self.shared.sole_origin(service, age)?;
         Some((origin, Source::SoleBuild))
     }
 
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -39,6 +39,7 @@
 pub use self::peers::Peers;
 pub use self::server::Control;
 pub(crate) use self::streams::Answer;
+pub use self::streams::Question;
 pub use self::streams::Streams;
 
 use crate::dialect::Platform;
--- a/crates/edge/src/peer/server.rs
+++ b/crates/edge/src/peer/server.rs
@@ -15,7 +15,6 @@
 use snipeusher::kv::Revision;
 use snipeusher::route::Limits;
 use snipeusher::stream::Group;
-use snipeusher::stream::Id;
 
 use super::BYTES_MAX;
 use super::CONFIGURATION_PATH;
@@ -27,6 +26,7 @@
 use super::OUTAGE_PATH;
 use super::OutageReport;
 use super::Peers;
+use super::Question;
 use super::Response;
 use super::UPSTREAMS_PATH;
 use super::digest;
@@ -82,9 +82,8 @@
     }
 
     fn origin(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
-        let id: Id = self.decode(body)?;
-        let origins = self.shared.origins.borrow();
-        self.encode(&origins.get(id))
+        let question: Question = self.decode(body)?;
+        self.encode(&streams::answer(&self.shared, &question))
     }
 
     fn exchange(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
--- a/crates/edge/src/peer/streams.rs
+++ b/crates/edge/src/peer/streams.rs
@@ -1,9 +1,9 @@
 //! Copies of the origins of streams at peers.
 //!
 //! A caller may take its stream up at any router of its availability zone, also after the router
-//! that began it was killed. Each router therefore sends the origins of its streams to two peers,
-//! chosen by rendezvous hashing of the stream, where the others find them without a search. See
-//! `docs/platform.md#streams`.
+//! that began it was killed. While several software versions run, each router therefore sends the
+//! origins of its streams to two peers, chosen by rendezvous hashing of the stream, where the others
+//! find them without a search. See `docs/platform.md#streams`.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -16,13 +16,17 @@
 use futures_util::StreamExt as _;
 use futures_util::future::join_all;
 use futures_util::stream::FuturesUnordered;
+use serde::Deserialize;
+use serde::Serialize;
 use slog::debug;
 use snafu::ResultExt as _;
+use snipeusher::name;
 use snipeusher::stream::Group;
 use snipeusher::stream::Id;
 use snipeusher::stream::Origin;
 use snipeusher::stream::group;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use super::ORIGIN_PATH;
 use super::ORIGINS_PATH;
@@ -42,16 +46,30 @@
 const ASKED: usize = COPIES + 1;
 /// Time for which new origins are collected. Streams that began since the last copy cannot be
 /// resumed if their router is killed.
-const COLLECT_TIME: Duration = Duration::from_millis(150);
+const COLLECT_TIME: Duration = Duration::from_millis(50);
+/// How often is checked whether a second version has appeared, while no streams begin.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time limit of sending origins to a peer.
 const SEND_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time limit of a question for an origin, while a caller waits.
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// A question for the origin of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Question {
+    /// The stream.
+    pub stream: Id,
+    /// Service that the stream's caller requests.
+    pub service: name::Service,
+    /// Longest time since the stream may have begun, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// What peers answered to a question for the origin of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Answer {
-    /// A peer knows it.
+    /// A peer knows it, or knows that upstreams of the service run one version.
     Origin(Origin),
     /// No peer that answered knows it, or there are no peers.
     Unknown,
@@ -78,9 +96,13 @@
     /// Copies the origins of the streams that this router begins. Never returns.
     pub async fn copy<P: Platform>(self: Rc<Self>, shared: Rc<Shared<P>>) {
         loop {
-            shared.new_origins.notified().await;
+            // After the interval the check is due whether streams have begun or not.
+            let _elapsed = timeout(CHECK_INTERVAL, shared.new_origins.notified()).await;
             sleep(COLLECT_TIME).await;
-            let unsent = shared.origins.borrow_mut().take_unsent();
+            let unsent = take_unsent(&shared);
+            if unsent.is_empty() {
+                continue;
+            }
             let (streams, shared) = (Rc::clone(&self), Rc::clone(&shared));
             // A peer that does not answer must not delay the origins that follow.
             actix_rt::spawn(async move { streams.send_copies(&shared, unsent).await });
@@ -141,12 +163,12 @@
     }
 
     /// Asks the peers that should have a copy for the origin of a stream.
-    pub(crate) async fn ask<P: Platform>(&self, shared: &Shared<P>, id: Id) -> Answer {
-        let addresses = self.peers.borrow().ranked(id.0, ASKED);
+    pub(crate) async fn ask<P: Platform>(&self, shared: &Shared<P>, question: Question) -> Answer {
+        let addresses = self.peers.borrow().ranked(question.stream.0, ASKED);
         let is_alone = addresses.is_empty();
         let questions = addresses
             .into_iter()
-            .map(|address| self.ask_peer(shared, address, id));
+            .map(|address| self.ask_peer(shared, address, &question));
         let mut questions: FuturesUnordered<_> = questions.collect();
         let mut is_answered = is_alone;
         while let Some(answer) = questions.next().await {
@@ -169,12 +191,12 @@
         &self,
         shared: &Shared<P>,
         address: SocketAddr,
-        id: Id,
+        question: &Question,
     ) -> Result<Option<Origin>, Error> {
         let call = Call {
             method: Method::POST,
             path: ORIGIN_PATH,
-            body: rmp_serde::to_vec(&id).context(EncodeSnafu)?,
+            body: rmp_serde::to_vec(question).context(EncodeSnafu)?,
         };
         let answer = self
             .links
@@ -184,6 +206,24 @@
     }
 }
 
+/// The streams whose origins peers need now.
+fn take_unsent<P: Platform>(shared: &Shared<P>) -> Vec<(Id, Origin)> {
+    let now = shared.now();
+    let fleet = shared.fleet.borrow();
+    if !fleet.has_any_several_builds(now) {
+        return Vec::new();
+    }
+    let mut origins = shared.origins.borrow_mut();
+    origins.take_unsent(now, |service| fleet.has_several_builds(now, service))
+}
+
+/// The origin of a stream as far as this router knows it.
+pub(super) fn answer<P: Platform>(shared: &Shared<P>, question: &Question) -> Option<Origin> {
+    let known = shared.origins.borrow().get(question.stream).cloned();
+    let age = Duration::from_millis(question.age_ms);
+    known.or_else(|| shared.sole_origin(&question.service, age))
+}
+
 /// Records the origins that a peer sent.
 pub(super) fn merge<P: Platform>(shared: &Shared<P>, groups: Vec<Group>) {
     let now = shared.now();
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -22,6 +22,7 @@
 use snipeusher::route::Limits;
 use snipeusher::route::Position;
 use snipeusher::route::Table;
+use snipeusher::stream::Origin;
 use snipeusher::stream::Origins;
 use snipeusher::time::Time;
 use tokio::sync::Notify;
@@ -178,6 +179,17 @@
             .map_or_else(Limits::default, |table| *table.limits())
     }
 
+    /// What began all streams of a service, if its upstreams run one software version only, and ran no
+    /// other in the last minute, and this router has known them for `age`.
+    pub fn sole_origin(&self, service: &name::Service, age: Duration) -> Option<Origin> {
+        let fleet = self.fleet.borrow();
+        let build = fleet.sole_build(self.now(), service, age)?;
+        Some(Origin {
+            service: service.clone(),
+            build: build.clone(),
+        })
+    }
+
     /// Whether the configuration and the upstreams are known.
     pub fn is_loaded(&self) -> bool {
         self.table.borrow().is_some() && !self.fleet.borrow().roster().is_unsynced()
--- a/crates/edge/tests/builds.rs
+++ b/crates/edge/tests/builds.rs
@@ -133,3 +133,24 @@
     assert!(answered.header("retry-after").is_some());
     assert_eq!(engines.builds("r1"), Vec::<&str>::new());
 }
+
+/// Guards against streams that cannot be taken up since they began before the second version
+/// appeared, or at a router whose successor has just started.
+#[actix_rt::test]
+async fn streams_of_one_build_go_on_when_a_second_appears() {
+    let engines = Engines::start(Act::Hang).await;
+    let [(first, _), (second, _), (third, _), (fourth, _)] = engines.with_builds();
+    let (nodes, store) = zone(3, &[(first, "v1"), (second, "v1")]).await;
+    for index in 0..STREAMS {
+        begin(&nodes[0], &format!("r{index}-a")).await;
+    }
+    store.upstream_of_build("new0", "letters", third.address, "ready", "v2");
+    store.upstream_of_build("new1", "letters", fourth.address, "ready", "v2");
+    sleep(2 * SPREAD_TIME).await;
+    for index in 0..STREAMS {
+        let node = &nodes[1 + index % 2];
+        let answered = take_up(node, &format!("r{index}-b"), &format!("r{index}-a")).await;
+        assert_eq!((answered.status, answered.complete), (200, true));
+        assert_eq!(engines.builds(&format!("r{index}-")), ["v1", "v1"]);
+    }
+}
--- a/crates/snipeusher/src/fleet/builds.rs
+++ b/crates/snipeusher/src/fleet/builds.rs
@@ -47,6 +47,18 @@
         builds.insert(entry.build.clone(), None);
     }
 
+    /// Whether upstreams of a service run several versions or did so in the last minute.
+    pub(super) fn has_several(&self, now: Time, service: &name::Service) -> bool {
+        let builds = self.services.get(service).into_iter().flatten();
+        builds.filter(|(_, left)| is_recent(now, **left)).count() > 1
+    }
+
+    /// The same for any service.
+    pub(super) fn has_any_several(&self, now: Time) -> bool {
+        let mut services = self.services.keys();
+        services.any(|service| self.has_several(now, service))
+    }
+
     /// The only version that upstreams of a service run now and ran in the last minute, if the
     /// upstreams have been known for `age`.
     pub(super) fn sole(
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -382,6 +382,16 @@
         self.roster.is_ready(now, id)
     }
 
+    /// Whether upstreams of a service run several software versions or did so in the last minute.
+    pub fn has_several_builds(&self, now: Time, service: &name::Service) -> bool {
+        self.builds.has_several(now, service)
+    }
+
+    /// Whether upstreams of any service run several software versions or did so in the last minute.
+    pub fn has_any_several_builds(&self, now: Time) -> bool {
+        self.builds.has_any_several(now)
+    }
+
     /// The only software version that upstreams of a service run now and ran in the last minute, if
     /// this router has known the upstreams for `age`.
     pub fn sole_build(
--- a/crates/snipeusher/src/stream.rs
+++ b/crates/snipeusher/src/stream.rs
@@ -3,8 +3,9 @@
 //! What two versions of an upstream's software write into one stream does not fit together. A
 //! caller whose connection broke takes its stream up at any router, also after the router that
 //! began it was killed. Each router therefore remembers the [`Origin`] of the streams that it begins
-//! or resumes, and copies it to a few peers. All of it is soft state in memory: what is lost only
-//! makes a router refuse to resume the stream. See `docs/platform.md#streams`.
+//! and copies it to a few peers, as long as more than one version runs. All of it is soft state in
+//! memory: what is lost only makes a router refuse to resume the stream. See
+//! `docs/platform.md#streams`.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -74,8 +75,8 @@
     known: BTreeMap<Id, Origin>,
     /// The known streams, oldest first.
     order: VecDeque<(Time, Id)>,
-    /// Streams of this router that were not sent to peers yet.
-    unsent: Vec<(Id, Origin)>,
+    /// Streams of this router that were not sent to peers yet, oldest first.
+    unsent: VecDeque<(Time, Id, Origin)>,
 }
 
 impl Origins {
@@ -84,8 +85,11 @@
     /// The first origin of a stream stays, since its events have reached the caller.
     pub fn record(&mut self, now: Time, id: Id, origin: Origin) -> bool {
         let is_news = self.insert(now, id, origin.clone());
-        if is_news && self.unsent.len() < UNSENT_MAX {
-            self.unsent.push((id, origin));
+        if is_news {
+            self.unsent.push_back((now, id, origin));
+            if self.unsent.len() > UNSENT_MAX {
+                self.unsent.pop_front();
+            }
         }
         is_news
     }
@@ -104,9 +108,20 @@
         self.known.get(&id)
     }
 
-    /// Streams that this router began since the last call, to be sent to peers.
-    pub fn take_unsent(&mut self) -> Vec<(Id, Origin)> {
-        std::mem::take(&mut self.unsent)
+    /// Streams of this router to be sent to peers: those of services that run several versions. The
+    /// others wait, in case that a second version appears while callers may take them up.
+    pub fn take_unsent(
+        &mut self,
+        now: Time,
+        has_several_builds: impl Fn(&name::Service) -> bool,
+    ) -> Vec<(Id, Origin)> {
+        let unsent = std::mem::take(&mut self.unsent).into_iter();
+        let live = unsent.filter(|(at, ..)| now.since(*at) < RETENTION);
+        let (sent, waiting): (Vec<_>, Vec<_>) =
+            live.partition(|(_, _, origin)| has_several_builds(&origin.service));
+        self.unsent = waiting.into();
+        let sent = sent.into_iter();
+        sent.map(|(_, id, origin)| (id, origin)).collect()
     }
 
     /// Number of known streams.
@@ -119,8 +134,7 @@
         self.known.is_empty()
     }
 
-    /// Records a stream whose origin a peer sent. Returns whether it was unknown.
-    pub fn insert(&mut self, now: Time, id: Id, origin: Origin) -> bool {
+    fn insert(&mut self, now: Time, id: Id, origin: Origin) -> bool {
         self.expire(now);
         if self.known.contains_key(&id) {
             return false;
--- a/crates/snipeusher/tests/stream.rs
+++ b/crates/snipeusher/tests/stream.rs
@@ -88,8 +88,24 @@
     let mut origins = Origins::default();
     origins.merge(at(0), group([(Id(1), origin("v1"))]));
     origins.record(at(0), Id(2), origin("v1"));
-    assert_eq!(origins.take_unsent(), [(Id(2), origin("v1"))]);
-    assert_eq!(origins.take_unsent(), []);
+    assert_eq!(
+        origins.take_unsent(at(1), |_| true),
+        [(Id(2), origin("v1"))]
+    );
+    assert_eq!(origins.take_unsent(at(1), |_| true), []);
+}
+
+/// Guards against copies that cost something while one version runs, and against streams that are
+/// missing at peers when a second version appears.
+#[rstest]
+fn streams_wait_until_a_second_version_runs() {
+    let mut origins = Origins::default();
+    origins.record(at(0), Id(1), origin("v1"));
+    origins.record(at(50_000), Id(2), origin("v1"));
+    assert_eq!(origins.take_unsent(at(50_001), |_| false), []);
+    let mixed = |service: &name::Service| *service == self::service();
+    let expected = [(Id(2), origin("v1"))];
+    assert_eq!(origins.take_unsent(at(FORGOTTEN_MS), mixed), expected);
 }
 
 /// Guards against memory that grows with all streams that ever began.
@@ -107,7 +123,8 @@
         origins.record(at(FORGOTTEN_MS), Id(stream), origin("v1"));
     }
     assert!(origins.len() <= 65_536, "{}", origins.len());
-    assert!(origins.take_unsent().len() <= 4_096);
+    let unsent = origins.take_unsent(at(FORGOTTEN_MS), |_| true);
+    assert!(unsent.len() <= 4_096);
 }
 
 /// Guards against a guess of the version while a second one serves, served shortly before, or may
@@ -124,8 +141,10 @@
     assert_eq!(sole(&fleet, 12_000), Some("v1".to_owned()));
     list(&mut fleet, 13_000, 2, &["v1", "v2"]);
     assert_eq!(sole(&fleet, 14_000), None);
+    assert!(fleet.has_several_builds(at(14_000), &service()));
     list(&mut fleet, 15_000, 3, &["v2", "v2"]);
     assert_eq!(sole(&fleet, 16_000), None);
+    assert!(!fleet.has_any_several_builds(at(15_000 + FORGOTTEN_MS)));
     assert_eq!(sole(&fleet, 15_000 + FORGOTTEN_MS), Some("v2".to_owned()));
     assert_eq!(
         fleet.sole_build(at(80_000), &name::Service::from("other"), age),
