Accept no request in the last second of a shutdown

The balancer sends new connections to routers that are leaving if too few others of the zone are in rotation, so requests come until the exit, which waits for none that arrive in its last moment.

Requests are now refused as not run from one second before the exit. The test failed before (200).

--- a/crates/edge/src/exchange/admit.rs
+++ b/crates/edge/src/exchange/admit.rs
@@ -125,7 +125,8 @@
     };
     let route = admission.route;
     // The process may exit before a stream that starts now is complete.
-    if shared.lifecycle.is_deregistered() && route.kind.is_stream() {
+    let is_late_stream = shared.lifecycle.is_deregistered() && route.kind.is_stream();
+    if is_late_stream || shared.is_about_to_exit() {
         let refusal = Refusal::NotRun {
             cause: "leaving",
             retry_after: RETRY_AFTER_LEAVING,
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -36,8 +36,6 @@
 
 /// How often shutdown checks for in-flight requests.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Time before the end of the grace period at which the process exits by itself.
-const GRACE_MARGIN: Duration = Duration::from_millis(300);
 /// How often expired idle connections are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -125,7 +123,7 @@
     let lifecycle = &shared.lifecycle;
     lifecycle.leave();
     info!(shared.log, "node: leaving"; "open" => lifecycle.in_flight());
-    let limit = shared.settings.grace.saturating_sub(GRACE_MARGIN);
+    let limit = shared.shutdown_limit();
     loop {
         sleep(POLL_INTERVAL).await;
         let elapsed = lifecycle.leaving_for().unwrap_or_default();
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -34,6 +34,12 @@
 use crate::peer::Announcement;
 use crate::pool::Pool;
 
+/// Time before the end of the grace period at which the process exits by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(300);
+/// Time before that exit from which no request is accepted. Most are answered within a fraction of
+/// it, and callers still reach this host if the balancer has no other.
+const LAST_ACCEPTED: Duration = Duration::from_secs(1);
+
 /// Settings of the process and its host.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -195,6 +201,17 @@
         self.table.borrow().is_some() && !self.fleet.borrow().roster().is_unsynced()
     }
 
+    /// Longest time from the start of the shutdown to the exit, even with requests in flight.
+    pub const fn shutdown_limit(&self) -> Duration {
+        self.settings.grace.saturating_sub(GRACE_MARGIN)
+    }
+
+    /// Whether the process may exit before a request that arrives now is answered.
+    pub fn is_about_to_exit(&self) -> bool {
+        let leaving_for = self.lifecycle.leaving_for();
+        leaving_for.is_some_and(|time| time + LAST_ACCEPTED >= self.shutdown_limit())
+    }
+
     /// Records that the configuration or the upstreams changed, so that peers are informed.
     pub fn record_change(&self) {
         self.changed.notify_one();
--- a/crates/edge/tests/propagation.rs
+++ b/crates/edge/tests/propagation.rs
@@ -237,6 +237,23 @@
     assert_eq!(call(node.front, &get("/read/", "r2")).await.status, 200);
 }
 
+/// Guards against a request that is accepted so late in a shutdown that the process exits before
+/// the upstream has answered.
+#[actix_rt::test]
+async fn no_request_is_accepted_just_before_the_exit() {
+    let engine = engine().await;
+    let (node, _store) = single(&[&engine]).await;
+    node.shared.lifecycle.leave();
+    actix_rt::time::sleep(std::time::Duration::from_secs(5)).await;
+    assert_eq!(call(node.front, &get("/write/", "r1")).await.status, 200);
+    // The grace period ends after eight seconds.
+    actix_rt::time::sleep(std::time::Duration::from_secs(2)).await;
+    let answered = call(node.front, &get("/write/", "r2")).await;
+    assert_eq!(answered.status, 503);
+    assert!(answered.header("retry-after").is_some());
+    assert_eq!(engine.count(), 1);
+}
+
 /// Guards against starting routers that all read the store, whose rate limits do not grow with the
 /// fleet, although a peer has the data.
 #[actix_rt::test]
