Take no software version from a peer that has not heard of a second one

Found on reading the whole change: a peer that is asked for the origin of a stream answers from its record or from the only version of the service that it knows, and the first answer counted. A peer that had not heard of the second version yet could thus decide for a router that had, or answer before the one with the record, and the stream would have gone on at another version.

Answers now say whether the peer has a record. A record counts before anything that is inferred, and a router that knows several versions accepts only records.

--- a/crates/edge/src/exchange/resume.rs
+++ b/crates/edge/src/exchange/resume.rs
@@ -80,7 +80,14 @@
             age_ms: age.as_millis() as u64,
         };
         match self.streams.ask(self.shared, question).await {
-            Answer::Origin(origin) => Some((origin, Source::Peer)),
+            Answer::Recorded(origin) => Some((origin, Source::Peer)),
+            // A peer may not have heard of a second version that this router knows.
+            Answer::Sole(origin) => {
+                let now = self.shared.now();
+                let fleet = self.shared.fleet.borrow();
+                let is_mixed = fleet.has_several_builds(now, &origin.service);
+                (!is_mixed).then_some((origin, Source::Peer))
+            }
             Answer::Unknown => self.sole_origin(age),
             // This router may be cut off and know an old list of upstreams.
             Answer::Silent => None,
--- a/crates/edge/src/peer/streams.rs
+++ b/crates/edge/src/peer/streams.rs
@@ -66,12 +66,25 @@
     pub age_ms: u64,
 }
 
+/// A peer's answer to a question for the origin of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Known {
+    /// What began the stream.
+    origin: Origin,
+    /// Whether the peer has a record of the stream. Else it knows one version of the service only,
+    /// perhaps because it has not heard of a second one yet.
+    recorded: bool,
+}
+
 /// What peers answered to a question for the origin of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Answer {
-    /// A peer knows it, or knows that upstreams of the service run one version.
-    Origin(Origin),
-    /// No peer that answered knows it, or there are no peers.
+    /// A peer has a record of it.
+    Recorded(Origin),
+    /// No peer that answered has one, but one of them knows only one version of the service.
+    Sole(Origin),
+    /// No peer that answered knows anything, or there are no peers.
     Unknown,
     /// No peer answered.
     Silent,
@@ -171,19 +184,21 @@
             .map(|address| self.ask_peer(shared, address, &question));
         let mut questions: FuturesUnordered<_> = questions.collect();
         let mut is_answered = is_alone;
+        let mut sole = None;
         while let Some(answer) = questions.next().await {
             match answer {
-                Ok(Some(origin)) => return Answer::Origin(origin),
+                Ok(Some(known)) if known.recorded => return Answer::Recorded(known.origin),
+                Ok(Some(known)) => sole = Some(known.origin),
                 Ok(None) => is_answered = true,
                 Err(error) => {
                     debug!(shared.log, "peer: origin of a stream not received"; "error" => %error);
                 }
             }
         }
-        if is_answered {
-            Answer::Unknown
-        } else {
-            Answer::Silent
+        match sole {
+            Some(origin) => Answer::Sole(origin),
+            None if is_answered => Answer::Unknown,
+            None => Answer::Silent,
         }
     }
 
@@ -192,7 +207,7 @@
         shared: &Shared<P>,
         address: SocketAddr,
         question: &Question,
-    ) -> Result<Option<Origin>, Error> {
+    ) -> Result<Option<Known>, Error> {
         let call = Call {
             method: Method::POST,
             path: ORIGIN_PATH,
@@ -218,10 +233,12 @@
 }
 
 /// The origin of a stream as far as this router knows it.
-pub(super) fn answer<P: Platform>(shared: &Shared<P>, question: &Question) -> Option<Origin> {
-    let known = shared.origins.borrow().get(question.stream).cloned();
+pub(super) fn answer<P: Platform>(shared: &Shared<P>, question: &Question) -> Option<Known> {
+    let record = shared.origins.borrow().get(question.stream).cloned();
+    let recorded = record.is_some();
     let age = Duration::from_millis(question.age_ms);
-    known.or_else(|| shared.sole_origin(&question.service, age))
+    let origin = record.or_else(|| shared.sole_origin(&question.service, age))?;
+    Some(Known { origin, recorded })
 }
 
 /// Records the origins that a peer sent.
--- a/crates/edge/tests/builds.rs
+++ b/crates/edge/tests/builds.rs
@@ -154,3 +154,30 @@
         assert_eq!(engines.builds(&format!("r{index}-")), ["v1", "v1"]);
     }
 }
+
+/// Guards against a stream whose version is taken from a peer that has not heard of the second
+/// version yet, although the asking router has.
+#[actix_rt::test]
+async fn a_peer_that_lags_behind_does_not_decide_the_build() {
+    let engines = Engines::start(Act::Hang).await;
+    let [(first, _), (second, _), (third, _), (fourth, _)] = engines.with_builds();
+    let (nodes, _store) = zone(2, &[(first, "v1"), (second, "v1")]).await;
+    // The route lets a stream last four seconds; from then on the peer infers the version.
+    sleep(Duration::from_millis(4_200)).await;
+    let now = nodes[0].shared.now();
+    {
+        let mut fleet = nodes[0].shared.fleet.borrow_mut();
+        for (id, engine) in [("new0", third), ("new1", fourth)] {
+            let known = fleet.roster().get(&"e0".into()).cloned();
+            let mut entry = known.expect("it is listed");
+            entry.id = id.into();
+            entry.address = engine.address;
+            entry.build = "v2".into();
+            fleet.upsert(now, entry);
+        }
+    }
+    let answered = take_up(&nodes[0], "r1-b", "r1-a").await;
+    assert_eq!(answered.status, 503);
+    assert_eq!(engines.builds("r1"), Vec::<&str>::new());
+    assert_eq!(take_up(&nodes[1], "r2-b", "r2-a").await.status, 200);
+}
