Log the prompt parts of lost requests and the crashes of upstreams

An upstream that lost requests it had not begun to answer, and then refuses a connection, has crashed. The log names the parts of those requests, so that crashes with a part in common can be told from others. No request is handled differently.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -89,6 +89,13 @@
     },
 }
 
+impl Error {
+    /// Whether the other side closed or reset the connection.
+    pub const fn is_disconnect(&self) -> bool {
+        matches!(self, Self::Broken { .. } | Self::Ended)
+    }
+}
+
 /// State of the reading side.
 enum Reader {
     /// Before the head of a response.
--- /dev/null
+++ b/crates/edge/src/crash.rs
@@ -0,0 +1,96 @@
+//! Recognises upstreams that crash while requests wait for their answers.
+//!
+//! A lost connection alone does not show a crash: upstreams also break off single responses. An
+//! upstream that refuses the next connection has ended. The requests that it had not begun to answer
+//! by then may be the cause; one that had brought events for a while is not. See
+//! `docs/platform.md#prompts-that-crash-engines`.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::warn;
+use snipeusher::fleet::Entry;
+use snipeusher::name;
+use tokio::time::sleep;
+
+use crate::connection;
+use crate::connection::Connection;
+use crate::dialect::Platform;
+use crate::shared::Shared;
+
+/// Time for which requests that an upstream lost are collected before the upstream is checked.
+const COLLECT_TIME: Duration = Duration::from_millis(20);
+/// Lost requests that are kept for each upstream; more would not narrow down the cause.
+const LOST_MAX: usize = 256;
+
+/// A request that was lost before its answer had begun, or shortly after.
+#[derive(Clone, Debug)]
+pub(crate) struct Lost {
+    /// Prompt parts that it shares with other requests.
+    pub(crate) parts: Vec<u64>,
+}
+
+/// Requests whose upstreams are about to be checked.
+#[derive(Debug, Default)]
+pub(crate) struct Unverified(RefCell<BTreeMap<name::Upstream, Vec<Lost>>>);
+
+impl Unverified {
+    /// Adds a request; returns whether it is the first one of its upstream.
+    fn add(&self, upstream: &name::Upstream, lost: Lost) -> bool {
+        let mut upstreams = self.0.borrow_mut();
+        let requests = upstreams.entry(upstream.clone()).or_default();
+        if requests.len() < LOST_MAX {
+            requests.push(lost);
+        }
+        requests.len() == 1
+    }
+
+    fn take(&self, upstream: &name::Upstream) -> Vec<Lost> {
+        self.0.borrow_mut().remove(upstream).unwrap_or_default()
+    }
+}
+
+/// Checks whether the upstream of a lost request has crashed.
+pub(crate) fn check<P: Platform>(shared: &Rc<Shared<P>>, upstream: &name::Upstream, lost: Lost) {
+    let known = shared
+        .fleet
+        .borrow()
+        .upstream(upstream)
+        .map(|known| known.entry.clone());
+    let Some(entry) = known else { return };
+    if shared.lost.add(upstream, lost) {
+        let shared = Rc::clone(shared);
+        actix_rt::spawn(async move { verify(&shared, &entry).await });
+    }
+}
+
+async fn verify<P: Platform>(shared: &Shared<P>, entry: &Entry) {
+    sleep(COLLECT_TIME).await;
+    let upstream = &entry.id;
+    let lost = shared.lost.take(upstream);
+    let limit = shared.settings.connect_timeout;
+    let opened = Connection::open(entry.address, limit, &shared.http).await;
+    if !opened.is_err_and(|error| is_refused(&error)) {
+        return;
+    }
+    let parts: BTreeSet<u64> = lost.iter().flat_map(|lost| &lost.parts).copied().collect();
+    shared.metrics.crash();
+    warn!(shared.log, "upstream: crashed";
+        "upstream" => upstream.as_str(), "requests" => lost.len(), "parts" => hex(&parts));
+}
+
+/// Whether no process listens at the address, as opposed to a host that does not answer.
+fn is_refused(error: &connection::Error) -> bool {
+    matches!(error, connection::Error::Connect { source, .. }
+        if source.kind() == io::ErrorKind::ConnectionRefused)
+}
+
+/// Prompt parts as text for logs.
+pub(crate) fn hex<'a>(parts: impl IntoIterator<Item = &'a u64>) -> String {
+    let parts: Vec<String> = parts.into_iter().map(|part| format!("{part:x}")).collect();
+    parts.join(" ")
+}
--- a/crates/edge/src/exchange/admit.rs
+++ b/crates/edge/src/exchange/admit.rs
@@ -55,6 +55,13 @@
         self.route.kind == Kind::Stream { resumable: true }
     }
 
+    /// Prompt parts that other requests may have as well: all but the last.
+    pub(super) fn shared_parts(&self) -> impl Iterator<Item = u64> {
+        let parts = self.request.parts.split_last();
+        let shared = parts.map_or(&[][..], |(_last, shared)| shared);
+        shared.iter().map(|part| part.id)
+    }
+
     /// Whether the caller takes up a stream of which it has received events.
     pub(super) fn takes_up_stream(&self) -> bool {
         let request = &self.request;
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -20,6 +20,8 @@
 use crate::clock::remaining;
 use crate::connection;
 use crate::connection::Connection;
+use crate::crash;
+use crate::crash::Lost;
 use crate::dialect::Context;
 use crate::dialect::Platform;
 use crate::dialect::Response;
@@ -142,11 +144,8 @@
     /// Records that an upstream closed a reused connection before any byte of a response: it may
     /// close idle connections earlier than expected.
     fn note_early_close(&self, connection: &Connection, error: &connection::Error) {
-        let is_end = matches!(
-            error,
-            connection::Error::Broken { .. } | connection::Error::Ended
-        );
-        if let Some(idle) = connection.idle_before().filter(|_| is_end) {
+        let idle = connection.idle_before();
+        if let Some(idle) = idle.filter(|_| error.is_disconnect()) {
             let now = self.shared.now();
             let service = &self.admitted.target.service;
             self.shared
@@ -191,6 +190,7 @@
             Ok(reply) => Some(reply),
             Err(error) => {
                 self.note_early_close(connection, &error);
+                self.suspect_crash(upstream, &error);
                 self.log_failure(upstream, "lost", &error);
                 None
             }
@@ -253,6 +253,7 @@
         let body = match connection.body(BODY_BYTES_MAX).await {
             Ok(body) => body,
             Err(error) => {
+                self.suspect_crash(upstream, &error);
                 self.lose(guard, upstream, "lost", &error);
                 return Step::Lost;
             }
@@ -319,8 +320,22 @@
         info!(self.shared.log, "attempt: failed";
             "id" => self.admitted.request.id.as_deref(), "upstream" => upstream.as_str(),
             "build" => self.build.as_ref().map(name::Build::as_str),
+            "events" => self.events.count(),
+            "parts" => crash::hex(&self.admitted.shared_parts().collect::<Vec<_>>()),
             "reason" => reason, "error" => %error);
     }
+
+    /// Has an upstream checked that closed the connection of a request which it may have been about
+    /// to answer.
+    pub(super) fn suspect_crash(&self, upstream: &name::Upstream, error: &connection::Error) {
+        if !error.is_disconnect() {
+            return;
+        }
+        let lost = Lost {
+            parts: self.admitted.shared_parts().collect(),
+        };
+        crash::check(self.shared, upstream, lost);
+    }
 }
 
 /// Whether a response can be passed on unchanged.
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -27,6 +27,9 @@
 /// Lower bound of that time.
 const STALL_MIN: Duration = Duration::from_secs(1);
 
+/// Time after its first event from which a stream shows that its prompt does not crash the upstream.
+const SOUND_AFTER: Duration = Duration::from_millis(300);
+
 /// The next part of a stream.
 enum Next {
     Bytes(bytes::Bytes),
@@ -60,6 +63,7 @@
                 "build" => self.build.as_ref().map(name::Build::as_str),
                 "after" => self.events.last_id());
         }
+        let mut began: Option<Instant> = None;
         loop {
             let bytes = match self.next(&mut connection).await {
                 Next::Bytes(bytes) => {
@@ -72,10 +76,12 @@
                     return Step::Answered(finish(&reply, responder).await);
                 }
                 Next::End => {
+                    self.suspect_crash_of(upstream, began, &connection::Error::Ended);
                     self.lose(guard, upstream, "lost", "the stream ended within an event");
                     return self.interrupt(responder);
                 }
                 Next::Broken(error) => {
+                    self.suspect_crash_of(upstream, began, &error);
                     self.lose(guard, upstream, "lost", &error);
                     return self.interrupt(responder);
                 }
@@ -89,6 +95,7 @@
                 return self.interrupt(responder);
             };
             let Some(events) = events else { continue };
+            began.get_or_insert_with(Instant::now);
             self.status.get_or_insert(reply.head.status);
             self.first_byte.get_or_insert_with(Instant::now);
             self.record_origin();
@@ -101,6 +108,19 @@
         }
     }
 
+    /// Has the upstream of a broken stream checked, unless it has sent events for a while: then
+    /// another request is the cause if it crashed.
+    fn suspect_crash_of(
+        &self,
+        upstream: &name::Upstream,
+        began: Option<Instant>,
+        error: &connection::Error,
+    ) {
+        if began.is_none_or(|began| began.elapsed() < SOUND_AFTER) {
+            self.suspect_crash(upstream, error);
+        }
+    }
+
     async fn next(&self, connection: &mut Connection) -> Next {
         let max_gap = self.admitted.route.max_event_gap.unwrap_or_default();
         let stall = (max_gap * STALL_FACTOR).max(STALL_MIN);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod clock;
 pub mod connection;
+mod crash;
 pub mod dialect;
 mod events;
 mod exchange;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -76,6 +76,7 @@
     attempts: Family<OutcomeLabels, Counter>,
     streams_taken_up: Family<OutcomeLabels, Counter>,
     malformed_headers: Counter,
+    crashes: Counter,
     first_byte: Family<WorkspaceLabels, Histogram>,
     duration: Family<KindLabels, Histogram>,
     in_flight: Gauge,
@@ -118,6 +119,12 @@
             "Headers of upstreams that were ignored, since they were repeated or malformed",
             malformed_headers.clone(),
         );
+        let crashes = Counter::default();
+        registry.register(
+            "upstream_crashes",
+            "Upstreams that ended while they had requests of this router to answer",
+            crashes.clone(),
+        );
         let attempts = Family::default();
         registry.register(
             "attempts",
@@ -180,6 +187,7 @@
             attempts,
             streams_taken_up,
             malformed_headers,
+            crashes,
             first_byte,
             duration,
             in_flight,
@@ -240,6 +248,11 @@
         self.malformed_headers.inc_by(u64::from(count));
     }
 
+    /// Counts the crash of an upstream.
+    pub(crate) fn crash(&self) {
+        self.crashes.inc();
+    }
+
     /// Counts the end of an attempt.
     pub(crate) fn attempt(&self, outcome: Outcome) {
         let outcome = match outcome {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -28,6 +28,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::crash;
 use crate::dialect::Platform;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
@@ -101,6 +102,8 @@
     pub origins: RefCell<Origins>,
     /// Notified when there are origins that peers do not have.
     pub new_origins: Notify,
+    /// Requests whose upstreams are about to be checked for a crash.
+    pub(crate) lost: crash::Unverified,
     /// Configurations that peers announced.
     pub configurations: Announcement<Position>,
     /// Lists of upstreams that peers announced.
@@ -136,6 +139,7 @@
             outage: Notify::new(),
             origins: RefCell::default(),
             new_origins: Notify::new(),
+            lost: crash::Unverified::default(),
             configurations: Announcement::default(),
             rosters: Announcement::default(),
             http: ServiceConfig::default(),
