--- a/crates/edge/tests/common/engine.rs
+++ b/crates/edge/tests/common/engine.rs
@@ -11,6 +11,7 @@
 use actix_rt::time::sleep;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
+use tokio::sync::Notify;
 
 /// A step of a script.
 #[derive(Clone, Debug)]
@@ -23,6 +24,8 @@
     Reset,
     /// Waits until the router closes the connection.
     Hang,
+    /// Ends the engine: all its connections are closed and new ones are refused.
+    Crash,
 }
 
 /// A request as received.
@@ -54,6 +57,7 @@
     seen: Rc<RefCell<Vec<Seen>>>,
     /// Requests whose connection the router closed before the script ended.
     pub abandoned: Rc<Cell<usize>>,
+    has_crashed: Rc<Cell<bool>>,
 }
 
 impl Engine {
@@ -65,27 +69,37 @@
             address,
             seen: Rc::default(),
             abandoned: Rc::default(),
+            has_crashed: Rc::default(),
+        };
+        let crash = Crash {
+            has_crashed: Rc::clone(&engine.has_crashed),
+            notify: Rc::default(),
         };
         let seen = Rc::clone(&engine.seen);
         let abandoned = Rc::clone(&engine.abandoned);
         let script = Rc::new(script);
         actix_rt::spawn(async move {
             let mut count = 0;
-            while let Ok((stream, _)) = listener.accept().await {
+            while let Some(Ok((stream, _))) = crash.before(listener.accept()).await {
                 let connection = Connection {
                     stream,
                     number: count,
                     seen: Rc::clone(&seen),
                     abandoned: Rc::clone(&abandoned),
+                    crash: crash.clone(),
                 };
                 count += 1;
-                let script = Rc::clone(&script);
-                actix_rt::spawn(async move { connection.serve(&*script).await });
+                let (script, crash) = (Rc::clone(&script), crash.clone());
+                actix_rt::spawn(async move { crash.before(connection.serve(&*script)).await });
             }
         });
         engine
     }
 
+    pub fn has_crashed(&self) -> bool {
+        self.has_crashed.get()
+    }
+
     pub fn seen(&self) -> Vec<Seen> {
         self.seen.borrow().clone()
     }
@@ -95,11 +109,37 @@
     }
 }
 
+/// Whether the engine has ended, and what tells its tasks.
+#[derive(Clone)]
+struct Crash {
+    has_crashed: Rc<Cell<bool>>,
+    notify: Rc<Notify>,
+}
+
+impl Crash {
+    /// Runs a future until the engine ends; `None` if that came first.
+    async fn before<T>(&self, future: impl Future<Output = T>) -> Option<T> {
+        if self.has_crashed.get() {
+            return None;
+        }
+        tokio::select! {
+            () = self.notify.notified() => None,
+            output = future => Some(output),
+        }
+    }
+
+    fn strike(&self) {
+        self.has_crashed.set(true);
+        self.notify.notify_waiters();
+    }
+}
+
 struct Connection {
     stream: TcpStream,
     number: usize,
     seen: Rc<RefCell<Vec<Seen>>>,
     abandoned: Rc<Cell<usize>>,
+    crash: Crash,
 }
 
 impl Connection {
@@ -118,6 +158,10 @@
                     }
                     Act::Pause(ms) => sleep(Duration::from_millis(ms)).await,
                     Act::Close => return,
+                    Act::Crash => {
+                        self.crash.strike();
+                        return;
+                    }
                     Act::Reset => {
                         self.stream
                             .set_zero_linger()
--- a/crates/edge/tests/common/platform.rs
+++ b/crates/edge/tests/common/platform.rs
@@ -24,6 +24,7 @@
 use snipeusher_edge::dialect::Dialect;
 use snipeusher_edge::dialect::Documents;
 use snipeusher_edge::dialect::Error;
+use snipeusher_edge::dialect::Part;
 use snipeusher_edge::dialect::Request;
 use snipeusher_edge::dialect::Response;
 
@@ -47,7 +48,7 @@
                 .and_then(|text| text.parse().ok())
                 .map(Duration::from_millis),
             key: text(headers, "t-key").map(str::to_owned),
-            parts: Vec::new(),
+            parts: text(headers, "t-parts").map(parts).unwrap_or_default(),
             last_event: text(headers, "t-last").map(str::to_owned),
             resumes: text(headers, "t-resumes").map(str::to_owned),
         }
@@ -185,6 +186,12 @@
     }
 }
 
+/// Parses `1,2,3` as the parts of a prompt.
+fn parts(text: &str) -> Vec<Part> {
+    let ids = text.split(',').filter_map(|id| id.parse().ok());
+    ids.map(|id| Part { id, tokens: 100 }).collect()
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
