Keep prompts that crash engines from further engines

Cause: nothing outlived the request. A router recorded the failure of the engine, but not what the engine had been about to answer, and no router heard of the crashes that others saw.

Now each router keeps the requests that were lost in crashes before their answers had begun, and exchanges them with its peers. When several crashes, apart in time, have a part in common that was in no sound answer since, the combination of parts that they share is blocked: such prompts get 503 with the time left. Sound answers end a block; it also ends by itself, and then one crash is enough for the next one, which lasts twice as long. A block of the last common part alone was tried first and would also refuse sound prompts that have this part in other company; the combination does not.

The digest has a new field, so routers exchange under /fleet/v5/.

--- a/crates/edge/src/crash.rs
+++ b/crates/edge/src/crash.rs
@@ -15,6 +15,7 @@
 use slog::warn;
 use snipeusher::fleet::Entry;
 use snipeusher::name;
+use snipeusher::poison;
 use tokio::time::sleep;
 
 use crate::connection;
@@ -78,11 +79,35 @@
         return;
     }
     let parts: BTreeSet<u64> = lost.iter().flat_map(|lost| &lost.parts).copied().collect();
+    let now = shared.now();
+    let crash = poison::Crash::of(upstream, entry.incarnation);
+    let mut blocked = Vec::new();
+    for lost in &lost {
+        let loss = poison::Loss {
+            crash,
+            service: entry.service.clone(),
+            parts: lost.parts.clone(),
+        };
+        blocked.extend(shared.poison.borrow_mut().record_loss(now, loss));
+    }
+    log_blocked(shared, &blocked, "crashes");
     shared.metrics.crash();
     warn!(shared.log, "upstream: crashed";
         "upstream" => upstream.as_str(), "requests" => lost.len(), "parts" => hex(&parts));
 }
 
+/// Logs which combinations of prompt parts are newly blocked, and how this router learnt of them.
+pub(crate) fn log_blocked<P: Platform>(
+    shared: &Shared<P>,
+    causes: &[poison::Cause],
+    source: &'static str,
+) {
+    for cause in causes {
+        warn!(shared.log, "prompt: blocked";
+            "service" => cause.service.as_str(), "parts" => hex(&cause.parts), "source" => source);
+    }
+}
+
 /// Whether no process listens at the address, as opposed to a host that does not answer.
 fn is_refused(error: &connection::Error) -> bool {
     matches!(error, connection::Error::Connect { source, .. }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -211,6 +211,9 @@
         if self.unreachable >= UNREACHABLE_MAX {
             return Err(self.not_run("unreachable", self.retry_after()));
         }
+        if let Some(retry_after) = self.blocked_for() {
+            return Err(self.not_run("crash_inducing", retry_after));
+        }
         let query = self.query(shared.random());
         let mut fleet = shared.fleet.borrow_mut();
         match fleet.choose(now, &query) {
@@ -241,6 +244,26 @@
         }
     }
 
+    /// Time for which prompts like that of the request are kept from upstreams, since they crash
+    /// them.
+    fn blocked_for(&self) -> Option<Duration> {
+        let now = self.shared.now();
+        let service = &self.admitted.target.service;
+        let poison = self.shared.poison.borrow();
+        poison.blocked_for(now, service, self.admitted.shared_parts())
+    }
+
+    /// Records that an upstream answered the request and has not crashed.
+    fn record_sound(&self) {
+        let now = self.shared.now();
+        let service = &self.admitted.target.service;
+        let parts = self.admitted.shared_parts();
+        self.shared
+            .poison
+            .borrow_mut()
+            .record_served(now, service, parts);
+    }
+
     /// Input for the choice of an upstream; `tie_breaker` decides between equals.
     fn query(&self, tie_breaker: u64) -> Query<'_> {
         Query {
@@ -258,7 +281,7 @@
         let query = self.query(0);
         let now = self.shared.now();
         let mut fleet = self.shared.fleet.borrow_mut();
-        self.may_run_again() && fleet.has_alternative(now, &query)
+        self.may_run_again() && self.blocked_for().is_none() && fleet.has_alternative(now, &query)
     }
 
     fn not_run(&self, cause: &'static str, retry_after: Duration) -> Refusal {
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -64,6 +64,7 @@
                 "after" => self.events.last_id());
         }
         let mut began: Option<Instant> = None;
+        let mut is_sound = false;
         loop {
             let bytes = match self.next(&mut connection).await {
                 Next::Bytes(bytes) => {
@@ -71,6 +72,9 @@
                     bytes
                 }
                 Next::End if self.events.is_complete() => {
+                    if !is_sound {
+                        self.record_sound();
+                    }
                     self.release(upstream, connection);
                     guard.finish(Outcome::Served);
                     return Step::Answered(finish(&reply, responder).await);
@@ -95,7 +99,11 @@
                 return self.interrupt(responder);
             };
             let Some(events) = events else { continue };
-            began.get_or_insert_with(Instant::now);
+            let began = *began.get_or_insert_with(Instant::now);
+            if !is_sound && began.elapsed() >= SOUND_AFTER {
+                is_sound = true;
+                self.record_sound();
+            }
             self.status.get_or_insert(reply.head.status);
             self.first_byte.get_or_insert_with(Instant::now);
             self.record_origin();
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -27,6 +27,7 @@
 use snipeusher::fleet::Outage;
 use snipeusher::kv::Revision;
 use snipeusher::name;
+use snipeusher::poison;
 use snipeusher::reader::Reader;
 use snipeusher::route::Position;
 
@@ -42,22 +43,23 @@
 pub use self::streams::Question;
 pub use self::streams::Streams;
 
+use crate::crash;
 use crate::dialect::Platform;
 use crate::shared::Shared;
 
 /// Path of digest exchanges. The version changes with the format of the digest.
-const EXCHANGE_PATH: &str = "/fleet/v4/exchange";
+const EXCHANGE_PATH: &str = "/fleet/v5/exchange";
 /// Path of the configuration. It is fetched by a request of its own, since it may be far larger
 /// than a digest and must not delay the other data.
-const CONFIGURATION_PATH: &str = "/fleet/v4/configuration";
+const CONFIGURATION_PATH: &str = "/fleet/v5/configuration";
 /// Path of the complete list of upstreams, which is as large.
-const UPSTREAMS_PATH: &str = "/fleet/v4/upstreams";
+const UPSTREAMS_PATH: &str = "/fleet/v5/upstreams";
 /// Path of reports of unreachable upstreams. They must not wait for the next exchange.
-const OUTAGE_PATH: &str = "/fleet/v4/outage";
+const OUTAGE_PATH: &str = "/fleet/v5/outage";
 /// Path to which the origins of streams are copied.
-const ORIGINS_PATH: &str = "/fleet/v4/origins";
+const ORIGINS_PATH: &str = "/fleet/v5/origins";
 /// Path of questions for the origin of one stream.
-const ORIGIN_PATH: &str = "/fleet/v4/origin";
+const ORIGIN_PATH: &str = "/fleet/v5/origin";
 /// Largest body of a request or response between routers.
 const BYTES_MAX: usize = 4 << 20;
 
@@ -95,6 +97,8 @@
     pub readers: Vec<Reader>,
     /// Some of the known routers; the next digest lists the next ones.
     pub members: Vec<Member>,
+    /// Crashes of upstreams, and prompt parts that are blocked for them.
+    pub poison: poison::Report,
 }
 
 /// A report of what a router cannot reach, to peers of its availability zone.
@@ -143,6 +147,7 @@
         loads: fleet.observations(now),
         readers: shared.readers.borrow().list(now),
         members: peers.members(now),
+        poison: shared.poison.borrow().report(now),
     }
 }
 
@@ -160,6 +165,8 @@
         let source = source(peers, digest);
         shared.configurations.record(shared, position, source);
     }
+    let blocked = shared.poison.borrow_mut().merge(now, &digest.poison);
+    crash::log_blocked(shared, &blocked, "peer");
     let mut fleet = shared.fleet.borrow_mut();
     fleet.set_routers(peers.len(now) + 1);
     fleet.merge_observations(now, &digest.loads);
--- a/crates/edge/src/peer/client.rs
+++ b/crates/edge/src/peer/client.rs
@@ -80,7 +80,7 @@
 /// something changed. Never returns.
 pub async fn run<P: Platform>(shared: Rc<Shared<P>>, peers: Rc<RefCell<Peers>>) {
     let links = Links::default();
-    let mut sent = shared.revisions();
+    let mut sent = (shared.revisions(), shared.poison.borrow().news());
     let mut interval = Duration::ZERO;
     loop {
         let has_changed = timeout(interval, shared.changed.notified()).await.is_ok();
@@ -91,7 +91,7 @@
             // Some of them may be down, and a connection attempt to one takes long.
             addresses.extend(peers.borrow().unknown_seeds());
         }
-        let current = shared.revisions();
+        let current = (shared.revisions(), shared.poison.borrow().news());
         if sent != current {
             sent = current;
             addresses.extend(peers.borrow().sample(FANOUT, shared.random()));
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -18,6 +18,7 @@
 use snipeusher::fleet::Fleet;
 use snipeusher::kv::Revision;
 use snipeusher::name;
+use snipeusher::poison;
 use snipeusher::reader::Readers;
 use snipeusher::route::Limits;
 use snipeusher::route::Position;
@@ -102,6 +103,8 @@
     pub origins: RefCell<Origins>,
     /// Notified when there are origins that peers do not have.
     pub new_origins: Notify,
+    /// Prompt parts that crash upstreams.
+    pub poison: RefCell<poison::Tracker>,
     /// Requests whose upstreams are about to be checked for a crash.
     pub(crate) lost: crash::Unverified,
     /// Configurations that peers announced.
@@ -124,6 +127,8 @@
 impl<P: Platform> Shared<P> {
     /// Creates the state, without a configuration or upstreams.
     pub fn open(platform: P, settings: Settings, log: Logger) -> Rc<Self> {
+        let mut rng = SmallRng::from_os_rng();
+        let poison = poison::Tracker::new(rng.random());
         Rc::new(Self {
             platform,
             clock: Clock::start(),
@@ -139,6 +144,7 @@
             outage: Notify::new(),
             origins: RefCell::default(),
             new_origins: Notify::new(),
+            poison: RefCell::new(poison),
             lost: crash::Unverified::default(),
             configurations: Announcement::default(),
             rosters: Announcement::default(),
@@ -148,7 +154,7 @@
             configured_at: Cell::default(),
             ready_logged: Cell::default(),
             store_unreachable: Cell::new(None),
-            rng: RefCell::new(SmallRng::from_os_rng()),
+            rng: RefCell::new(rng),
             settings,
             log,
         })
--- a/crates/edge/tests/bulk.rs
+++ b/crates/edge/tests/bulk.rs
@@ -21,6 +21,7 @@
 use snipeusher::fleet::Delta;
 use snipeusher::kv::Revision;
 use snipeusher::name;
+use snipeusher::poison;
 use snipeusher::route::Limits;
 use snipeusher::route::Position;
 use snipeusher_edge::lifecycle::Lifecycle;
@@ -63,6 +64,7 @@
                 loads: Vec::new(),
                 readers: Vec::new(),
                 members: Vec::new(),
+                poison: poison::Report::default(),
             },
             upstreams: (revision.number > 0).then(|| Delta {
                 revision,
--- a/crates/edge/tests/control_cost.rs
+++ b/crates/edge/tests/control_cost.rs
@@ -7,6 +7,7 @@
 use snipeusher::fleet::Observation;
 use snipeusher::kv::Revision;
 use snipeusher::name;
+use snipeusher::poison;
 use snipeusher::reader::Reader;
 use snipeusher::route::Position;
 use snipeusher_edge::peer::Digest;
@@ -54,6 +55,8 @@
         loads: loads.collect(),
         readers: readers.collect(),
         members: members.collect(),
+        // Nothing to report unless upstreams crash.
+        poison: poison::Report::default(),
     }
 }
 
--- a/crates/edge/tests/serialized.rs
+++ b/crates/edge/tests/serialized.rs
@@ -18,6 +18,7 @@
 use snipeusher::fleet::Removal;
 use snipeusher::kv::Revision;
 use snipeusher::name::Incarnation;
+use snipeusher::poison;
 use snipeusher::reader::Reader;
 use snipeusher::route::Position;
 use snipeusher::stream::Group;
@@ -75,6 +76,40 @@
             address: address(),
             heard_ms: 8,
         }],
+        poison: poison(),
+    }
+}
+
+fn poison() -> poison::Report {
+    let part = |id| poison::Part {
+        service: "chat".into(),
+        id,
+    };
+    let loss = poison::Loss {
+        crash: poison::Crash(18),
+        service: "chat".into(),
+        parts: vec![19, 20],
+    };
+    let blocked = poison::Blocked {
+        cause: poison::Cause {
+            service: "chat".into(),
+            parts: [21, 22].into(),
+        },
+        count: 1,
+    };
+    poison::Report {
+        losses: vec![poison::Aged {
+            event: loss,
+            age_ms: 23,
+        }],
+        sound: vec![poison::Aged {
+            event: part(24),
+            age_ms: 25,
+        }],
+        blocked: vec![poison::Aged {
+            event: blocked,
+            age_ms: 26,
+        }],
     }
 }
 
--- a/crates/snipeusher/src/lib.rs
+++ b/crates/snipeusher/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod name;
 pub mod outlier;
 pub mod placement;
+pub mod poison;
 pub mod policy;
 pub mod prefix;
 pub mod reader;
--- /dev/null
+++ b/crates/snipeusher/src/poison.rs
@@ -0,0 +1,482 @@
+//! Prompt parts that crash upstreams.
+//!
+//! A request that crashes its upstream takes the requests beside it along, and the next one with the
+//! same prompt part does so again at another upstream. No router sees enough of them to tell the
+//! cause, so routers exchange the requests that were lost in crashes before their answers had begun.
+//! A part is suspect if it was in several crashes one after the other and in no sound answer since.
+//! Other parts may have come with it each time, so what is blocked is the combination of parts that
+//! these crashes have in common: a prompt with only some of them is still sent. See
+//! `docs/platform.md#prompts-that-crash-engines`.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::hash;
+use crate::name;
+use crate::time::Time;
+
+/// Crashes with a part in common after which prompts like theirs are blocked.
+const CRASHES_MIN: usize = 3;
+/// Crashes closer together than this count as one: a fault that strikes several upstreams at once is
+/// not caused by a prompt.
+const SAME_EVENT: Duration = Duration::from_millis(250);
+/// Time from the first of these crashes to the block, in which news of sound answers can arrive.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Sound answers of the service that this router must have seen since the first crash. If there are
+/// none, the service as a whole is failing.
+const SERVED_MIN: u64 = 2;
+/// Time for which a lost request counts.
+const RETENTION: Duration = Duration::from_mins(1);
+/// Length of the first block of a combination; each further one is twice as long.
+const BLOCK_TIME: Duration = Duration::from_mins(1);
+const BLOCK_TIME_MAX: Duration = Duration::from_mins(16);
+/// Time after its end for which a block is remembered: one crash is then enough for the next one.
+const MEMORY: Duration = Duration::from_mins(30);
+/// Maximum number of lost requests that are kept; the oldest are dropped first.
+const LOSSES_MAX: usize = 512;
+/// Maximum number of blocked combinations; further ones are not blocked.
+const BLOCKS_MAX: usize = 64;
+/// Lost requests, sound parts and blocks of one report to a peer.
+const REPORTED_MAX: usize = 24;
+
+/// A prompt part at a service. What crashes one service's upstreams may be sound at another's.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Part {
+    /// The service.
+    pub service: name::Service,
+    /// Identifier of the part.
+    pub id: u64,
+}
+
+/// The crash of one incarnation of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Crash(pub u64);
+
+impl Crash {
+    /// The end of an incarnation.
+    pub fn of(upstream: &name::Upstream, incarnation: name::Incarnation) -> Self {
+        let id = hash::bytes(upstream.as_str().as_bytes());
+        Self(hash::mix(id, incarnation.0))
+    }
+}
+
+/// A request that was lost in a crash before its answer had begun.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Loss {
+    /// The crash.
+    pub crash: Crash,
+    /// Service of the upstream.
+    pub service: name::Service,
+    /// Parts of the prompt that other requests may have, in order.
+    pub parts: Vec<u64>,
+}
+
+/// Something that happened some time ago, as sent to peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Aged<T> {
+    /// What happened.
+    pub event: T,
+    /// Time since then in milliseconds.
+    pub age_ms: u64,
+}
+
+impl<T> Aged<T> {
+    /// When it happened, by this router's clock.
+    fn at(&self, now: Time) -> Time {
+        Time(now.0.saturating_sub(self.age_ms.saturating_mul(1_000)))
+    }
+}
+
+/// Prompt parts that crash a service's upstreams when a prompt has all of them.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cause {
+    /// The service.
+    pub service: name::Service,
+    /// Identifiers of the parts.
+    pub parts: BTreeSet<u64>,
+}
+
+impl Cause {
+    fn is_in(&self, service: &name::Service, parts: &[u64]) -> bool {
+        self.service == *service && self.parts.iter().all(|part| parts.contains(part))
+    }
+
+    fn parts(&self) -> impl Iterator<Item = Part> {
+        self.parts.iter().map(|id| Part {
+            service: self.service.clone(),
+            id: *id,
+        })
+    }
+}
+
+/// A blocked combination of parts, as sent to peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Blocked {
+    /// The combination.
+    pub cause: Cause,
+    /// How many times it has been blocked.
+    pub count: u32,
+}
+
+/// What a router tells its peers about crashes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Report {
+    /// Lost requests that no block explains.
+    pub losses: Vec<Aged<Loss>>,
+    /// Parts of lost requests in sound answers since.
+    pub sound: Vec<Aged<Part>>,
+    /// Blocked combinations and since when they are.
+    pub blocked: Vec<Aged<Blocked>>,
+}
+
+impl Report {
+    /// Whether there is nothing to tell.
+    pub const fn is_empty(&self) -> bool {
+        self.losses.is_empty() && self.sound.is_empty() && self.blocked.is_empty()
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    at: Time,
+    /// Sound answers of the service that this router had seen before.
+    served_before: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Block {
+    since: Time,
+    until: Time,
+    count: u32,
+}
+
+/// Crashes that routers know of, and the combinations of prompt parts that are blocked for them.
+#[derive(Clone, Debug)]
+pub struct Tracker {
+    /// Fraction by which this router's blocks last longer, so that not all routers end theirs, and
+    /// send requests to try, at the same time.
+    jitter: f64,
+    losses: BTreeMap<Loss, Seen>,
+    /// When parts of lost requests were last in a sound answer.
+    sound: BTreeMap<Part, Time>,
+    blocked: BTreeMap<Cause, Block>,
+    /// Sound answers by service.
+    served: BTreeMap<name::Service, u64>,
+    news: u64,
+}
+
+impl Tracker {
+    /// Knows of no crash. `random` decides how long blocks last.
+    pub fn new(random: u64) -> Self {
+        Self {
+            jitter: random as f64 / u64::MAX as f64,
+            losses: BTreeMap::new(),
+            sound: BTreeMap::new(),
+            blocked: BTreeMap::new(),
+            served: BTreeMap::new(),
+            news: 0,
+        }
+    }
+
+    /// A number that grows with whatever peers should hear of at once.
+    pub const fn news(&self) -> u64 {
+        self.news
+    }
+
+    /// Records a request that was lost in a crash; returns what is newly blocked.
+    pub fn record_loss(&mut self, now: Time, loss: Loss) -> Vec<Cause> {
+        self.insert(now, loss);
+        self.update(now)
+    }
+
+    /// Records a sound answer to a request with these shared parts.
+    pub fn record_served(
+        &mut self,
+        now: Time,
+        service: &name::Service,
+        parts: impl IntoIterator<Item = u64>,
+    ) {
+        match self.served.get_mut(service) {
+            Some(count) => *count += 1,
+            None => {
+                self.served.insert(service.clone(), 1);
+            }
+        }
+        if self.losses.is_empty() && self.blocked.is_empty() {
+            return;
+        }
+        for id in parts {
+            let part = Part {
+                service: service.clone(),
+                id,
+            };
+            if self.is_suspect(&part) {
+                self.insert_sound(now, part);
+            }
+        }
+    }
+
+    /// For how much longer prompts with these shared parts are blocked; `None` if they are not.
+    pub fn blocked_for(
+        &self,
+        now: Time,
+        service: &name::Service,
+        parts: impl IntoIterator<Item = u64>,
+    ) -> Option<Duration> {
+        if self.blocked.is_empty() {
+            return None;
+        }
+        let parts: Vec<u64> = parts.into_iter().collect();
+        let blocked = self.blocked.iter();
+        let found = blocked.filter(|(cause, _)| cause.is_in(service, &parts));
+        let until = found.map(|(_, block)| block.until).max()?;
+        (now < until).then(|| until.since(now))
+    }
+
+    /// The blocked combinations.
+    pub fn blocked(&self, now: Time) -> impl Iterator<Item = &Cause> {
+        let blocked = self.blocked.iter();
+        let active = blocked.filter(move |(_, block)| now < block.until);
+        active.map(|(cause, _)| cause)
+    }
+
+    /// What peers have to know, the newest first.
+    pub fn report(&self, now: Time) -> Report {
+        let losses = self.losses.iter();
+        let losses = losses.filter(|(loss, seen)| !self.is_explained(loss, seen));
+        let blocked = self.blocked.iter();
+        let active = blocked.filter(|(_, block)| now < block.until);
+        let active = active.map(|(cause, block)| {
+            let blocked = Blocked {
+                cause: cause.clone(),
+                count: block.count,
+            };
+            (block.since, blocked)
+        });
+        let sound = self.sound.iter();
+        Report {
+            losses: newest(now, losses.map(|(loss, seen)| (seen.at, loss.clone()))),
+            sound: newest(now, sound.map(|(part, at)| (*at, part.clone()))),
+            blocked: newest(now, active),
+        }
+    }
+
+    /// Applies what a peer knows; returns what is newly blocked.
+    pub fn merge(&mut self, now: Time, report: &Report) -> Vec<Cause> {
+        if report.is_empty() {
+            return Vec::new();
+        }
+        for loss in &report.losses {
+            self.insert(loss.at(now), loss.event.clone());
+        }
+        for sound in &report.sound {
+            let (part, at) = (&sound.event, sound.at(now));
+            if self.is_suspect(part) && self.sound.get(part).is_none_or(|known| *known < at) {
+                self.insert_sound(at, part.clone());
+            }
+        }
+        let mut adopted = Vec::new();
+        for blocked in &report.blocked {
+            if self.adopt(blocked.at(now), &blocked.event) {
+                adopted.push(blocked.event.cause.clone());
+            }
+        }
+        adopted.extend(self.update(now));
+        adopted
+    }
+
+    fn insert(&mut self, at: Time, loss: Loss) {
+        if loss.parts.is_empty() || self.losses.contains_key(&loss) {
+            return;
+        }
+        let served_before = self.served_count(&loss.service);
+        self.losses.insert(loss, Seen { at, served_before });
+        self.news += 1;
+        if self.losses.len() > LOSSES_MAX {
+            let oldest = self.losses.iter().min_by_key(|(_, seen)| seen.at);
+            let oldest = oldest.map(|(loss, _)| loss.clone());
+            oldest.and_then(|oldest| self.losses.remove(&oldest));
+        }
+    }
+
+    /// Records that a part was in a sound answer. A block ends when all its parts were since.
+    fn insert_sound(&mut self, at: Time, part: Part) {
+        self.news += u64::from(!self.sound.contains_key(&part));
+        self.sound.insert(part, at);
+        let sound = &self.sound;
+        self.blocked
+            .retain(|cause, block| !is_sound(sound, cause, block.since));
+    }
+
+    /// Adopts a peer's block, unless it is known or all its parts have been sound since.
+    fn adopt(&mut self, since: Time, blocked: &Blocked) -> bool {
+        let known = self.blocked.get(&blocked.cause);
+        let is_known = known.is_some_and(|known| known.count >= blocked.count);
+        !is_known
+            && !is_sound(&self.sound, &blocked.cause, since)
+            && self.block(since, blocked.cause.clone(), blocked.count)
+    }
+
+    /// Blocks what explains the known losses.
+    fn update(&mut self, now: Time) -> Vec<Cause> {
+        self.expire(now);
+        let mut blocked = Vec::new();
+        while let Some(cause) = self.find_cause(now) {
+            let count = self.blocked.get(&cause).map_or(0, |block| block.count) + 1;
+            if !self.block(now, cause.clone(), count) {
+                break;
+            }
+            blocked.push(cause);
+        }
+        blocked
+    }
+
+    fn block(&mut self, since: Time, cause: Cause, count: u32) -> bool {
+        if self.blocked.len() >= BLOCKS_MAX && !self.blocked.contains_key(&cause) {
+            return false;
+        }
+        let length = BLOCK_TIME * (1 << (count.max(1) - 1).min(8));
+        let length = length.min(BLOCK_TIME_MAX).mul_f64(1.0 + self.jitter);
+        let block = Block {
+            since,
+            until: since + length,
+            count,
+        };
+        self.blocked.insert(cause, block);
+        self.news += 1;
+        true
+    }
+
+    /// What explains losses that no block explains yet.
+    fn find_cause(&self, now: Time) -> Option<Cause> {
+        let losses = self.losses.iter();
+        let unexplained: Vec<(&Loss, Seen)> = losses
+            .filter(|(loss, seen)| !self.is_explained(loss, seen))
+            .map(|(loss, seen)| (loss, *seen))
+            .collect();
+        let ended = unexplained.iter().find_map(|(loss, _)| {
+            let mut causes = self.blocked.keys();
+            causes.find(|cause| cause.is_in(&loss.service, &loss.parts))
+        });
+        // After the end of a block one crash shows that it is still needed.
+        if let Some(cause) = ended {
+            return Some(cause.clone());
+        }
+        let mut suspects: BTreeMap<(usize, Part), Vec<(&Loss, Seen)>> = BTreeMap::new();
+        for (loss, seen) in unexplained {
+            for (index, id) in loss.parts.iter().enumerate() {
+                let part = Part {
+                    service: loss.service.clone(),
+                    id: *id,
+                };
+                if !self.was_sound_after(&part, seen.at) {
+                    let losses = suspects.entry((index, part)).or_default();
+                    losses.push((loss, seen));
+                }
+            }
+        }
+        // A part comes with those before it, but not the other way round, so a later part has fewer
+        // requests beside its own and tells more.
+        let mut last_first = suspects.into_values().rev();
+        last_first.find_map(|losses| self.cause_of(now, &losses))
+    }
+
+    /// What all these losses of one service have in common, if they show a cause.
+    fn cause_of(&self, now: Time, losses: &[(&Loss, Seen)]) -> Option<Cause> {
+        let service = &losses.first()?.0.service;
+        let mut times: Vec<Time> = losses.iter().map(|(_, seen)| seen.at).collect();
+        times.sort_unstable();
+        let first = *times.first()?;
+        let served_before = losses.iter().map(|(_, seen)| seen.served_before).min()?;
+        let served = self.served_count(service).saturating_sub(served_before);
+        let is_shown = count_events(&times) >= CRASHES_MIN
+            && now.since(first) >= SETTLE_TIME
+            && served >= SERVED_MIN;
+        if !is_shown {
+            return None;
+        }
+        let mut parts: BTreeSet<u64> = losses.first()?.0.parts.iter().copied().collect();
+        for (loss, _) in losses {
+            parts.retain(|part| loss.parts.contains(part));
+        }
+        Some(Cause {
+            service: service.clone(),
+            parts,
+        })
+    }
+
+    /// Whether a block that has not ended by then accounts for a loss.
+    fn is_explained(&self, loss: &Loss, seen: &Seen) -> bool {
+        let mut blocked = self.blocked.iter();
+        blocked
+            .any(|(cause, block)| seen.at < block.until && cause.is_in(&loss.service, &loss.parts))
+    }
+
+    fn was_sound_after(&self, part: &Part, at: Time) -> bool {
+        self.sound.get(part).is_some_and(|sound| *sound >= at)
+    }
+
+    /// Whether news of a part matters: it was in a crash or is blocked.
+    fn is_suspect(&self, part: &Part) -> bool {
+        let is_in = |service: &name::Service| *service == part.service;
+        let mut losses = self.losses.keys();
+        let mut causes = self.blocked.keys();
+        losses.any(|loss| is_in(&loss.service) && loss.parts.contains(&part.id))
+            || causes.any(|cause| is_in(&cause.service) && cause.parts.contains(&part.id))
+    }
+
+    fn served_count(&self, service: &name::Service) -> u64 {
+        self.served.get(service).copied().unwrap_or_default()
+    }
+
+    fn expire(&mut self, now: Time) {
+        self.losses.retain(|_, seen| now.since(seen.at) < RETENTION);
+        self.sound.retain(|_, at| now.since(*at) < RETENTION);
+        self.blocked
+            .retain(|_, block| now.since(block.until) < MEMORY);
+    }
+}
+
+/// Whether all parts of a combination were in sound answers after a time.
+fn is_sound(sound: &BTreeMap<Part, Time>, cause: &Cause, since: Time) -> bool {
+    let mut parts = cause.parts();
+    parts.all(|part| sound.get(&part).is_some_and(|at| *at > since))
+}
+
+/// Number of crashes among ordered times that are not one event.
+fn count_events(times: &[Time]) -> usize {
+    let mut last: Option<Time> = None;
+    let mut count = 0;
+    for time in times {
+        if last.is_none_or(|last| time.since(last) >= SAME_EVENT) {
+            last = Some(*time);
+            count += 1;
+        }
+    }
+    count
+}
+
+/// The newest events, for a report.
+fn newest<T>(now: Time, events: impl Iterator<Item = (Time, T)>) -> Vec<Aged<T>> {
+    let mut events: Vec<(Time, T)> = events.collect();
+    events.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
+    events.truncate(REPORTED_MAX);
+    let events = events.into_iter();
+    events
+        .map(|(at, event)| Aged {
+            event,
+            age_ms: now.since(at).as_millis() as u64,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/snipeusher/tests/poison.rs
@@ -0,0 +1,171 @@
+//! Prompt parts that crash upstreams: what is blocked, what is not, and for how long.
+
+use std::time::Duration;
+
+use snipeusher::name;
+use snipeusher::poison::Crash;
+use snipeusher::poison::Loss;
+use snipeusher::poison::Tracker;
+use snipeusher::time::Time;
+
+/// Part that all prompts begin with.
+const FIRST: u64 = 1;
+/// Second part of the deadly prompts, which sound ones have as well.
+const SHARED: u64 = 2;
+const DEADLY: u64 = 666;
+/// Time within which a part has to be blocked after the crashes that show it.
+const NEWS_TIME: Duration = Duration::from_millis(500);
+
+fn service() -> name::Service {
+    name::Service::from("letters")
+}
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn loss(crash: u64, parts: &[u64]) -> Loss {
+    Loss {
+        crash: Crash(crash),
+        service: service(),
+        parts: parts.to_vec(),
+    }
+}
+
+fn is_blocked(tracker: &Tracker, now: Time, parts: &[u64]) -> bool {
+    let found = tracker.blocked_for(now, &service(), parts.iter().copied());
+    found.is_some()
+}
+
+fn serve(tracker: &mut Tracker, now: Time, parts: &[u64]) {
+    tracker.record_served(now, &service(), parts.iter().copied());
+}
+
+/// A router that saw four crashes, one every 400 ms, under deadly prompts and sound answers between.
+fn after_crashes() -> Tracker {
+    let mut tracker = Tracker::new(0);
+    for crash in 0..4 {
+        let now = at(crash * 400);
+        tracker.record_loss(now, loss(crash, &[FIRST, SHARED, DEADLY]));
+        serve(&mut tracker, now, &[FIRST, 50 + crash]);
+    }
+    tracker
+}
+
+/// Guards against a deadly part that stays in use, and against a block of the parts beside it.
+#[test]
+fn prompts_with_what_the_crashes_have_in_common_are_blocked() {
+    let tracker = after_crashes();
+    let now = at(1_200);
+    assert!(is_blocked(&tracker, now, &[FIRST, SHARED, DEADLY]));
+    assert!(!is_blocked(&tracker, now, &[FIRST, SHARED]));
+    assert!(!is_blocked(&tracker, now, &[FIRST]));
+    let other = name::Service::from("other");
+    assert!(
+        tracker
+            .blocked_for(now, &other, [FIRST, SHARED, DEADLY])
+            .is_none()
+    );
+}
+
+/// Guards against a deadly part that is blocked only beside parts that happened to come with it.
+#[test]
+fn a_part_is_blocked_beside_any_others() {
+    let mut tracker = Tracker::new(0);
+    for crash in 0..4 {
+        let now = at(crash * 400);
+        tracker.record_loss(now, loss(crash, &[FIRST, DEADLY, 10 + crash]));
+        serve(&mut tracker, now, &[FIRST, 50]);
+    }
+    assert!(is_blocked(&tracker, at(1_200), &[FIRST, DEADLY, 99]));
+    assert!(!is_blocked(&tracker, at(1_200), &[FIRST, 99]));
+}
+
+/// Guards against a block for crashes that no prompt caused: of many upstreams at once, with sound
+/// answers between them, or while the service answers nobody.
+#[test]
+fn crashes_without_a_prompt_as_their_cause_block_nothing() {
+    let prompt = [FIRST, SHARED];
+    let mut at_once = Tracker::new(0);
+    let mut with_answers = Tracker::new(0);
+    let mut down = Tracker::new(0);
+    for crash in 0..8 {
+        at_once.record_loss(at(crash * 20), loss(crash, &prompt));
+        let now = at(crash * 400);
+        with_answers.record_loss(now, loss(crash, &prompt));
+        serve(&mut with_answers, now + Duration::from_millis(1), &prompt);
+        down.record_loss(now, loss(crash, &prompt));
+    }
+    serve(&mut at_once, at(900), &[FIRST + 5]);
+    serve(&mut at_once, at(901), &[FIRST + 5]);
+    at_once.record_loss(at(2_000), loss(9, &[FIRST + 9]));
+    for tracker in [at_once, with_answers, down] {
+        assert_eq!(tracker.blocked(at(3_200)).count(), 0);
+    }
+}
+
+/// Guards against routers that each need crashes of their own before they block a part.
+#[test]
+fn routers_join_what_each_of_them_saw() {
+    let mut routers: Vec<Tracker> = (0..4).map(Tracker::new).collect();
+    for (index, crash) in (0..4).zip(0..) {
+        let now = at(crash * 400);
+        let router = &mut routers[index];
+        router.record_loss(now, loss(crash, &[FIRST, SHARED, DEADLY]));
+        serve(router, now, &[FIRST, 50]);
+        serve(router, now, &[FIRST, 51]);
+    }
+    let now = at(1_200) + NEWS_TIME;
+    let reports: Vec<_> = routers
+        .iter()
+        .map(|router| router.report(at(1_200)))
+        .collect();
+    let last = &mut routers[0];
+    for report in &reports {
+        last.merge(at(1_200), report);
+    }
+    serve(last, at(1_300), &[FIRST, 52]);
+    let again = last.report(at(1_300));
+    last.merge(at(1_300), &again);
+    assert!(is_blocked(&routers[0], now, &[FIRST, SHARED, DEADLY]));
+    let report = routers[0].report(now);
+    assert!(
+        !routers[3].merge(now, &report).is_empty(),
+        "a block is adopted"
+    );
+    assert!(is_blocked(&routers[3], now, &[FIRST, SHARED, DEADLY]));
+    assert!(routers[3].merge(now, &report).is_empty(), "and only once");
+}
+
+/// Guards against a block that outlasts its cause, here or at a peer that had adopted it.
+#[test]
+fn sound_answers_end_a_block() {
+    let prompt = [FIRST, SHARED, DEADLY];
+    let mut tracker = after_crashes();
+    let mut peer = Tracker::new(1);
+    peer.merge(at(1_300), &tracker.report(at(1_300)));
+    assert!(is_blocked(&peer, at(1_300), &prompt));
+    serve(&mut tracker, at(2_000), &prompt);
+    assert!(!is_blocked(&tracker, at(2_000), &prompt));
+    let report = tracker.report(at(2_100));
+    peer.merge(at(2_100), &report);
+    assert!(!is_blocked(&peer, at(2_100), &prompt));
+    let old = after_crashes().report(at(2_200));
+    tracker.merge(at(2_200), &old);
+    assert!(!is_blocked(&tracker, at(2_200), &prompt), "an old block");
+}
+
+/// Guards against a block for ever, and against one more series of crashes after its end.
+#[test]
+fn after_the_end_of_a_block_one_crash_is_enough() {
+    let prompt = [FIRST, SHARED, DEADLY];
+    let mut tracker = after_crashes();
+    let end = at(70_000);
+    assert!(!is_blocked(&tracker, end, &prompt));
+    tracker.record_loss(end, loss(9, &prompt));
+    let left = tracker.blocked_for(end, &service(), prompt);
+    assert!(
+        left.is_some_and(|left| left > Duration::from_secs(90)),
+        "{left:?}"
+    );
+}
