Give up responses without end

Seen in a test of our own: an upstream that sends informational responses or a chunk extension without end kept the router's thread for good, so that no other caller was served, and an endless series of events without an identifier was passed on until the time limit.

Cause: reads that find bytes at once never give other tasks, the deadline among them, a turn, and what is neither head nor body had no limit. The class: a loop over input of an upstream that is bounded only by the input.

After four reads in a row that need not wait the others get their turn. A head with all informational ones before it may have 256 KiB, the framing between bytes of a body 64 KiB, events without an identifier 1 MiB. The same connections serve the store and peers.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -27,6 +27,7 @@
 use bytes::BytesMut;
 use snafu::ResultExt as _;
 use snafu::Snafu;
+use tokio::task::yield_now;
 use tokio_util::codec::Decoder as _;
 use tokio_util::codec::Encoder as _;
 
@@ -40,6 +41,14 @@
 /// Status of a response without a body, since the caller has the content cached.
 const STATUS_NOT_MODIFIED: u16 = 304;
 
+/// Largest head of a response, informational ones before it included.
+const HEAD_BYTES_MAX: usize = 256 << 10;
+/// Largest framing between the bytes of a body, such as the extension of a chunk.
+const FRAMING_BYTES_MAX: usize = 64 << 10;
+
+/// Reads in a row that need not wait, after which other tasks of the thread get their turn.
+const READS_MAX: u32 = 4;
+
 /// Why a request on a connection failed.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -81,8 +90,8 @@
     /// The response does not belong to the request.
     #[snafu(display("no response carries the id of the request"))]
     Foreign,
-    /// The response body is too large.
-    #[snafu(display("the response body is larger than {limit} bytes"))]
+    /// A part of the response is too large.
+    #[snafu(display("a part of the response is larger than {limit} bytes"))]
     TooLong {
         /// The limit in bytes.
         limit: usize,
@@ -117,6 +126,8 @@
     keep_alive: bool,
     /// Whether the request was a HEAD request, whose response has no body even with a length.
     is_head_request: bool,
+    /// Reads since the last one that had to wait.
+    reads: u32,
     idle_since: Instant,
     idle_limit: Option<Duration>,
     idle_before: Option<Duration>,
@@ -146,6 +157,7 @@
             unsent: BytesMut::new(),
             keep_alive: false,
             is_head_request: false,
+            reads: 0,
             idle_since: Instant::now(),
             idle_limit: None,
             idle_before: None,
@@ -205,6 +217,7 @@
 
     /// Reads the head of the next response, skipping informational ones.
     pub async fn head(&mut self) -> Result<ResponseHead, Error> {
+        let mut received = 0;
         loop {
             let Reader::Head(codec) = &mut self.reader else {
                 return EndedSnafu.fail();
@@ -216,15 +229,19 @@
                 self.enter_body(&head);
                 return Ok(head);
             }
-            if self.fill().await? == 0 {
+            let count = self.fill().await?;
+            if count == 0 {
                 self.reader = Reader::Failed;
                 return EndedSnafu.fail();
             }
+            received += count;
+            self.limit(received, HEAD_BYTES_MAX)?;
         }
     }
 
     /// Reads the next bytes of the body; `None` at its end.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, Error> {
+        let mut received = 0;
         loop {
             match &mut self.reader {
                 Reader::Head(_) => return Ok(None),
@@ -242,7 +259,11 @@
                 }
                 Reader::Unframed => {}
             }
-            if self.fill().await? == 0 {
+            let count = self.fill().await?;
+            received += count;
+            // Bytes of the body are returned as they arrive, so all that was read is framing.
+            self.limit(received, FRAMING_BYTES_MAX)?;
+            if count == 0 {
                 let is_end = matches!(self.reader, Reader::Unframed);
                 self.keep_alive = false;
                 self.reader = Reader::Failed;
@@ -271,6 +292,15 @@
         Ok(body.freeze())
     }
 
+    /// Fails if an upstream sends more than it may, perhaps without end.
+    fn limit(&mut self, received: usize, limit: usize) -> Result<(), Error> {
+        if received > limit {
+            self.reader = Reader::Failed;
+            return TooLongSnafu { limit }.fail();
+        }
+        Ok(())
+    }
+
     fn enter_body(&mut self, head: &ResponseHead) {
         let Reader::Head(codec) = std::mem::replace(&mut self.reader, Reader::Failed) else {
             return;
@@ -318,8 +348,14 @@
         loop {
             let count = self.socket.try_read(&mut self.read).context(BrokenSnafu)?;
             if let Some(count) = count {
+                self.reads += 1;
+                if self.reads >= READS_MAX {
+                    self.reads = 0;
+                    yield_now().await;
+                }
                 return Ok(count);
             }
+            self.reads = 0;
             if self.unsent.is_empty() {
                 self.socket.readable().await.context(BrokenSnafu)?;
                 continue;
--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -9,7 +9,7 @@
 
 /// Separator of events.
 const END: &[u8] = b"\n\n";
-/// Largest event.
+/// Largest event, and largest sequence of events without an identifier.
 const EVENT_BYTES_MAX: usize = 1 << 20;
 
 /// Collects the bytes of a stream and returns complete events.
@@ -18,9 +18,11 @@
     pending: BytesMut,
     last_id: Option<String>,
     count: u64,
+    /// Bytes since the last event with an identifier.
+    unidentified: usize,
 }
 
-/// An event is too large, or the identifiers are not consecutive.
+/// An event is too large, too many events have no identifier, or the identifiers are not consecutive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Malformed;
 
@@ -80,8 +82,13 @@
             rest = &rest[end + END.len()..];
             self.count += 1;
             let Some(id) = event_id(event) else {
+                self.unidentified += event.len();
+                if self.unidentified > EVENT_BYTES_MAX {
+                    return Err(Malformed);
+                }
                 continue;
             };
+            self.unidentified = 0;
             let number = id.parse::<u64>().ok();
             let before = self
                 .last_id
