Take a stream without a length that ends before its first event as lost

Seen in a test of our own: a caller got 200 with an empty body, complete, when the upstream closed the connection after the head of a stream that has neither a length nor chunks. Upstreams that crash when they begin to answer do so.

Cause: such a stream is complete when it does not end within an event, and one that has none does not. Now it counts as lost, and its upstream is checked for a crash; a stream that is taken up after its last event may still be empty. One that is broken off between two events cannot be told from a complete one.

Test: a_stream_without_a_length_ends_with_its_connection, whose fourth case failed before.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -193,6 +193,11 @@
             && self.read.is_empty()
     }
 
+    /// Whether the body of the last response ended since the connection was closed.
+    pub const fn ended_by_close(&self) -> bool {
+        matches!(self.reader, Reader::Failed)
+    }
+
     /// Sends a request. What the socket does not accept at once is written while the response is
     /// read.
     pub fn send(&mut self, head: RequestHead, body: &Bytes) -> Result<(), Error> {
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -71,7 +71,7 @@
                     guard.record_activity();
                     bytes
                 }
-                Next::End if self.events.is_complete() => {
+                Next::End if self.is_whole(&connection) => {
                     if !is_sound {
                         self.record_sound();
                     }
@@ -81,7 +81,7 @@
                 }
                 Next::End => {
                     self.suspect_crash_of(upstream, began, &connection::Error::Ended);
-                    self.lose(guard, upstream, "lost", "the stream ended within an event");
+                    self.lose(guard, upstream, "lost", "the stream ended too early");
                     return self.interrupt(responder);
                 }
                 Next::Broken(error) => {
@@ -116,6 +116,13 @@
         }
     }
 
+    /// Whether a stream that has ended is complete as far as can be told. One without a length that
+    /// ends before its first event was broken off.
+    fn is_whole(&self, connection: &Connection) -> bool {
+        let is_empty = self.events.last_id().is_none() && self.events.count() == 0;
+        self.events.is_complete() && !(is_empty && connection.ended_by_close())
+    }
+
     /// Has the upstream of a broken stream checked, unless it has sent events for a while: then
     /// another request is the cause if it crashed.
     fn suspect_crash_of(
--- a/crates/edge/tests/stream.rs
+++ b/crates/edge/tests/stream.rs
@@ -191,3 +191,37 @@
     assert_eq!(answered.body, text(2));
     assert_eq!(engines[0].count() + engines[1].count(), 2);
 }
+
+/// Head of a stream that ends when its connection is closed.
+fn unframed(seen: &Seen) -> Act {
+    let id = seen.id();
+    Act::Write(format!(
+        "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Signature: s\r\n\r\n"
+    ))
+}
+
+/// Guards against a stream without a length that is lost, or that looks complete although it broke
+/// off within an event or before the first one.
+#[rstest]
+#[case::complete("id: 1\ndata: part 1\n\nid: 2\ndata: part 2\n\n", Act::Close, true, 2)]
+#[case::within_an_event("id: 1\ndata: part 1\n\nid: 2\nda", Act::Close, false, 1)]
+#[case::reset("id: 1\ndata: part 1\n\nid: 2\nda", Act::Reset, false, 1)]
+#[case::before_an_event("", Act::Close, false, 0)]
+#[actix_rt::test]
+async fn a_stream_without_a_length_ends_with_its_connection(
+    #[case] body: &'static str,
+    #[case] last: Act,
+    #[case] complete: bool,
+    #[case] events: u32,
+) {
+    let script = move |seen: &Seen| {
+        let body = Act::Write(body.to_owned());
+        vec![unframed(seen), body, Act::Pause(20), last.clone()]
+    };
+    let engine = Engine::start(script).await;
+    let (node, _store) = single(&[&engine]).await;
+    let answered = call(node.front, &post("/review/", "r1", "x")).await;
+    let is_complete = answered.status == 200 && answered.complete;
+    assert_eq!(is_complete, complete);
+    assert_eq!(answered.body, text(events));
+}
