--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -58,7 +58,7 @@
 }
 
 /// Data from the headers of an upstream's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Response {
     /// Identifier of the request to which it belongs.
     pub id: Option<String>,
@@ -72,6 +72,8 @@
     pub leaving: bool,
     /// Time for which the upstream asks this router to send it nothing.
     pub pause: Option<Duration>,
+    /// Requests a second that the upstream takes from all routers together.
+    pub rate_limit: Option<f64>,
     /// Headers that are ignored since they are repeated or cannot be parsed.
     pub malformed: u32,
 }
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -92,6 +92,9 @@
     pub build: Option<name::Build>,
     /// Whether it receives requests, and if not, why.
     pub state: State,
+    /// Requests a second that it takes from all routers together, if it states a limit.
+    #[serde(default)]
+    pub rate_limit: Option<f64>,
     /// In-flight requests of this router.
     pub own: u32,
     /// Estimated in-flight requests of all routers.
@@ -215,6 +218,7 @@
         zone: known.entry.zone.clone(),
         build: Some(known.entry.build.clone()),
         state,
+        rate_limit: known.rate_limit,
         own: known.load.in_flight(),
         load: known.load.estimate(now),
         failures: known.health.failure_rate(),
--- a/crates/edge/tests/common/platform.rs
+++ b/crates/edge/tests/common/platform.rs
@@ -90,6 +90,7 @@
             pause: text(headers, "t-pause")
                 .and_then(|text| text.parse().ok())
                 .map(Duration::from_millis),
+            rate_limit: text(headers, "t-limit").and_then(|text| text.parse().ok()),
             malformed: 0,
         }
     }
--- a/crates/snipeusher/src/fleet/upstream.rs
+++ b/crates/snipeusher/src/fleet/upstream.rs
@@ -36,6 +36,8 @@
     pub is_doubtful: bool,
     /// End of the pause that it asked this router for.
     pub paused_until: Option<Time>,
+    /// Requests a second that it takes from all routers together, if it states a limit.
+    pub rate_limit: Option<f64>,
     /// Until when reports of peers are ignored.
     reports_ignored_until: Time,
 }
@@ -52,6 +54,7 @@
             silence_counted: false,
             is_doubtful: false,
             paused_until: None,
+            rate_limit: None,
             reports_ignored_until: Time::default(),
         }
     }
@@ -97,6 +100,7 @@
         if entry.incarnation != self.entry.incarnation || entry.address != self.entry.address {
             self.health = Health::default();
             self.paused_until = None;
+            self.rate_limit = None;
         }
         self.local = entry.zone == *zone;
         self.entry = entry;
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -315,6 +315,17 @@
         }
     }
 
+    /// Records the rate limit that an upstream states, or that it states none. Returns whether this
+    /// is news.
+    pub fn record_rate_limit(&mut self, id: &name::Upstream, rate_limit: Option<f64>) -> bool {
+        let Some(upstream) = self.upstream_mut(id) else {
+            return false;
+        };
+        let is_news = upstream.rate_limit != rate_limit;
+        upstream.rate_limit = rate_limit;
+        is_news
+    }
+
     /// Records whether a connection to an upstream could be opened. Returns true if the upstream or
     /// its zone was unreachable until now.
     pub fn record_probe(&mut self, now: Time, id: &name::Upstream, is_connected: bool) -> bool {
