Share the rate limits that upstreams state among all routers

Cause: nothing read the statement, and a router that kept to it alone would still be one of many: the limit holds for all routers together, none of which sees what the others send.

Now a limit is divided among a few routers, the same for all by rendezvous hashing of the upstream; each keeps a bucket of about one request that is empty at first, the others send nothing. Digests carry the statements and the end of limits, which routers without a share hear only so. If every upstream has had its share, the caller gets 503 at once with the time at which one takes requests again.

A field of each observation was tried first: 40 of them took a digest beyond 14 KB a second. Statements are a list of their own, in place of some observations.

--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -108,7 +108,7 @@
             info!(shared.log, "upstream: paused";
                 "upstream" => upstream.as_str(), "ms" => pause.as_millis() as u64);
         }
-        if fleet.record_rate_limit(upstream, facts.rate_limit) {
+        if fleet.record_rate_limit(now, upstream, facts.rate_limit) {
             info!(shared.log, "upstream: rate limit";
                 "upstream" => upstream.as_str(), "per_s" => facts.rate_limit);
         }
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -25,6 +25,7 @@
 use snipeusher::fleet::Delta;
 use snipeusher::fleet::Observation;
 use snipeusher::fleet::Outage;
+use snipeusher::fleet::RateLimit;
 use snipeusher::kv::Revision;
 use snipeusher::name;
 use snipeusher::poison;
@@ -78,7 +79,7 @@
 }
 
 /// State that a router sends to its peers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Digest {
     /// Host of the router.
@@ -99,6 +100,8 @@
     pub members: Vec<Member>,
     /// Crashes of upstreams, and prompt parts that are blocked for them.
     pub poison: poison::Report,
+    /// Rate limits that upstreams stated to this router or others.
+    pub rate_limits: Vec<RateLimit>,
 }
 
 /// A report of what a router cannot reach, to peers of its availability zone.
@@ -124,7 +127,7 @@
 }
 
 /// The response to a digest.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Response {
     /// State of the responding router.
@@ -148,6 +151,7 @@
         readers: shared.readers.borrow().list(now),
         members: peers.members(now),
         poison: shared.poison.borrow().report(now),
+        rate_limits: fleet.rate_limits(now),
     }
 }
 
@@ -169,7 +173,9 @@
     crash::log_blocked(shared, &blocked, "peer");
     let mut fleet = shared.fleet.borrow_mut();
     fleet.set_routers(peers.len(now) + 1);
+    fleet.set_hosts(now, &shared.settings.host, peers.hosts(now));
     fleet.merge_observations(now, &digest.loads);
+    fleet.merge_rate_limits(now, &digest.rate_limits);
 }
 
 /// The sender of a digest as a source of the data that it announces.
--- a/crates/edge/src/peer/peers.rs
+++ b/crates/edge/src/peer/peers.rs
@@ -66,6 +66,13 @@
         counted.max(self.seeds.len())
     }
 
+    /// The other routers that are known to run.
+    pub fn hosts(&self, now: Time) -> impl Iterator<Item = &name::Host> {
+        let known = self.known.iter();
+        let counted = known.filter(move |(_, known)| now.since(known.last_seen) < COUNTED_FOR);
+        counted.map(|(host, _)| host)
+    }
+
     /// The next members to list in a digest.
     pub fn members(&mut self, now: Time) -> Vec<Member> {
         let after = self.last_listed.take();
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -218,7 +218,7 @@
         zone: known.entry.zone.clone(),
         build: Some(known.entry.build.clone()),
         state,
-        rate_limit: known.rate_limit,
+        rate_limit: known.rate.limit(now),
         own: known.load.in_flight(),
         load: known.load.estimate(now),
         failures: known.health.failure_rate(),
--- a/crates/edge/tests/bulk.rs
+++ b/crates/edge/tests/bulk.rs
@@ -65,6 +65,7 @@
                 readers: Vec::new(),
                 members: Vec::new(),
                 poison: poison::Report::default(),
+                rate_limits: Vec::new(),
             },
             upstreams: (revision.number > 0).then(|| Delta {
                 revision,
--- a/crates/edge/tests/control_cost.rs
+++ b/crates/edge/tests/control_cost.rs
@@ -5,6 +5,7 @@
 
 use rstest::rstest;
 use snipeusher::fleet::Observation;
+use snipeusher::fleet::RateLimit;
 use snipeusher::kv::Revision;
 use snipeusher::name;
 use snipeusher::poison;
@@ -21,8 +22,11 @@
 /// Maximum number of observations and members in a digest.
 const OBSERVATIONS: u16 = 40;
 const MEMBERS: u16 = 8;
+/// Maximum number of rate limits in a digest, and observations that each of them replaces.
+const LIMITS: u16 = 10;
+const OBSERVATIONS_PER_LIMIT: u16 = 2;
 
-fn digest(zones: u16) -> Digest {
+fn digest(zones: u16, limits: u16) -> Digest {
     let address = SocketAddr::from(([10, 200, 100, 200], 65_000));
     let host = |index: u16| name::Host::from(format!("front-hu-central-zone-{index}"));
     let zone = |index: u16| name::Zone::from(format!("hu-central-{index}"));
@@ -32,11 +36,18 @@
         age_ms: 2_000,
         steady_ms: 40_000_000,
     });
-    let loads = (0..OBSERVATIONS).map(|index| Observation {
+    let loads = OBSERVATIONS - OBSERVATIONS_PER_LIMIT * limits;
+    let loads = (0..loads).map(|index| Observation {
         upstream: name::Upstream::from(format!("i-{index:010x}")),
         load: 200,
         age_ms: 1_400,
     });
+    let limits = (0..limits).map(|index| RateLimit {
+        upstream: name::Upstream::from(format!("i-{index:010x}")),
+        incarnation: name::Incarnation(1_700_000_000_000),
+        per_s: Some(5.2),
+        age_ms: 20_000,
+    });
     let members = (0..MEMBERS).map(|index| Member {
         host: host(index),
         zone: zone(index % zones),
@@ -57,6 +68,7 @@
         members: members.collect(),
         // Nothing to report unless upstreams crash.
         poison: poison::Report::default(),
+        rate_limits: limits.collect(),
     }
 }
 
@@ -66,8 +78,12 @@
 #[case(9, 3)]
 #[case(83, 3)]
 #[case(370, 17)]
-fn exchanges_stay_within_the_bandwidth_limit(#[case] routers: usize, #[case] zones: u16) {
-    let body = rmp_serde::to_vec(&digest(zones)).expect("it can be encoded");
+fn exchanges_stay_within_the_bandwidth_limit(
+    #[case] routers: usize,
+    #[case] zones: u16,
+    #[values(0, LIMITS)] limits: u16,
+) {
+    let body = rmp_serde::to_vec(&digest(zones, limits)).expect("it can be encoded");
     let bytes_each = (body.len() + HEAD_BYTES) as f64;
     let exchanges_per_s =
         Duration::from_secs(1).as_secs_f64() / interval(routers - 1).as_secs_f64();
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -42,6 +42,7 @@
         readers: Vec::new(),
         members: members.collect(),
         poison: poison::Report::default(),
+        rate_limits: Vec::new(),
     };
     peers.record(Time::from_millis(1_000), &digest);
     peers
--- a/crates/edge/tests/serialized.rs
+++ b/crates/edge/tests/serialized.rs
@@ -15,6 +15,7 @@
 use snipeusher::fleet::Delta;
 use snipeusher::fleet::Entry;
 use snipeusher::fleet::Observation;
+use snipeusher::fleet::RateLimit;
 use snipeusher::fleet::Removal;
 use snipeusher::kv::Revision;
 use snipeusher::name::Incarnation;
@@ -77,6 +78,12 @@
             heard_ms: 8,
         }],
         poison: poison(),
+        rate_limits: vec![RateLimit {
+            upstream: "engine-3".into(),
+            incarnation: Incarnation(27),
+            per_s: Some(2.5),
+            age_ms: 28,
+        }],
     }
 }
 
--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -19,8 +19,8 @@
 const LOAD_SLACK: f64 = 3.0;
 /// `Retry-After` of a refusal for lack of an upstream.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(400);
-
-/// Upper bound of the jitter added to the end of a pause, so that callers do not return together.
+/// Upper bound of the jitter added to the time when an upstream takes requests again, so that callers
+/// do not return together.
 const PAUSE_JITTER_MS: u64 = 250;
 
 /// What the choice of an upstream depends on.
@@ -48,10 +48,10 @@
     }
 
     /// Whether an upstream may get the request at `now`: it runs the required version, was not
-    /// tried and has not asked for a pause.
+    /// tried, has not asked for a pause and has not had what it takes from this router.
     pub(super) fn admits(&self, now: Time, upstream: &Upstream) -> bool {
         let is_tried = self.tried.contains(&upstream.entry.id);
-        self.suits(upstream) && !is_tried && !upstream.is_paused(now)
+        self.suits(upstream) && !is_tried && upstream.available_at(now).is_none()
     }
 }
 
@@ -83,7 +83,7 @@
 pub enum Cause {
     /// There is none, or all were tried.
     NoUpstream,
-    /// All have asked for a pause.
+    /// All have asked for a pause or have had what they take from this router.
     Paused,
 }
 
@@ -124,14 +124,14 @@
     }
 }
 
-/// Refuses a request. If all upstreams have asked for a pause, the caller may return when the first
-/// pause ends.
+/// Refuses a request. If all upstreams have asked for a pause or have had what they take from this
+/// router, the caller may return when the first takes one again.
 fn refuse(now: Time, upstreams: &[Upstream], ready: &[usize], query: &Query<'_>) -> Decision {
     let ready = ready.iter().map(|slot| &upstreams[*slot]);
     let ends = ready
         .filter(|upstream| query.suits(upstream))
-        .map(|upstream| upstream.paused_until.filter(|_| upstream.is_paused(now)));
-    // An upstream without a pause counts as `None`, which is the least.
+        .map(|upstream| upstream.available_at(now));
+    // An upstream that takes requests counts as `None`, which is the least.
     match ends.min().flatten() {
         Some(end) => Decision::Refuse {
             cause: Cause::Paused,
--- a/crates/snipeusher/src/fleet/upstream.rs
+++ b/crates/snipeusher/src/fleet/upstream.rs
@@ -6,6 +6,7 @@
 use super::Health;
 use super::Leaving;
 use super::Load;
+use super::Rate;
 use super::zone::REPORTS_IGNORED_FOR;
 use crate::hash;
 use crate::name;
@@ -36,8 +37,8 @@
     pub is_doubtful: bool,
     /// End of the pause that it asked this router for.
     pub paused_until: Option<Time>,
-    /// Requests a second that it takes from all routers together, if it states a limit.
-    pub rate_limit: Option<f64>,
+    /// The rate limit that it states, if any.
+    pub rate: Rate,
     /// Until when reports of peers are ignored.
     reports_ignored_until: Time,
 }
@@ -54,7 +55,7 @@
             silence_counted: false,
             is_doubtful: false,
             paused_until: None,
-            rate_limit: None,
+            rate: Rate::default(),
             reports_ignored_until: Time::default(),
         }
     }
@@ -83,6 +84,12 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
+    /// When it takes a request again, by its pause and its rate limit; `None` if it does now.
+    pub(super) fn available_at(&self, now: Time) -> Option<Time> {
+        let pause = self.paused_until.filter(|_| self.is_paused(now));
+        pause.max(self.rate.available_at(now))
+    }
+
     /// Whether it has sent nothing for so long that other upstreams are preferred.
     pub fn is_silent(&self, now: Time) -> bool {
         self.silent_since
@@ -100,7 +107,7 @@
         if entry.incarnation != self.entry.incarnation || entry.address != self.entry.address {
             self.health = Health::default();
             self.paused_until = None;
-            self.rate_limit = None;
+            self.rate = Rate::default();
         }
         self.local = entry.zone == *zone;
         self.entry = entry;
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -14,13 +14,16 @@
 use super::Outage;
 use super::Outcome;
 use super::Query;
+use super::RateLimit;
 use super::Report;
 use super::Roster;
 use super::Update;
 use super::Upstream;
 use super::builds::Builds;
 use super::choice;
+use super::rate::Routers;
 use super::zone::Zone;
+use crate::hash;
 use crate::kv::Revision;
 use crate::name;
 use crate::time::Time;
@@ -30,6 +33,10 @@
 const CONNECTION_SHARE_MIN: u32 = 2;
 /// Observations sent to a peer at once.
 const OBSERVATIONS_MAX: usize = 40;
+/// Statements about rate limits sent to a peer at once.
+const RATE_LIMITS_MAX: usize = 10;
+/// Observations that are left out for each of these statements, so that a digest keeps its size.
+const OBSERVATIONS_PER_RATE_LIMIT: usize = 2;
 
 /// Settings of a [`Fleet`].
 #[derive(Clone, Debug)]
@@ -60,6 +67,7 @@
     /// News to report to peers.
     outage: Outage,
     routers: usize,
+    sharers: Routers,
 }
 
 impl Fleet {
@@ -77,6 +85,7 @@
             zones: BTreeMap::new(),
             outage: Outage::default(),
             routers: 1,
+            sharers: Routers::default(),
         }
     }
 
@@ -100,6 +109,22 @@
         self.routers = routers;
     }
 
+    /// Sets the hosts of this router and of the others that it knows, which share the rate limits of
+    /// upstreams.
+    pub fn set_hosts<'a>(
+        &mut self,
+        now: Time,
+        own: &name::Host,
+        others: impl Iterator<Item = &'a name::Host>,
+    ) {
+        let id = |host: &name::Host| hash::bytes(host.as_str().as_bytes());
+        self.sharers = Routers::new(id(own), others.map(id).collect(), self.routers);
+        for upstream in &mut self.upstreams {
+            let share = |per_s| self.sharers.share(upstream.id_hash, per_s);
+            upstream.rate.update(now, share);
+        }
+    }
+
     /// See [`Roster::store_disconnected`].
     pub fn store_disconnected(&mut self) {
         self.roster.store_disconnected();
@@ -172,10 +197,45 @@
         });
         let mut observations: Vec<Observation> = observed.collect();
         observations.sort_unstable_by_key(|observation| observation.age_ms);
-        observations.truncate(OBSERVATIONS_MAX);
+        let limits = self.rate_limits(now).len();
+        observations.truncate(OBSERVATIONS_MAX - limits * OBSERVATIONS_PER_RATE_LIMIT);
         observations
     }
 
+    /// The newest statements of upstreams about their rate limits, to be sent to peers.
+    pub fn rate_limits(&self, now: Time) -> Vec<RateLimit> {
+        let stated = self.upstreams.iter().filter_map(|upstream| {
+            let (age, per_s) = upstream.rate.stated(now)?;
+            Some(RateLimit {
+                upstream: upstream.entry.id.clone(),
+                incarnation: upstream.entry.incarnation,
+                per_s,
+                age_ms: age.as_millis() as u32,
+            })
+        });
+        let mut stated: Vec<RateLimit> = stated.collect();
+        stated.sort_unstable_by_key(|limit| limit.age_ms);
+        stated.truncate(RATE_LIMITS_MAX);
+        stated
+    }
+
+    /// Merges what peers heard of the rate limits of upstreams.
+    pub fn merge_rate_limits(&mut self, now: Time, limits: &[RateLimit]) {
+        for limit in limits {
+            let Some(slot) = self.slots.get(&limit.upstream) else {
+                continue;
+            };
+            let upstream = &mut self.upstreams[*slot];
+            if upstream.entry.incarnation != limit.incarnation {
+                continue;
+            }
+            let age = u64::from(limit.age_ms) * 1_000;
+            let at = Time(now.0.saturating_sub(age));
+            let share = |per_s| self.sharers.share(upstream.id_hash, per_s);
+            upstream.rate.record(now, at, limit.per_s, share);
+        }
+    }
+
     /// Counts a caller's request to a service.
     pub fn record_request(&mut self, now: Time, service: &name::Service) {
         self.budget(service).record_request(now);
@@ -317,13 +377,18 @@
 
     /// Records the rate limit that an upstream states, or that it states none. Returns whether this
     /// is news.
-    pub fn record_rate_limit(&mut self, id: &name::Upstream, rate_limit: Option<f64>) -> bool {
-        let Some(upstream) = self.upstream_mut(id) else {
+    pub fn record_rate_limit(
+        &mut self,
+        now: Time,
+        id: &name::Upstream,
+        per_s: Option<f64>,
+    ) -> bool {
+        let Some(slot) = self.slots.get(id) else {
             return false;
         };
-        let is_news = upstream.rate_limit != rate_limit;
-        upstream.rate_limit = rate_limit;
-        is_news
+        let upstream = &mut self.upstreams[*slot];
+        let share = |per_s| self.sharers.share(upstream.id_hash, per_s);
+        upstream.rate.record(now, now, per_s, share)
     }
 
     /// Records whether a connection to an upstream could be opened. Returns true if the upstream or
@@ -452,6 +517,7 @@
     pub fn record_sent(&mut self, now: Time, id: &name::Upstream) {
         if let Some(upstream) = self.upstream_mut(id) {
             upstream.load.record_sent();
+            upstream.rate.record_sent(now);
             upstream.health.record_sent();
             upstream.silent_since.get_or_insert(now);
         }
