Abort connections whose request is given up

Cause: closing a connection ends it in order, so an attempt that ended for the router did not end for the network. A connection that is dropped while its response is incomplete is now reset, which discards what the other host has not acknowledged. This holds in one place for silent upstreams, the time limit, callers that left, shutdown, moves to another upstream, peers and the store. Responses that are complete, those without a length included, still end in order.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -124,6 +124,8 @@
     read: BytesMut,
     unsent: BytesMut,
     keep_alive: bool,
+    /// Whether a request was sent whose response is not complete.
+    is_pending: bool,
     /// Whether the request was a HEAD request, whose response has no body even with a length.
     is_head_request: bool,
     /// Reads since the last one that had to wait.
@@ -142,6 +144,16 @@
     }
 }
 
+impl Drop for Connection {
+    /// Aborts the connection if a request on it is given up, so that the request does not reach the
+    /// other host after a cut has healed, and the other host stops its work on it.
+    fn drop(&mut self) {
+        if self.is_pending {
+            self.socket.abort_on_close();
+        }
+    }
+}
+
 impl Connection {
     /// Connects within a time limit.
     pub async fn open(
@@ -156,6 +168,7 @@
             read: BytesMut::new(),
             unsent: BytesMut::new(),
             keep_alive: false,
+            is_pending: false,
             is_head_request: false,
             reads: 0,
             idle_since: Instant::now(),
@@ -212,6 +225,7 @@
             BodySize::Sized(body.len() as u64)
         };
         self.keep_alive = false;
+        self.is_pending = true;
         self.is_head_request = head.method == Method::HEAD;
         let head = RequestHeadType::from(head);
         let encoded = codec.encode(Message::Item((head, size)), &mut self.unsent);
@@ -270,6 +284,7 @@
             self.limit(received, FRAMING_BYTES_MAX)?;
             if count == 0 {
                 let is_end = matches!(self.reader, Reader::Unframed);
+                self.is_pending &= !is_end;
                 self.keep_alive = false;
                 self.reader = Reader::Failed;
                 return if is_end { Ok(None) } else { EndedSnafu.fail() };
@@ -326,6 +341,9 @@
         if !matches!(self.reader, Reader::Framed(_) | Reader::Head(_)) {
             self.keep_alive = false;
         }
+        if matches!(self.reader, Reader::Head(_)) {
+            self.is_pending = false;
+        }
         self.idle_since = Instant::now();
     }
 
@@ -333,6 +351,7 @@
         let reader = std::mem::replace(&mut self.reader, Reader::Failed);
         if let Reader::Framed(codec) = reader {
             self.reader = Reader::Head(codec.into_message_codec());
+            self.is_pending = false;
         }
         self.idle_since = Instant::now();
     }
--- a/crates/edge/src/socket.rs
+++ b/crates/edge/src/socket.rs
@@ -88,6 +88,13 @@
         Ok(())
     }
 
+    /// Makes the end of the connection a reset, which discards what the other host has not
+    /// acknowledged. Otherwise the kernel goes on sending it after the connection was closed.
+    pub(crate) fn abort_on_close(&self) {
+        // It fails only if the connection is gone.
+        let _aborted = self.0.set_zero_linger();
+    }
+
     /// Waits until the socket is writable.
     pub(crate) async fn writable(&self) -> io::Result<()> {
         self.0.writable().await
--- a/crates/edge/tests/common/engine.rs
+++ b/crates/edge/tests/common/engine.rs
@@ -91,6 +91,15 @@
         engine
     }
 
+    /// An upstream that something else runs at an address.
+    pub fn at(address: SocketAddr) -> Self {
+        Self {
+            address,
+            seen: Rc::default(),
+            abandoned: Rc::default(),
+        }
+    }
+
     pub fn seen(&self) -> Vec<Seen> {
         self.seen.borrow().clone()
     }
