Decide about crashes once for all requests lost in one

Each lost request was judged by itself, and each report of a peer again, in time that grows with the losses of a minute. Now once for a crash, and without news at most ten times a second. Reports copy only what they send. Losses without a prompt no longer cost a connection. Registration of counters stands in one place each.

--- a/crates/edge/src/crash.rs
+++ b/crates/edge/src/crash.rs
@@ -56,7 +56,12 @@
 }
 
 /// Checks whether the upstream of a lost request has crashed.
+///
+/// A request without a prompt is not checked, since there is nothing to learn from it.
 pub(crate) fn check<P: Platform>(shared: &Rc<Shared<P>>, upstream: &name::Upstream, lost: Lost) {
+    if lost.parts.is_empty() {
+        return;
+    }
     let known = shared
         .fleet
         .borrow()
@@ -81,15 +86,12 @@
     let parts: BTreeSet<u64> = lost.iter().flat_map(|lost| &lost.parts).copied().collect();
     let now = shared.now();
     let crash = poison::Crash::of(upstream, entry.incarnation);
-    let mut blocked = Vec::new();
-    for lost in &lost {
-        let loss = poison::Loss {
-            crash,
-            service: entry.service.clone(),
-            parts: lost.parts.clone(),
-        };
-        blocked.extend(shared.poison.borrow_mut().record_loss(now, loss));
-    }
+    let losses = lost.iter().map(|lost| poison::Loss {
+        crash,
+        service: entry.service.clone(),
+        parts: lost.parts.clone(),
+    });
+    let blocked = shared.poison.borrow_mut().record_losses(now, losses);
     log_blocked(shared, &blocked, "crashes");
     shared.metrics.crash();
     warn!(shared.log, "upstream: crashed";
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -92,6 +92,18 @@
     Histogram::new(BUCKETS_S)
 }
 
+fn counter(registry: &mut Registry, name: &str, help: &str) -> Counter {
+    let counter = Counter::default();
+    registry.register(name, help, counter.clone());
+    counter
+}
+
+fn outcomes(registry: &mut Registry, name: &str, help: &str) -> Family<OutcomeLabels, Counter> {
+    let outcomes = Family::default();
+    registry.register(name, help, outcomes.clone());
+    outcomes
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("snipeusher");
@@ -101,35 +113,30 @@
             "Requests that were admitted, by how they ended",
             requests.clone(),
         );
-        let rejections = Family::default();
-        registry.register(
+        let rejections = outcomes(
+            &mut registry,
             "rejections",
             "Requests that were not admitted, by reason",
-            rejections.clone(),
         );
-        let streams_taken_up = Family::default();
-        registry.register(
+        let streams_taken_up = outcomes(
+            &mut registry,
             "streams_taken_up",
             "Streams that callers took up, by how their software version was determined",
-            streams_taken_up.clone(),
         );
-        let malformed_headers = Counter::default();
-        registry.register(
+        let malformed_headers = counter(
+            &mut registry,
             "malformed_headers",
             "Headers of upstreams that were ignored, since they were repeated or malformed",
-            malformed_headers.clone(),
         );
-        let crashes = Counter::default();
-        registry.register(
+        let crashes = counter(
+            &mut registry,
             "upstream_crashes",
-            "Upstreams that ended while they had requests of this router to answer",
-            crashes.clone(),
+            "Upstreams that ended while prompts of this router waited for their answers",
         );
-        let attempts = Family::default();
-        registry.register(
+        let attempts = outcomes(
+            &mut registry,
             "attempts",
             "Sends to upstreams, by how they ended",
-            attempts.clone(),
         );
         let first_byte = Family::new_with_constructor(histogram as fn() -> Histogram);
         registry.register(
--- a/crates/snipeusher/src/poison.rs
+++ b/crates/snipeusher/src/poison.rs
@@ -8,6 +8,7 @@
 //! these crashes have in common: a prompt with only some of them is still sent. See
 //! `docs/platform.md#prompts-that-crash-engines`.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -26,6 +27,8 @@
 const SAME_EVENT: Duration = Duration::from_millis(250);
 /// Time from the first of these crashes to the block, in which news of sound answers can arrive.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Time between updates of the blocks while nothing new is heard.
+const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 /// Sound answers of the service that this router must have seen since the first crash. If there are
 /// none, the service as a whole is failing.
 const SERVED_MIN: u64 = 2;
@@ -174,6 +177,9 @@
     /// Sound answers by service.
     served: BTreeMap<name::Service, u64>,
     news: u64,
+    /// When the blocks were last brought up to date, and with which news.
+    updated_at: Time,
+    updated_news: u64,
 }
 
 impl Tracker {
@@ -186,6 +192,8 @@
             blocked: BTreeMap::new(),
             served: BTreeMap::new(),
             news: 0,
+            updated_at: Time::default(),
+            updated_news: 0,
         }
     }
 
@@ -194,9 +202,15 @@
         self.news
     }
 
-    /// Records a request that was lost in a crash; returns what is newly blocked.
-    pub fn record_loss(&mut self, now: Time, loss: Loss) -> Vec<Cause> {
-        self.insert(now, loss);
+    /// Records requests that were lost in a crash; returns what is newly blocked.
+    pub fn record_losses(
+        &mut self,
+        now: Time,
+        losses: impl IntoIterator<Item = Loss>,
+    ) -> Vec<Cause> {
+        for loss in losses {
+            self.insert(now, loss);
+        }
         self.update(now)
     }
 
@@ -255,20 +269,18 @@
     pub fn report(&self, now: Time) -> Report {
         let losses = self.losses.iter();
         let losses = losses.filter(|(loss, seen)| !self.is_explained(loss, seen));
+        let losses = losses.map(|(loss, seen)| (seen.at, loss));
+        let sound = self.sound.iter().map(|(part, at)| (*at, part));
         let blocked = self.blocked.iter();
-        let active = blocked.filter(|(_, block)| now < block.until);
-        let active = active.map(|(cause, block)| {
-            let blocked = Blocked {
-                cause: cause.clone(),
-                count: block.count,
-            };
-            (block.since, blocked)
-        });
-        let sound = self.sound.iter();
+        let blocked = blocked.filter(|(_, block)| now < block.until);
+        let blocked = blocked.map(|(cause, block)| (block.since, (cause, block.count)));
         Report {
-            losses: newest(now, losses.map(|(loss, seen)| (seen.at, loss.clone()))),
-            sound: newest(now, sound.map(|(part, at)| (*at, part.clone()))),
-            blocked: newest(now, active),
+            losses: newest(now, losses, Loss::clone),
+            sound: newest(now, sound, Part::clone),
+            blocked: newest(now, blocked, |(cause, count)| Blocked {
+                cause: cause.clone(),
+                count,
+            }),
         }
     }
 
@@ -328,8 +340,12 @@
             && self.block(since, blocked.cause.clone(), blocked.count)
     }
 
-    /// Blocks what explains the known losses.
+    /// Blocks what explains the known losses. Without news, only time can make a difference.
     fn update(&mut self, now: Time) -> Vec<Cause> {
+        let is_due = now.since(self.updated_at) >= UPDATE_INTERVAL;
+        if self.updated_news == self.news && !is_due {
+            return Vec::new();
+        }
         self.expire(now);
         let mut blocked = Vec::new();
         while let Some(cause) = self.find_cause(now) {
@@ -339,6 +355,8 @@
             }
             blocked.push(cause);
         }
+        self.updated_at = now;
+        self.updated_news = self.news;
         blocked
     }
 
@@ -468,14 +486,18 @@
 }
 
 /// The newest events, for a report.
-fn newest<T>(now: Time, events: impl Iterator<Item = (Time, T)>) -> Vec<Aged<T>> {
+fn newest<T, U>(
+    now: Time,
+    events: impl Iterator<Item = (Time, T)>,
+    to_event: impl Fn(T) -> U,
+) -> Vec<Aged<U>> {
     let mut events: Vec<(Time, T)> = events.collect();
-    events.sort_by_key(|(at, _)| std::cmp::Reverse(*at));
+    events.sort_by_key(|(at, _)| Reverse(*at));
     events.truncate(REPORTED_MAX);
     let events = events.into_iter();
     events
         .map(|(at, event)| Aged {
-            event,
+            event: to_event(event),
             age_ms: now.since(at).as_millis() as u64,
         })
         .collect()
--- a/crates/snipeusher/tests/poison.rs
+++ b/crates/snipeusher/tests/poison.rs
@@ -46,7 +46,7 @@
     let mut tracker = Tracker::new(0);
     for crash in 0..4 {
         let now = at(crash * 400);
-        tracker.record_loss(now, loss(crash, &[FIRST, SHARED, DEADLY]));
+        tracker.record_losses(now, [loss(crash, &[FIRST, SHARED, DEADLY])]);
         serve(&mut tracker, now, &[FIRST, 50 + crash]);
     }
     tracker
@@ -74,7 +74,7 @@
     let mut tracker = Tracker::new(0);
     for crash in 0..4 {
         let now = at(crash * 400);
-        tracker.record_loss(now, loss(crash, &[FIRST, DEADLY, 10 + crash]));
+        tracker.record_losses(now, [loss(crash, &[FIRST, DEADLY, 10 + crash])]);
         serve(&mut tracker, now, &[FIRST, 50]);
     }
     assert!(is_blocked(&tracker, at(1_200), &[FIRST, DEADLY, 99]));
@@ -90,15 +90,15 @@
     let mut with_answers = Tracker::new(0);
     let mut down = Tracker::new(0);
     for crash in 0..8 {
-        at_once.record_loss(at(crash * 20), loss(crash, &prompt));
+        at_once.record_losses(at(crash * 20), [loss(crash, &prompt)]);
         let now = at(crash * 400);
-        with_answers.record_loss(now, loss(crash, &prompt));
+        with_answers.record_losses(now, [loss(crash, &prompt)]);
         serve(&mut with_answers, now + Duration::from_millis(1), &prompt);
-        down.record_loss(now, loss(crash, &prompt));
+        down.record_losses(now, [loss(crash, &prompt)]);
     }
     serve(&mut at_once, at(900), &[FIRST + 5]);
     serve(&mut at_once, at(901), &[FIRST + 5]);
-    at_once.record_loss(at(2_000), loss(9, &[FIRST + 9]));
+    at_once.record_losses(at(2_000), [loss(9, &[FIRST + 9])]);
     for tracker in [at_once, with_answers, down] {
         assert_eq!(tracker.blocked(at(3_200)).count(), 0);
     }
@@ -111,7 +111,7 @@
     for (index, crash) in (0..4).zip(0..) {
         let now = at(crash * 400);
         let router = &mut routers[index];
-        router.record_loss(now, loss(crash, &[FIRST, SHARED, DEADLY]));
+        router.record_losses(now, [loss(crash, &[FIRST, SHARED, DEADLY])]);
         serve(router, now, &[FIRST, 50]);
         serve(router, now, &[FIRST, 51]);
     }
@@ -162,7 +162,7 @@
     let mut tracker = after_crashes();
     let end = at(70_000);
     assert!(!is_blocked(&tracker, end, &prompt));
-    tracker.record_loss(end, loss(9, &prompt));
+    tracker.record_losses(end, [loss(9, &prompt)]);
     let left = tracker.blocked_for(end, &service(), prompt);
     assert!(
         left.is_some_and(|left| left > Duration::from_secs(90)),
