--- a/crates/edge/src/crash.rs
+++ b/crates/edge/src/crash.rs
@@ -1,8 +1,8 @@
 //! Recognises upstreams that crash while requests wait for their answers.
 //!
 //! A lost connection alone does not show a crash: upstreams also break off single responses. An
-//! upstream that refuses the next connection has ended. The requests that it had not begun to answer
-//! by then may be the cause; one that had brought events for a while is not. See
+//! upstream that refuses the next connection has ended. The requests that it had not begun to
+//! answer by then may be the cause; one that had brought events for a while is not. See
 //! `docs/platform.md#prompts-that-crash-engines`.
 
 use std::cell::RefCell;
--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -22,7 +22,8 @@
     unidentified: usize,
 }
 
-/// An event is too large, too many events have no identifier, or the identifiers are not consecutive.
+/// An event is too large, too many events have no identifier, or the identifiers are not
+/// consecutive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Malformed;
 
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -254,7 +254,7 @@
     }
 
     /// Records that an upstream answered the request and has not crashed.
-    fn record_sound(&self) {
+    fn record_served(&self) {
         let now = self.shared.now();
         let service = &self.admitted.target.service;
         let parts = self.admitted.shared_parts();
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -298,7 +298,7 @@
             );
         }
         guard.finish(Outcome::Served);
-        self.record_sound();
+        self.record_served();
         self.status = Some(status);
         self.first_byte = Some(Instant::now());
         Step::Answered(responder.send(status, headers, &body).await)
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -27,8 +27,9 @@
 /// Lower bound of that time.
 const STALL_MIN: Duration = Duration::from_secs(1);
 
-/// Time after its first event from which a stream shows that its prompt does not crash the upstream.
-const SOUND_AFTER: Duration = Duration::from_millis(300);
+/// Time after its first event from which a stream shows that its prompt does not crash the
+/// upstream.
+const PROVEN_AFTER: Duration = Duration::from_millis(300);
 
 /// The next part of a stream.
 enum Next {
@@ -64,7 +65,7 @@
                 "after" => self.events.last_id());
         }
         let mut began: Option<Instant> = None;
-        let mut is_sound = false;
+        let mut is_proven = false;
         loop {
             let bytes = match self.next(&mut connection).await {
                 Next::Bytes(bytes) => {
@@ -72,8 +73,8 @@
                     bytes
                 }
                 Next::End if self.is_whole(&connection) => {
-                    if !is_sound {
-                        self.record_sound();
+                    if !is_proven {
+                        self.record_served();
                     }
                     self.release(upstream, connection);
                     guard.finish(Outcome::Served);
@@ -100,9 +101,9 @@
             };
             let Some(events) = events else { continue };
             let began = *began.get_or_insert_with(Instant::now);
-            if !is_sound && began.elapsed() >= SOUND_AFTER {
-                is_sound = true;
-                self.record_sound();
+            if !is_proven && began.elapsed() >= PROVEN_AFTER {
+                is_proven = true;
+                self.record_served();
             }
             self.status.get_or_insert(reply.head.status);
             self.first_byte.get_or_insert_with(Instant::now);
@@ -131,7 +132,7 @@
         began: Option<Instant>,
         error: &connection::Error,
     ) {
-        if began.is_none_or(|began| began.elapsed() < SOUND_AFTER) {
+        if began.is_none_or(|began| began.elapsed() < PROVEN_AFTER) {
             self.suspect_crash(upstream, error);
         }
     }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -195,8 +195,8 @@
             .map_or_else(Limits::default, |table| *table.limits())
     }
 
-    /// What began all streams of a service, if its upstreams run one software version only, and ran no
-    /// other in the last minute, and this router has known them for `age`.
+    /// What began all streams of a service, if its upstreams run one software version only, and ran
+    /// no other in the last minute, and this router has known them for `age`.
     pub fn sole_origin(&self, service: &name::Service, age: Duration) -> Option<Origin> {
         let fleet = self.fleet.borrow();
         let build = fleet.sole_build(self.now(), service, age)?;
@@ -236,8 +236,8 @@
         self.is_loaded() && !self.lifecycle.is_leaving()
     }
 
-    /// Applies a configuration unless the one in force has the same or a later position. Returns its
-    /// position, or `None` if it cannot be decoded.
+    /// Applies a configuration unless the one in force has the same or a later position. Returns
+    /// its position, or `None` if it cannot be decoded.
     ///
     /// Positions come from the operators and the store, so the check holds for a configuration from
     /// any source.
--- a/crates/edge/tests/abandoned.rs
+++ b/crates/edge/tests/abandoned.rs
@@ -27,8 +27,8 @@
 /// Requests after which one was sent through the link by any seed of the choice.
 const REQUESTS: usize = 30;
 
-/// A network link that is cut: it holds what a router sends until the cut heals. What the sender has
-/// discarded by a reset is lost, as it is in a network.
+/// A network link that is cut: it holds what a router sends until the cut heals. What the sender
+/// has discarded by a reset is lost, as it is in a network.
 struct Link {
     address: SocketAddr,
     held: Rc<Cell<usize>>,
@@ -84,8 +84,8 @@
     Engine::start(|seen| vec![response(seen.id(), "200 OK", "fine")]).await
 }
 
-/// Guards against work that a router has given up and that still reaches an engine when a cut heals,
-/// perhaps long after the engine's leaving was acknowledged.
+/// Guards against work that a router has given up and that still reaches an engine when a cut
+/// heals, perhaps long after the engine's leaving was acknowledged.
 #[rstest]
 #[case::retried("/read/")]
 #[case::out_of_time("/write/")]
--- a/crates/edge/tests/rate_limits.rs
+++ b/crates/edge/tests/rate_limits.rs
@@ -94,8 +94,8 @@
     assert!(count >= least, "{count} requests in all");
 }
 
-/// Guards against callers that wait, or get no time for their return, when all engines have had what
-/// they take.
+/// Guards against callers that wait, or get no time for their return, when all engines have had
+/// what they take.
 #[actix_rt::test]
 async fn callers_are_refused_at_once_when_all_engines_have_had_their_share() {
     let (engine, arrivals) = limited().await;
--- a/crates/edge/tests/serialized.rs
+++ b/crates/edge/tests/serialized.rs
@@ -109,7 +109,7 @@
             event: loss,
             age_ms: 23,
         }],
-        sound: vec![poison::Aged {
+        served: vec![poison::Aged {
             event: part(24),
             age_ms: 25,
         }],
--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -19,8 +19,8 @@
 const LOAD_SLACK: f64 = 3.0;
 /// `Retry-After` of a refusal for lack of an upstream.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(400);
-/// Upper bound of the jitter added to the time when an upstream takes requests again, so that callers
-/// do not return together.
+/// Upper bound of the jitter added to the time when an upstream takes requests again, so that
+/// callers do not return together.
 const PAUSE_JITTER_MS: u64 = 250;
 
 /// What the choice of an upstream depends on.
--- a/crates/snipeusher/src/fleet/rate.rs
+++ b/crates/snipeusher/src/fleet/rate.rs
@@ -114,8 +114,8 @@
         (now.since(self.heard_at) < RETENTION).then_some(bucket.per_s)
     }
 
-    /// What has to be told to peers: the limit, or `None` if it ended not long ago, and how long ago
-    /// the upstream stated so.
+    /// What has to be told to peers: the limit, or `None` if it ended not long ago, and how long
+    /// ago the upstream stated so.
     pub(super) fn stated(&self, now: Time) -> Option<(Duration, Option<f64>)> {
         let limit = self.limit(now);
         let has_ended = self.ended_at.is_some_and(|at| now.since(at) < RETENTION);
@@ -139,8 +139,8 @@
         Some(now + wait.unwrap_or(OTHERS_RETRY))
     }
 
-    /// Records what the upstream stated at a time, unless something newer is known. `share` gives this
-    /// router's share of a limit. Returns whether this is news.
+    /// Records what the upstream stated at a time, unless something newer is known. `share` gives
+    /// this router's share of a limit. Returns whether this is news.
     pub(super) fn record(
         &mut self,
         now: Time,
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -109,8 +109,8 @@
         self.routers = routers;
     }
 
-    /// Sets the hosts of this router and of the others that it knows, which share the rate limits of
-    /// upstreams.
+    /// Sets the hosts of this router and of the others that it knows, which share the rate limits
+    /// of upstreams.
     pub fn set_hosts<'a>(
         &mut self,
         now: Time,
@@ -343,7 +343,8 @@
         !self.outage.is_empty()
     }
 
-    /// Records that an upstream said in a response that it shuts down. Returns whether this is news.
+    /// Records that an upstream said in a response that it shuts down. Returns whether this is
+    /// news.
     pub fn record_leaving(&mut self, now: Time, id: &name::Upstream) -> bool {
         let Some(upstream) = self.upstream(id) else {
             return false;
--- a/crates/snipeusher/src/poison.rs
+++ b/crates/snipeusher/src/poison.rs
@@ -1,11 +1,11 @@
 //! Prompt parts that crash upstreams.
 //!
-//! A request that crashes its upstream takes the requests beside it along, and the next one with the
-//! same prompt part does so again at another upstream. No router sees enough of them to tell the
-//! cause, so routers exchange the requests that were lost in crashes before their answers had begun.
-//! A part is suspect if it was in several crashes one after the other and in no sound answer since.
-//! Other parts may have come with it each time, so what is blocked is the combination of parts that
-//! these crashes have in common: a prompt with only some of them is still sent. See
+//! A request that crashes its upstream takes the requests beside it along, and the next one with
+//! the same prompt part does so again at another upstream. No router sees enough of them to tell
+//! the cause, so routers exchange the requests that were lost in crashes before their answers had
+//! begun. A part is suspect if it was in several crashes one after the other and in no successful
+//! answer since. Other parts may have come with it each time, so what is blocked is the combination
+//! of parts that these crashes have in common: a prompt with only some of them is still sent. See
 //! `docs/platform.md#prompts-that-crash-engines`.
 
 use std::cmp::Reverse;
@@ -22,16 +22,17 @@
 
 /// Crashes with a part in common after which prompts like theirs are blocked.
 const CRASHES_MIN: usize = 3;
-/// Crashes closer together than this count as one: a fault that strikes several upstreams at once is
-/// not caused by a prompt.
+/// Crashes closer together than this count as one: a fault that strikes several upstreams at once
+/// is not caused by a prompt.
 const SAME_EVENT: Duration = Duration::from_millis(250);
-/// Time from the first of these crashes to the block, in which news of sound answers can arrive.
+/// Time from the first of these crashes to the block, in which news of successful answers can
+/// arrive.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Time between updates of the blocks while nothing new is heard.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
-/// Sound answers of the service that this router must have seen since the first crash. If there are
-/// none, the service as a whole is failing.
-const SERVED_MIN: u64 = 2;
+/// Successful answers of the service that this router must have seen since the first crash. If
+/// there are none, the service as a whole is failing.
+const ANSWERS_MIN: u64 = 2;
 /// Time for which a lost request counts.
 const RETENTION: Duration = Duration::from_mins(1);
 /// Length of the first block of a combination; each further one is twice as long.
@@ -43,10 +44,10 @@
 const LOSSES_MAX: usize = 512;
 /// Maximum number of blocked combinations; further ones are not blocked.
 const BLOCKS_MAX: usize = 64;
-/// Lost requests, sound parts and blocks of one report to a peer.
+/// Lost requests, served parts and blocks of one report to a peer.
 const REPORTED_MAX: usize = 24;
 
-/// A prompt part at a service. What crashes one service's upstreams may be sound at another's.
+/// A prompt part at a service. What crashes one service's upstreams may be harmless at another's.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Part {
@@ -137,8 +138,8 @@
 pub struct Report {
     /// Lost requests that no block explains.
     pub losses: Vec<Aged<Loss>>,
-    /// Parts of lost requests in sound answers since.
-    pub sound: Vec<Aged<Part>>,
+    /// Parts of lost requests in successful answers since.
+    pub served: Vec<Aged<Part>>,
     /// Blocked combinations and since when they are.
     pub blocked: Vec<Aged<Blocked>>,
 }
@@ -146,15 +147,15 @@
 impl Report {
     /// Whether there is nothing to tell.
     pub const fn is_empty(&self) -> bool {
-        self.losses.is_empty() && self.sound.is_empty() && self.blocked.is_empty()
+        self.losses.is_empty() && self.served.is_empty() && self.blocked.is_empty()
     }
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Seen {
     at: Time,
-    /// Sound answers of the service that this router had seen before.
-    served_before: u64,
+    /// Successful answers of the service that this router had seen before.
+    answers_before: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -171,11 +172,11 @@
     /// send requests to try, at the same time.
     jitter: f64,
     losses: BTreeMap<Loss, Seen>,
-    /// When parts of lost requests were last in a sound answer.
-    sound: BTreeMap<Part, Time>,
+    /// When parts of lost requests were last in a successful answer.
+    served: BTreeMap<Part, Time>,
     blocked: BTreeMap<Cause, Block>,
-    /// Sound answers by service.
-    served: BTreeMap<name::Service, u64>,
+    /// Successful answers by service.
+    answers: BTreeMap<name::Service, u64>,
     news: u64,
     /// When the blocks were last brought up to date, and with which news.
     updated_at: Time,
@@ -188,9 +189,9 @@
         Self {
             jitter: random as f64 / u64::MAX as f64,
             losses: BTreeMap::new(),
-            sound: BTreeMap::new(),
-            blocked: BTreeMap::new(),
             served: BTreeMap::new(),
+            blocked: BTreeMap::new(),
+            answers: BTreeMap::new(),
             news: 0,
             updated_at: Time::default(),
             updated_news: 0,
@@ -214,17 +215,17 @@
         self.update(now)
     }
 
-    /// Records a sound answer to a request with these shared parts.
+    /// Records a successful answer to a request with these shared parts.
     pub fn record_served(
         &mut self,
         now: Time,
         service: &name::Service,
         parts: impl IntoIterator<Item = u64>,
     ) {
-        match self.served.get_mut(service) {
+        match self.answers.get_mut(service) {
             Some(count) => *count += 1,
             None => {
-                self.served.insert(service.clone(), 1);
+                self.answers.insert(service.clone(), 1);
             }
         }
         if self.losses.is_empty() && self.blocked.is_empty() {
@@ -236,7 +237,7 @@
                 id,
             };
             if self.is_suspect(&part) {
-                self.insert_sound(now, part);
+                self.insert_served(now, part);
             }
         }
     }
@@ -270,13 +271,13 @@
         let losses = self.losses.iter();
         let losses = losses.filter(|(loss, seen)| !self.is_explained(loss, seen));
         let losses = losses.map(|(loss, seen)| (seen.at, loss));
-        let sound = self.sound.iter().map(|(part, at)| (*at, part));
+        let served = self.served.iter().map(|(part, at)| (*at, part));
         let blocked = self.blocked.iter();
         let blocked = blocked.filter(|(_, block)| now < block.until);
         let blocked = blocked.map(|(cause, block)| (block.since, (cause, block.count)));
         Report {
             losses: newest(now, losses, Loss::clone),
-            sound: newest(now, sound, Part::clone),
+            served: newest(now, served, Part::clone),
             blocked: newest(now, blocked, |(cause, count)| Blocked {
                 cause: cause.clone(),
                 count,
@@ -292,10 +293,10 @@
         for loss in &report.losses {
             self.insert(loss.at(now), loss.event.clone());
         }
-        for sound in &report.sound {
-            let (part, at) = (&sound.event, sound.at(now));
-            if self.is_suspect(part) && self.sound.get(part).is_none_or(|known| *known < at) {
-                self.insert_sound(at, part.clone());
+        for served in &report.served {
+            let (part, at) = (&served.event, served.at(now));
+            if self.is_suspect(part) && self.served.get(part).is_none_or(|known| *known < at) {
+                self.insert_served(at, part.clone());
             }
         }
         let mut adopted = Vec::new();
@@ -312,8 +313,8 @@
         if loss.parts.is_empty() || self.losses.contains_key(&loss) {
             return;
         }
-        let served_before = self.served_count(&loss.service);
-        self.losses.insert(loss, Seen { at, served_before });
+        let answers_before = self.answer_count(&loss.service);
+        self.losses.insert(loss, Seen { at, answers_before });
         self.news += 1;
         if self.losses.len() > LOSSES_MAX {
             let oldest = self.losses.iter().min_by_key(|(_, seen)| seen.at);
@@ -322,21 +323,21 @@
         }
     }
 
-    /// Records that a part was in a sound answer. A block ends when all its parts were since.
-    fn insert_sound(&mut self, at: Time, part: Part) {
-        self.news += u64::from(!self.sound.contains_key(&part));
-        self.sound.insert(part, at);
-        let sound = &self.sound;
+    /// Records that a part was in a successful answer. A block ends when all its parts were since.
+    fn insert_served(&mut self, at: Time, part: Part) {
+        self.news += u64::from(!self.served.contains_key(&part));
+        self.served.insert(part, at);
+        let served = &self.served;
         self.blocked
-            .retain(|cause, block| !is_sound(sound, cause, block.since));
+            .retain(|cause, block| !is_served(served, cause, block.since));
     }
 
-    /// Adopts a peer's block, unless it is known or all its parts have been sound since.
+    /// Adopts a peer's block, unless it is known or all its parts have been served since.
     fn adopt(&mut self, since: Time, blocked: &Blocked) -> bool {
         let known = self.blocked.get(&blocked.cause);
         let is_known = known.is_some_and(|known| known.count >= blocked.count);
         !is_known
-            && !is_sound(&self.sound, &blocked.cause, since)
+            && !is_served(&self.served, &blocked.cause, since)
             && self.block(since, blocked.cause.clone(), blocked.count)
     }
 
@@ -398,7 +399,7 @@
                     service: loss.service.clone(),
                     id: *id,
                 };
-                if !self.was_sound_after(&part, seen.at) {
+                if !self.was_served_after(&part, seen.at) {
                     let losses = suspects.entry((index, part)).or_default();
                     losses.push((loss, seen));
                 }
@@ -416,11 +417,11 @@
         let mut times: Vec<Time> = losses.iter().map(|(_, seen)| seen.at).collect();
         times.sort_unstable();
         let first = *times.first()?;
-        let served_before = losses.iter().map(|(_, seen)| seen.served_before).min()?;
-        let served = self.served_count(service).saturating_sub(served_before);
+        let answers_before = losses.iter().map(|(_, seen)| seen.answers_before).min()?;
+        let answers = self.answer_count(service).saturating_sub(answers_before);
         let is_shown = count_events(&times) >= CRASHES_MIN
             && now.since(first) >= SETTLE_TIME
-            && served >= SERVED_MIN;
+            && answers >= ANSWERS_MIN;
         if !is_shown {
             return None;
         }
@@ -441,8 +442,8 @@
             .any(|(cause, block)| seen.at < block.until && cause.is_in(&loss.service, &loss.parts))
     }
 
-    fn was_sound_after(&self, part: &Part, at: Time) -> bool {
-        self.sound.get(part).is_some_and(|sound| *sound >= at)
+    fn was_served_after(&self, part: &Part, at: Time) -> bool {
+        self.served.get(part).is_some_and(|served| *served >= at)
     }
 
     /// Whether news of a part matters: it was in a crash or is blocked.
@@ -454,22 +455,22 @@
             || causes.any(|cause| is_in(&cause.service) && cause.parts.contains(&part.id))
     }
 
-    fn served_count(&self, service: &name::Service) -> u64 {
-        self.served.get(service).copied().unwrap_or_default()
+    fn answer_count(&self, service: &name::Service) -> u64 {
+        self.answers.get(service).copied().unwrap_or_default()
     }
 
     fn expire(&mut self, now: Time) {
         self.losses.retain(|_, seen| now.since(seen.at) < RETENTION);
-        self.sound.retain(|_, at| now.since(*at) < RETENTION);
+        self.served.retain(|_, at| now.since(*at) < RETENTION);
         self.blocked
             .retain(|_, block| now.since(block.until) < MEMORY);
     }
 }
 
-/// Whether all parts of a combination were in sound answers after a time.
-fn is_sound(sound: &BTreeMap<Part, Time>, cause: &Cause, since: Time) -> bool {
+/// Whether all parts of a combination were in successful answers after a time.
+fn is_served(served: &BTreeMap<Part, Time>, cause: &Cause, since: Time) -> bool {
     let mut parts = cause.parts();
-    parts.all(|part| sound.get(&part).is_some_and(|at| *at > since))
+    parts.all(|part| served.get(&part).is_some_and(|at| *at > since))
 }
 
 /// Number of crashes among ordered times that are not one event.
--- a/crates/snipeusher/tests/poison.rs
+++ b/crates/snipeusher/tests/poison.rs
@@ -10,9 +10,9 @@
 
 /// Part that all prompts begin with.
 const FIRST: u64 = 1;
-/// Second part of the deadly prompts, which sound ones have as well.
+/// Second part of the poison prompts, which harmless ones have as well.
 const SHARED: u64 = 2;
-const DEADLY: u64 = 666;
+const POISON: u64 = 666;
 /// Time within which a part has to be blocked after the crashes that show it.
 const NEWS_TIME: Duration = Duration::from_millis(500);
 
@@ -41,48 +41,49 @@
     tracker.record_served(now, &service(), parts.iter().copied());
 }
 
-/// A router that saw four crashes, one every 400 ms, under deadly prompts and sound answers between.
+/// A router that saw four crashes, one every 400 ms, under poison prompts and successful answers
+/// between.
 fn after_crashes() -> Tracker {
     let mut tracker = Tracker::new(0);
     for crash in 0..4 {
         let now = at(crash * 400);
-        tracker.record_losses(now, [loss(crash, &[FIRST, SHARED, DEADLY])]);
+        tracker.record_losses(now, [loss(crash, &[FIRST, SHARED, POISON])]);
         serve(&mut tracker, now, &[FIRST, 50 + crash]);
     }
     tracker
 }
 
-/// Guards against a deadly part that stays in use, and against a block of the parts beside it.
+/// Guards against a poison part that stays in use, and against a block of the parts beside it.
 #[test]
 fn prompts_with_what_the_crashes_have_in_common_are_blocked() {
     let tracker = after_crashes();
     let now = at(1_200);
-    assert!(is_blocked(&tracker, now, &[FIRST, SHARED, DEADLY]));
+    assert!(is_blocked(&tracker, now, &[FIRST, SHARED, POISON]));
     assert!(!is_blocked(&tracker, now, &[FIRST, SHARED]));
     assert!(!is_blocked(&tracker, now, &[FIRST]));
     let other = name::Service::from("other");
     assert!(
         tracker
-            .blocked_for(now, &other, [FIRST, SHARED, DEADLY])
+            .blocked_for(now, &other, [FIRST, SHARED, POISON])
             .is_none()
     );
 }
 
-/// Guards against a deadly part that is blocked only beside parts that happened to come with it.
+/// Guards against a poison part that is blocked only beside parts that happened to come with it.
 #[test]
 fn a_part_is_blocked_beside_any_others() {
     let mut tracker = Tracker::new(0);
     for crash in 0..4 {
         let now = at(crash * 400);
-        tracker.record_losses(now, [loss(crash, &[FIRST, DEADLY, 10 + crash])]);
+        tracker.record_losses(now, [loss(crash, &[FIRST, POISON, 10 + crash])]);
         serve(&mut tracker, now, &[FIRST, 50]);
     }
-    assert!(is_blocked(&tracker, at(1_200), &[FIRST, DEADLY, 99]));
+    assert!(is_blocked(&tracker, at(1_200), &[FIRST, POISON, 99]));
     assert!(!is_blocked(&tracker, at(1_200), &[FIRST, 99]));
 }
 
-/// Guards against a block for crashes that no prompt caused: of many upstreams at once, with sound
-/// answers between them, or while the service answers nobody.
+/// Guards against a block for crashes that no prompt caused: of many upstreams at once, with
+/// successful answers between them, or while the service answers nobody.
 #[test]
 fn crashes_without_a_prompt_as_their_cause_block_nothing() {
     let prompt = [FIRST, SHARED];
@@ -111,7 +112,7 @@
     for (index, crash) in (0..4).zip(0..) {
         let now = at(crash * 400);
         let router = &mut routers[index];
-        router.record_losses(now, [loss(crash, &[FIRST, SHARED, DEADLY])]);
+        router.record_losses(now, [loss(crash, &[FIRST, SHARED, POISON])]);
         serve(router, now, &[FIRST, 50]);
         serve(router, now, &[FIRST, 51]);
     }
@@ -127,20 +128,20 @@
     serve(last, at(1_300), &[FIRST, 52]);
     let again = last.report(at(1_300));
     last.merge(at(1_300), &again);
-    assert!(is_blocked(&routers[0], now, &[FIRST, SHARED, DEADLY]));
+    assert!(is_blocked(&routers[0], now, &[FIRST, SHARED, POISON]));
     let report = routers[0].report(now);
     assert!(
         !routers[3].merge(now, &report).is_empty(),
         "a block is adopted"
     );
-    assert!(is_blocked(&routers[3], now, &[FIRST, SHARED, DEADLY]));
+    assert!(is_blocked(&routers[3], now, &[FIRST, SHARED, POISON]));
     assert!(routers[3].merge(now, &report).is_empty(), "and only once");
 }
 
 /// Guards against a block that outlasts its cause, here or at a peer that had adopted it.
 #[test]
-fn sound_answers_end_a_block() {
-    let prompt = [FIRST, SHARED, DEADLY];
+fn successful_answers_end_a_block() {
+    let prompt = [FIRST, SHARED, POISON];
     let mut tracker = after_crashes();
     let mut peer = Tracker::new(1);
     peer.merge(at(1_300), &tracker.report(at(1_300)));
@@ -158,7 +159,7 @@
 /// Guards against a block for ever, and against one more series of crashes after its end.
 #[test]
 fn after_the_end_of_a_block_one_crash_is_enough() {
-    let prompt = [FIRST, SHARED, DEADLY];
+    let prompt = [FIRST, SHARED, POISON];
     let mut tracker = after_crashes();
     let end = at(70_000);
     assert!(!is_blocked(&tracker, end, &prompt));
