Count the routers that are known to run in one place

The number of peers repeated the condition under which hosts share a rate limit. The comment on connections that end with their body says when that is. No change of behaviour.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -206,7 +206,7 @@
             && self.read.is_empty()
     }
 
-    /// Whether the body of the last response ended since the connection was closed.
+    /// Whether the body of the last response had no length and ended with the connection.
     pub const fn ended_by_close(&self) -> bool {
         matches!(self.reader, Reader::Failed)
     }
--- a/crates/edge/src/peer/peers.rs
+++ b/crates/edge/src/peer/peers.rs
@@ -59,11 +59,7 @@
 
     /// Number of other routers that are assumed to run, at least the number of seeds.
     pub fn len(&self, now: Time) -> usize {
-        let known = self.known.values();
-        let counted = known
-            .filter(|known| now.since(known.last_seen) < COUNTED_FOR)
-            .count();
-        counted.max(self.seeds.len())
+        self.hosts(now).count().max(self.seeds.len())
     }
 
     /// The other routers that are known to run.
