Log which failed requests are the same, and crashes that lost only requests without prompts

A repeated request has a new id each time and often no prompt, so the log could not tell whether upstreams ended under the same request. attempt: failed and upstream: crashed state a fingerprint of it; upstreams of plain services are checked for a crash too. No decision uses either yet.

--- a/crates/edge/src/crash.rs
+++ b/crates/edge/src/crash.rs
@@ -33,6 +33,8 @@
 pub(crate) struct Lost {
     /// Prompt parts that it shares with other requests.
     pub(crate) parts: Vec<u64>,
+    /// Hash of the whole request, the same when a caller repeats it.
+    pub(crate) fingerprint: u64,
 }
 
 /// Requests whose upstreams are about to be checked.
@@ -56,12 +58,7 @@
 }
 
 /// Checks whether the upstream of a lost request has crashed.
-///
-/// A request without a prompt is not checked, since there is nothing to learn from it.
 pub(crate) fn check<P: Platform>(shared: &Rc<Shared<P>>, upstream: &name::Upstream, lost: Lost) {
-    if lost.parts.is_empty() {
-        return;
-    }
     let known = shared
         .fleet
         .borrow()
@@ -83,6 +80,7 @@
     if !opened.is_err_and(|error| is_refused(&error)) {
         return;
     }
+    let fingerprints: BTreeSet<u64> = lost.iter().map(|lost| lost.fingerprint).collect();
     let parts: BTreeSet<u64> = lost.iter().flat_map(|lost| &lost.parts).copied().collect();
     let now = shared.now();
     let crash = poison::Crash::of(upstream, entry.incarnation);
@@ -95,7 +93,8 @@
     log_blocked(shared, &blocked, "crashes");
     shared.metrics.crash();
     warn!(shared.log, "upstream: crashed";
-        "upstream" => upstream.as_str(), "requests" => lost.len(), "parts" => hex(&parts));
+        "upstream" => upstream.as_str(), "requests" => lost.len(),
+        "fingerprints" => hex(&fingerprints), "parts" => hex(&parts));
 }
 
 /// Logs which combinations of prompt parts are newly blocked, and how this router learnt of them.
--- a/crates/edge/src/exchange/admit.rs
+++ b/crates/edge/src/exchange/admit.rs
@@ -1,5 +1,6 @@
 //! Admission of requests: finds the route, checks the key and sets the deadline.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -47,9 +48,24 @@
     pub(super) revision: Revision,
     /// The configuration it was admitted under.
     table: Rc<Table>,
+    /// See [`Self::fingerprint`]; most requests do not need it.
+    fingerprint: OnceCell<u64>,
 }
 
 impl Admitted {
+    /// Hash of what a caller sends again when it repeats the request: all but its id.
+    pub(super) fn fingerprint(&self) -> u64 {
+        *self.fingerprint.get_or_init(|| {
+            let workspace = self.workspace.as_ref().map_or("", name::Workspace::as_str);
+            let host = self.headers.get(header::HOST);
+            let host = host.map_or(&b""[..], |host| host.as_bytes());
+            let uri = self.uri.to_string();
+            let texts = [self.method.as_str(), &uri, workspace].map(str::as_bytes);
+            let texts = texts.into_iter().chain([host, &*self.body]);
+            texts.fold(0, |hash, text| hash::mix(hash, hash::bytes(text)))
+        })
+    }
+
     /// Whether another upstream may continue the stream of events.
     pub(super) fn is_resumable(&self) -> bool {
         self.route.kind == Kind::Stream { resumable: true }
@@ -170,6 +186,7 @@
         request,
         revision,
         table: admission.table,
+        fingerprint: OnceCell::new(),
     })
 }
 
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -326,6 +326,7 @@
             "id" => self.admitted.request.id.as_deref(), "upstream" => upstream.as_str(),
             "build" => self.build.as_ref().map(name::Build::as_str),
             "events" => self.events.count(),
+            "fingerprint" => crash::hex([&self.admitted.fingerprint()]),
             "parts" => crash::hex(&self.admitted.shared_parts().collect::<Vec<_>>()),
             "reason" => reason, "error" => %error);
     }
@@ -338,6 +339,7 @@
         }
         let lost = Lost {
             parts: self.admitted.shared_parts().collect(),
+            fingerprint: self.admitted.fingerprint(),
         };
         crash::check(self.shared, upstream, lost);
     }
