--- a/crates/snipeusher/src/poison.rs
+++ b/crates/snipeusher/src/poison.rs
@@ -8,31 +8,26 @@
 //! of parts that these crashes have in common: a prompt with only some of them is still sent. See
 //! `docs/platform.md#prompts-that-crash-engines`.
 
+mod cause;
+mod report;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
-
-use crate::hash;
 use crate::name;
 use crate::time::Time;
 
-/// Crashes with a part in common after which prompts like theirs are blocked.
-const CRASHES_MIN: usize = 3;
-/// Crashes closer together than this count as one: a fault that strikes several upstreams at once
-/// is not caused by a prompt.
-const SAME_EVENT: Duration = Duration::from_millis(250);
-/// Time from the first of these crashes to the block, in which news of successful answers can
-/// arrive.
-const SETTLE_TIME: Duration = Duration::from_secs(1);
+pub use self::report::Aged;
+pub use self::report::Blocked;
+pub use self::report::Cause;
+pub use self::report::Crash;
+pub use self::report::Loss;
+pub use self::report::Part;
+pub use self::report::Report;
+
 /// Time between updates of the blocks while nothing new is heard.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
-/// Successful answers of the service that this router must have seen since the first crash. If
-/// there are none, the service as a whole is failing.
-const ANSWERS_MIN: u64 = 2;
 /// Time for which a lost request counts.
 const RETENTION: Duration = Duration::from_mins(1);
 /// Length of the first block of a combination; each further one is twice as long.
@@ -47,110 +42,6 @@
 /// Lost requests, served parts and blocks of one report to a peer.
 const REPORTED_MAX: usize = 24;
 
-/// A prompt part at a service. What crashes one service's upstreams may be harmless at another's.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Part {
-    /// The service.
-    pub service: name::Service,
-    /// Identifier of the part.
-    pub id: u64,
-}
-
-/// The crash of one incarnation of an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Crash(pub u64);
-
-impl Crash {
-    /// The end of an incarnation.
-    pub fn of(upstream: &name::Upstream, incarnation: name::Incarnation) -> Self {
-        let id = hash::bytes(upstream.as_str().as_bytes());
-        Self(hash::mix(id, incarnation.0))
-    }
-}
-
-/// A request that was lost in a crash before its answer had begun.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Loss {
-    /// The crash.
-    pub crash: Crash,
-    /// Service of the upstream.
-    pub service: name::Service,
-    /// Parts of the prompt that other requests may have, in order.
-    pub parts: Vec<u64>,
-}
-
-/// Something that happened some time ago, as sent to peers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Aged<T> {
-    /// What happened.
-    pub event: T,
-    /// Time since then in milliseconds.
-    pub age_ms: u64,
-}
-
-impl<T> Aged<T> {
-    /// When it happened, by this router's clock.
-    fn at(&self, now: Time) -> Time {
-        Time(now.0.saturating_sub(self.age_ms.saturating_mul(1_000)))
-    }
-}
-
-/// Prompt parts that crash a service's upstreams when a prompt has all of them.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Cause {
-    /// The service.
-    pub service: name::Service,
-    /// Identifiers of the parts.
-    pub parts: BTreeSet<u64>,
-}
-
-impl Cause {
-    fn is_in(&self, service: &name::Service, parts: &[u64]) -> bool {
-        self.service == *service && self.parts.iter().all(|part| parts.contains(part))
-    }
-
-    fn parts(&self) -> impl Iterator<Item = Part> {
-        self.parts.iter().map(|id| Part {
-            service: self.service.clone(),
-            id: *id,
-        })
-    }
-}
-
-/// A blocked combination of parts, as sent to peers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Blocked {
-    /// The combination.
-    pub cause: Cause,
-    /// How many times it has been blocked.
-    pub count: u32,
-}
-
-/// What a router tells its peers about crashes.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Report {
-    /// Lost requests that no block explains.
-    pub losses: Vec<Aged<Loss>>,
-    /// Parts of lost requests in successful answers since.
-    pub served: Vec<Aged<Part>>,
-    /// Blocked combinations and since when they are.
-    pub blocked: Vec<Aged<Blocked>>,
-}
-
-impl Report {
-    /// Whether there is nothing to tell.
-    pub const fn is_empty(&self) -> bool {
-        self.losses.is_empty() && self.served.is_empty() && self.blocked.is_empty()
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Seen {
     at: Time,
@@ -377,64 +268,6 @@
         true
     }
 
-    /// What explains losses that no block explains yet.
-    fn find_cause(&self, now: Time) -> Option<Cause> {
-        let losses = self.losses.iter();
-        let unexplained: Vec<(&Loss, Seen)> = losses
-            .filter(|(loss, seen)| !self.is_explained(loss, seen))
-            .map(|(loss, seen)| (loss, *seen))
-            .collect();
-        let ended = unexplained.iter().find_map(|(loss, _)| {
-            let mut causes = self.blocked.keys();
-            causes.find(|cause| cause.is_in(&loss.service, &loss.parts))
-        });
-        // After the end of a block one crash shows that it is still needed.
-        if let Some(cause) = ended {
-            return Some(cause.clone());
-        }
-        let mut suspects: BTreeMap<(usize, Part), Vec<(&Loss, Seen)>> = BTreeMap::new();
-        for (loss, seen) in unexplained {
-            for (index, id) in loss.parts.iter().enumerate() {
-                let part = Part {
-                    service: loss.service.clone(),
-                    id: *id,
-                };
-                if !self.was_served_after(&part, seen.at) {
-                    let losses = suspects.entry((index, part)).or_default();
-                    losses.push((loss, seen));
-                }
-            }
-        }
-        // A part comes with those before it, but not the other way round, so a later part has fewer
-        // requests beside its own and tells more.
-        let mut last_first = suspects.into_values().rev();
-        last_first.find_map(|losses| self.cause_of(now, &losses))
-    }
-
-    /// What all these losses of one service have in common, if they show a cause.
-    fn cause_of(&self, now: Time, losses: &[(&Loss, Seen)]) -> Option<Cause> {
-        let service = &losses.first()?.0.service;
-        let mut times: Vec<Time> = losses.iter().map(|(_, seen)| seen.at).collect();
-        times.sort_unstable();
-        let first = *times.first()?;
-        let answers_before = losses.iter().map(|(_, seen)| seen.answers_before).min()?;
-        let answers = self.answer_count(service).saturating_sub(answers_before);
-        let is_shown = count_events(&times) >= CRASHES_MIN
-            && now.since(first) >= SETTLE_TIME
-            && answers >= ANSWERS_MIN;
-        if !is_shown {
-            return None;
-        }
-        let mut parts: BTreeSet<u64> = losses.first()?.0.parts.iter().copied().collect();
-        for (loss, _) in losses {
-            parts.retain(|part| loss.parts.contains(part));
-        }
-        Some(Cause {
-            service: service.clone(),
-            parts,
-        })
-    }
-
     /// Whether a block that has not ended by then accounts for a loss.
     fn is_explained(&self, loss: &Loss, seen: &Seen) -> bool {
         let mut blocked = self.blocked.iter();
@@ -473,19 +306,6 @@
     parts.all(|part| served.get(&part).is_some_and(|at| *at > since))
 }
 
-/// Number of crashes among ordered times that are not one event.
-fn count_events(times: &[Time]) -> usize {
-    let mut last: Option<Time> = None;
-    let mut count = 0;
-    for time in times {
-        if last.is_none_or(|last| time.since(last) >= SAME_EVENT) {
-            last = Some(*time);
-            count += 1;
-        }
-    }
-    count
-}
-
 /// The newest events, for a report.
 fn newest<T, U>(
     now: Time,
