Log and tell peers which services a router cannot reach

A router that is cut off from all upstreams and a service that is down for all looked the same in the log. service: unreachable states how many peers reach the service, from a list of unreachable services in each digest, which is empty otherwise. No decision uses it yet.

--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -110,8 +110,8 @@
     actix_rt::spawn(peer::fetch_rosters(Rc::clone(shared), store));
     actix_rt::spawn(streams.copy(Rc::clone(shared)));
     actix_rt::spawn(peer::report_outages(Rc::clone(shared), Rc::clone(&peers)));
+    actix_rt::spawn(probe::run(Rc::clone(shared), Rc::clone(&peers)));
     actix_rt::spawn(peer::run(Rc::clone(shared), peers));
-    actix_rt::spawn(probe::run(Rc::clone(shared)));
     actix_rt::spawn(sweep(Rc::clone(shared)));
     info!(shared.log, "node: started"; "front" => %settings.front);
     Ok(())
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -102,6 +102,8 @@
     pub poison: poison::Report,
     /// Rate limits that upstreams stated to this router or others.
     pub rate_limits: Vec<RateLimit>,
+    /// Services of which the router can reach no upstream.
+    pub unreachable: Vec<name::Service>,
 }
 
 /// A report of what a router cannot reach, to peers of its availability zone.
@@ -152,6 +154,7 @@
         members: peers.members(now),
         poison: shared.poison.borrow().report(now),
         rate_limits: fleet.rate_limits(now),
+        unreachable: fleet.unreachable_services(),
     }
 }
 
--- a/crates/edge/src/peer/peers.rs
+++ b/crates/edge/src/peer/peers.rs
@@ -18,6 +18,9 @@
 /// A router counts as running, and gets a share of the retry budget, for this time after its last
 /// digest.
 const COUNTED_FOR: Duration = Duration::from_secs(12);
+/// Time after its last digest for which a peer counts as reaching the services that the digest did
+/// not list as unreachable.
+const REACH_FOR: Duration = Duration::from_secs(2);
 /// Maximum number of members listed in a digest; the next digest lists the next ones.
 const MEMBERS_MAX: usize = 8;
 /// Exchanges within the own availability zone for each one with another zone. Traffic between zones
@@ -29,6 +32,15 @@
     address: SocketAddr,
     zone: name::Zone,
     last_seen: Time,
+    reach: Option<Reach>,
+}
+
+/// What a peer's last digest said of its links to upstreams.
+#[derive(Clone, Debug)]
+struct Reach {
+    received_at: Time,
+    /// Services of which it can reach no upstream.
+    unreachable: Vec<name::Service>,
 }
 
 /// The known peers of a router, and the queue of exchanges with them.
@@ -117,9 +129,30 @@
         ranks.map(|(_, _, address)| address).collect()
     }
 
+    /// Peers that reach upstreams of a service as far as is known, those of the own availability
+    /// zone first; the order among them is given by `random`.
+    pub fn reaching(&self, now: Time, service: &name::Service, random: u64) -> Vec<SocketAddr> {
+        let reaches = |known: &Known| {
+            let reach = known.reach.as_ref();
+            reach.is_some_and(|reach| {
+                let is_recent = now.since(reach.received_at) < REACH_FOR;
+                is_recent && !reach.unreachable.contains(service)
+            })
+        };
+        let (mut local, remote) = self.split_where(random, reaches);
+        local.extend(remote);
+        local
+    }
+
     /// Records the sender of a digest and the members listed in it.
     pub fn record(&mut self, now: Time, digest: &Digest) {
         self.update(&digest.host, &digest.zone, digest.address, now);
+        if let Some(known) = self.known.get_mut(&digest.host) {
+            known.reach = Some(Reach {
+                received_at: now,
+                unreachable: digest.unreachable.clone(),
+            });
+        }
         for member in &digest.members {
             let age = Duration::from_millis(member.heard_ms);
             let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
@@ -178,7 +211,16 @@
 
     /// Addresses of the peers in the own zone and of the others, each rotated by `random`.
     fn split(&self, random: u64) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-        let known = self.known.values();
+        self.split_where(random, |_known| true)
+    }
+
+    /// The same for the peers that meet a condition.
+    fn split_where(
+        &self,
+        random: u64,
+        condition: impl Fn(&Known) -> bool,
+    ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let known = self.known.values().filter(|known| condition(known));
         let (local, remote): (Vec<_>, Vec<_>) = known.partition(|known| self.is_local(&known.zone));
         let rotated = |known: Vec<&Known>| {
             let mut addresses: Vec<SocketAddr> = known.iter().map(|known| known.address).collect();
@@ -199,15 +241,20 @@
         if self.host == *host {
             return;
         }
-        let newer = Known {
-            address,
-            zone: zone.clone(),
-            last_seen,
-        };
         match self.known.get_mut(host) {
-            Some(known) if known.last_seen <= last_seen => *known = newer,
+            Some(known) if known.last_seen <= last_seen => {
+                known.address = address;
+                known.zone = zone.clone();
+                known.last_seen = last_seen;
+            }
             Some(_) => {}
             None => {
+                let newer = Known {
+                    address,
+                    zone: zone.clone(),
+                    last_seen,
+                    reach: None,
+                };
                 self.known.insert(host.clone(), newer);
             }
         }
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -2,17 +2,20 @@
 //!
 //! A check only opens a connection, so that no request has to fail and none is executed twice.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use slog::info;
+use slog::warn;
 use snipeusher::name;
 use tokio::time::sleep;
 
 use crate::connection::Connection;
 use crate::dialect::Platform;
+use crate::peer::Peers;
 use crate::shared::Shared;
 
 /// Interval between lookups of upstreams that are due for a check.
@@ -21,9 +24,11 @@
 const CONCURRENT_MAX: usize = 8;
 
 /// Runs the checks that are due. Never returns.
-pub(crate) async fn run<P: Platform>(shared: Rc<Shared<P>>) {
+pub(crate) async fn run<P: Platform>(shared: Rc<Shared<P>>, peers: Rc<RefCell<Peers>>) {
+    let mut unreachable = Vec::new();
     loop {
         sleep(INTERVAL).await;
+        log_unreachable(&shared, &peers.borrow(), &mut unreachable);
         let now = shared.now();
         let due = shared.fleet.borrow_mut().due_probes(now);
         let checks = due.into_iter().take(CONCURRENT_MAX);
@@ -32,6 +37,27 @@
     }
 }
 
+/// Logs which services have become unreachable for this router, with the number of peers that reach
+/// them, and which it reaches again.
+fn log_unreachable<P: Platform>(shared: &Shared<P>, peers: &Peers, known: &mut Vec<name::Service>) {
+    let unreachable = shared.fleet.borrow().unreachable_services();
+    for service in unreachable
+        .iter()
+        .filter(|service| !known.contains(service))
+    {
+        let reaching = peers.reaching(shared.now(), service, 0).len();
+        warn!(shared.log, "service: unreachable";
+            "service" => service.as_str(), "peers_reaching" => reaching);
+    }
+    for service in known
+        .iter()
+        .filter(|service| !unreachable.contains(service))
+    {
+        info!(shared.log, "service: reached again"; "service" => service.as_str());
+    }
+    *known = unreachable;
+}
+
 async fn check<P: Platform>(shared: &Shared<P>, id: name::Upstream, address: SocketAddr) {
     let limit = shared.settings.connect_timeout;
     let is_reached = Connection::open(address, limit, &shared.http).await.is_ok();
--- a/crates/edge/tests/bulk.rs
+++ b/crates/edge/tests/bulk.rs
@@ -66,6 +66,7 @@
                 members: Vec::new(),
                 poison: poison::Report::default(),
                 rate_limits: Vec::new(),
+                unreachable: Vec::new(),
             },
             upstreams: (revision.number > 0).then(|| Delta {
                 revision,
--- a/crates/edge/tests/control_cost.rs
+++ b/crates/edge/tests/control_cost.rs
@@ -69,6 +69,7 @@
         // Nothing to report unless upstreams crash.
         poison: poison::Report::default(),
         rate_limits: limits.collect(),
+        unreachable: Vec::new(),
     }
 }
 
--- a/crates/edge/tests/serialized.rs
+++ b/crates/edge/tests/serialized.rs
@@ -84,6 +84,7 @@
             per_s: Some(2.5),
             age_ms: 28,
         }],
+        unreachable: vec!["embed".into()],
     }
 }
 
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -275,6 +275,25 @@
         connections / routers.max(1)
     }
 
+    /// Services of which this router can reach no upstream, although some are ready. If peers reach
+    /// them, the fault is in this router's links.
+    pub fn unreachable_services(&self) -> Vec<name::Service> {
+        let services = self.ready.keys();
+        let unreachable = services.filter(|service| self.is_unreachable(service));
+        unreachable.cloned().collect()
+    }
+
+    /// Whether a service has ready upstreams of which this router can reach none.
+    pub fn is_unreachable(&self, service: &name::Service) -> bool {
+        let ready = self.ready.get(service).map_or(&[][..], Vec::as_slice);
+        let mut upstreams = ready.iter().map(|slot| &self.upstreams[*slot]);
+        let is_unreachable = |upstream: &Upstream| {
+            let zone = self.zones.get(&upstream.entry.zone);
+            upstream.health.is_unreachable() || zone.is_some_and(Zone::is_unreachable)
+        };
+        !ready.is_empty() && upstreams.all(is_unreachable)
+    }
+
     /// Upstreams to which a connection should be attempted now, since they or their zones are
     /// unreachable or have fallen silent.
     pub fn due_probes(&mut self, now: Time) -> Vec<(name::Upstream, SocketAddr)> {
