Add a failing test of routers that are cut off from all upstreams

Four routers, of which one or three lose their links to the upstreams: reset and refused, hanging, or only new ones refused.

--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod engine;
+pub mod link;
 pub mod platform;
 pub mod store;
 
--- /dev/null
+++ b/crates/edge/tests/cut_off.rs
@@ -0,0 +1,242 @@
+//! Routers that are cut off from all upstreams, while callers, peers and the store reach them.
+
+mod common;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use common::Node;
+use common::caller::Caller;
+use common::caller::call;
+use common::caller::get;
+use common::caller::post;
+use common::engine::Act;
+use common::engine::Engine;
+use common::engine::Seen;
+use common::engine::end;
+use common::engine::event;
+use common::engine::response;
+use common::engine::stream;
+use common::link::Cut;
+use common::link::Link;
+use common::platform::DEFAULT;
+use common::start;
+use common::store::Store;
+use common::until;
+use rstest::rstest;
+use snipeusher::poison::Report;
+use snipeusher_edge::peer::Digest;
+
+const ENGINES: usize = 3;
+const ROUTERS: usize = 4;
+/// Time from the cut after which its routers have to serve about as often as the others.
+const BOUND: Duration = Duration::from_secs(3);
+/// Time in which requests are counted.
+const COUNTED: Duration = Duration::from_secs(2);
+/// Time between the requests to one router.
+const INTERVAL: Duration = Duration::from_millis(60);
+
+/// Time that an upstream takes, so that a router needs several connections.
+const RUN_MS: u64 = 200;
+
+fn acts(seen: &Seen) -> Vec<Act> {
+    let run = Act::Pause(RUN_MS);
+    if seen.head.contains(" /chat/") {
+        return vec![stream(seen.id()), event(1), run, event(2), end()];
+    }
+    vec![run, response(seen.id(), "200 OK", "done")]
+}
+
+/// Routers with the same upstreams, of which the first reach them through links that can be cut.
+struct Fleet {
+    nodes: Vec<Node>,
+    /// Links of each router that can be cut off.
+    links: Vec<Vec<Link>>,
+}
+
+impl Fleet {
+    async fn start(cut_off: usize) -> Self {
+        let mut engines = Vec::new();
+        for _ in 0..ENGINES {
+            engines.push(Engine::start(acts).await);
+        }
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            links: Vec::new(),
+        };
+        for index in 0..ROUTERS {
+            let mut addresses: Vec<SocketAddr> = engines.iter().map(|it| it.address).collect();
+            if index < cut_off {
+                let mut links = Vec::new();
+                for address in &mut addresses {
+                    let link = Link::start(*address).await;
+                    *address = link.address;
+                    links.push(link);
+                }
+                fleet.links.push(links);
+            }
+            let store = store(&addresses);
+            // With seeds, a router would copy the list of upstreams from its peers.
+            let node = start(&format!("host-{index}"), &store, Vec::new()).await;
+            until("the upstreams are known", || node.shared.is_loaded()).await;
+            fleet.nodes.push(node);
+        }
+        fleet.introduce().await;
+        until("the routers are known", || {
+            let mut fleets = fleet.nodes.iter().map(|node| node.shared.fleet.borrow());
+            fleets.all(|known| known.routers() == ROUTERS)
+        })
+        .await;
+        fleet
+    }
+
+    /// Makes the first router know the others, of which its exchanges tell the rest.
+    async fn introduce(&self) {
+        for node in &self.nodes[1..] {
+            let (configuration, upstreams) = node.shared.revisions();
+            let digest = Digest {
+                host: node.shared.settings.host.clone(),
+                zone: node.shared.settings.fleet.zone.clone(),
+                address: node.control,
+                configuration,
+                upstreams,
+                loads: Vec::new(),
+                readers: Vec::new(),
+                members: Vec::new(),
+                poison: Report::default(),
+                rate_limits: Vec::new(),
+                unreachable: Vec::new(),
+            };
+            let body = rmp_serde::to_vec(&digest).expect("it can be encoded");
+            let head = format!(
+                "POST /fleet/v6/exchange HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
+            let mut caller = Caller::connect(self.nodes[0].control).await;
+            caller.write_bytes(&[head.as_bytes(), &body].concat()).await;
+            assert_eq!(caller.read().await.expect("a response").status, 200);
+        }
+    }
+
+    /// Whether a router that was cut off knows that it reaches no upstream.
+    fn is_cut_off(&self) -> bool {
+        let nodes = &self.nodes[..self.links.len()];
+        let mut fleets = nodes.iter().map(|node| node.shared.fleet.borrow());
+        fleets.any(|fleet| !fleet.unreachable_services().is_empty())
+    }
+
+    async fn cut(&self, cut: Cut) {
+        let links = || self.links.iter().flatten();
+        links().for_each(|link| link.cut(cut));
+        // The listeners end when their tasks next run.
+        sleep(Duration::from_millis(10)).await;
+        if cut == Cut::Hang {
+            links().for_each(Link::hang);
+        }
+    }
+
+    async fn heal(&self) {
+        for link in self.links.iter().flatten() {
+            link.heal().await;
+        }
+    }
+}
+
+/// A store of one router. The stores of all routers have the same revisions, but not the same
+/// addresses of upstreams.
+fn store(addresses: &[SocketAddr]) -> Store {
+    let store = Store::new();
+    store.configure(DEFAULT);
+    for (index, address) in addresses.iter().enumerate() {
+        store.upstream(&format!("e{index}"), "letters", *address, "ready");
+    }
+    store
+}
+
+/// Requests to a router and how many of them were served.
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    sent: usize,
+    served: usize,
+}
+
+/// Sends requests to a router at a steady rate for some time.
+async fn send(front: SocketAddr, name: String, time: Duration) -> Count {
+    let served = Rc::new(Cell::new(0));
+    let mut calls = Vec::new();
+    let sent = (time.as_millis() / INTERVAL.as_millis()) as usize;
+    for number in 0..sent {
+        let id = format!("{name}-{number}");
+        let text = match number % 3 {
+            0 => get("/read/x", &id),
+            1 => post("/write/x", &id, "write"),
+            _ => post("/chat/x", &id, "chat"),
+        };
+        let served = Rc::clone(&served);
+        calls.push(actix_rt::spawn(async move {
+            let answer = call(front, &text).await;
+            let is_served = answer.status == 200 && answer.complete;
+            served.set(served.get() + usize::from(is_served));
+        }));
+        sleep(INTERVAL).await;
+    }
+    for call in calls {
+        call.await.expect("it ends");
+    }
+    let served = served.get();
+    Count { sent, served }
+}
+
+/// Sends requests to all routers; returns what became of them at those that can be cut off, and at
+/// the others.
+async fn send_to_all(fleet: &Fleet, name: &str, time: Duration) -> (Count, Count) {
+    let calls: Vec<_> = (0..)
+        .zip(&fleet.nodes)
+        .map(|(index, node)| actix_rt::spawn(send(node.front, format!("{name}-{index}"), time)))
+        .collect();
+    let (mut cut_off, mut others) = (Count::default(), Count::default());
+    for (index, call) in calls.into_iter().enumerate() {
+        let count = call.await.expect("it ends");
+        let sum = if index < fleet.links.len() {
+            &mut cut_off
+        } else {
+            &mut others
+        };
+        sum.sent += count.sent;
+        sum.served += count.served;
+    }
+    (cut_off, others)
+}
+
+/// Guards against callers of a router without links to upstreams who are refused, although its
+/// peers reach them.
+#[rstest]
+#[case::refused(Cut::Refuse, 1)]
+#[case::hanging(Cut::Hang, 1)]
+#[case::only_new_ones_refused(Cut::RefuseNew, 1)]
+#[case::most_refused(Cut::Refuse, 3)]
+#[case::most_hanging(Cut::Hang, 3)]
+#[actix_rt::test]
+async fn a_router_that_is_cut_off_from_upstreams_serves_its_callers(
+    #[case] cut: Cut,
+    #[case] routers: usize,
+) {
+    let fleet = Fleet::start(routers).await;
+    send_to_all(&fleet, "before", Duration::from_millis(600)).await;
+    fleet.cut(cut).await;
+    send_to_all(&fleet, "detection", BOUND).await;
+    let (cut_off, others) = send_to_all(&fleet, "counted", COUNTED).await;
+    println!("cut off: {cut_off:?}, others: {others:?}");
+    assert!(
+        cut_off.served * others.sent * 3 >= others.served * cut_off.sent * 2,
+        "cut off: {cut_off:?}, others: {others:?}"
+    );
+    fleet.heal().await;
+    sleep(BOUND).await;
+    let (healed, _) = send_to_all(&fleet, "healed", COUNTED).await;
+    assert_eq!(healed.served, healed.sent, "after the cut");
+    assert!(!fleet.is_cut_off(), "after the cut");
+}
