Relay requests to peers while a router reaches no upstream of their service

Callers of routers that had lost their links to all upstreams were refused or waited for four connection attempts of 300 ms: 0 of 53 and 7 of 243 first attempts served, nearly all at the other routers.

Cause (hypothesis 1): a router knew within 30 ms that it reached no upstream, but the only links it could use were its own, although it reached peers that reached the upstreams. Leaving the rotation (hypothesis 2) would not help where most routers of a zone are cut off, nor on open connections.

Now such a router relays a request to a peer that does not list the service as unreachable. The peer handles it like a request of its own caller. A request that may run once is relayed to another peer only if the first says that it did not run.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -86,6 +86,9 @@
     /// Whether a header of a caller is dropped, since only the router may set it or read it.
     fn is_reserved(&self, name: &HeaderName) -> bool;
 
+    /// Sets how long the sender of a request waits for the response.
+    fn set_deadline(&self, remaining: Duration, headers: &mut HeaderMap);
+
     /// Adds the headers for an upstream.
     fn set_context(&self, context: &Context<'_>, headers: &mut HeaderMap);
 
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -2,9 +2,11 @@
 
 mod admit;
 mod attempt;
+mod relay;
 mod resume;
 mod stream;
 
+use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -25,13 +27,16 @@
 use tokio::time::timeout_at;
 
 use self::admit::Admitted;
+use self::relay::Relayed;
 use crate::dialect::Platform;
 use crate::lifecycle::Lifecycle;
+use crate::peer::Peers;
 use crate::peer::Streams;
 use crate::refusal::Refusal;
 use crate::responder::Responder;
 use crate::server::Handler;
 use crate::server::Request;
+use crate::server::Sender;
 use crate::shared::Shared;
 
 /// Failed connection attempts after which a request is rejected.
@@ -50,21 +55,21 @@
     pub shared: Rc<Shared<P>>,
     /// Origins of streams at peers.
     pub streams: Rc<Streams>,
+    /// The peers, to which requests are relayed.
+    pub peers: Rc<RefCell<Peers>>,
 }
 
-impl<P: Platform> Handler for Proxy<P> {
-    fn limits(&self) -> Limits {
-        self.shared.limits()
-    }
-
-    fn lifecycle(&self) -> &Lifecycle {
-        &self.shared.lifecycle
-    }
-
-    async fn handle(&self, request: Request, responder: &mut Responder<'_>) -> io::Result<()> {
+impl<P: Platform> Proxy<P> {
+    /// Handles a request of a caller, sent by itself or by a peer.
+    pub(crate) async fn serve(
+        &self,
+        request: Request,
+        sender: Sender,
+        responder: &mut Responder<'_>,
+    ) -> io::Result<()> {
         match admit::admit(&*self.shared, request) {
             Ok(admitted) => {
-                let mut exchange = Exchange::new(&self.shared, &self.streams, admitted);
+                let mut exchange = Exchange::new(self, sender, admitted);
                 exchange.run(responder).await
             }
             Err(rejection) => {
@@ -72,12 +77,26 @@
                 info!(self.shared.log, "request: rejected";
                     "id" => rejection.id, "reason" => rejection.refusal.reason(),
                     "configuration" => rejection.revision.number);
-                rejection.refusal.write(responder).await
+                rejection.refusal.write(responder, sender).await
             }
         }
     }
 }
 
+impl<P: Platform> Handler for Proxy<P> {
+    fn limits(&self) -> Limits {
+        self.shared.limits()
+    }
+
+    fn lifecycle(&self) -> &Lifecycle {
+        &self.shared.lifecycle
+    }
+
+    async fn handle(&self, request: Request, responder: &mut Responder<'_>) -> io::Result<()> {
+        self.serve(request, Sender::Caller, responder).await
+    }
+}
+
 /// A server error of an upstream, passed on if no further attempt succeeds.
 struct Fallback {
     status: StatusCode,
@@ -112,6 +131,8 @@
 struct Exchange<'a, P: Platform> {
     shared: &'a Rc<Shared<P>>,
     streams: &'a Streams,
+    peers: &'a RefCell<Peers>,
+    sender: Sender,
     admitted: Admitted,
     events: crate::events::Parser,
     /// Upstreams of all attempts, in order.
@@ -120,6 +141,10 @@
     build: Option<name::Build>,
     /// What began the stream that the caller receives; the stream may go on only there.
     origin: Option<Origin>,
+    /// Peers that the request was relayed to, in order.
+    relays: Vec<SocketAddr>,
+    /// When the caller may retry, as stated by the last peer that refused it.
+    relay_refused_for: Option<Duration>,
     /// Attempts whose connection was open, so that bytes of the request may have been sent.
     sends: u32,
     /// Attempts that may have been executed.
@@ -136,16 +161,20 @@
 }
 
 impl<'a, P: Platform> Exchange<'a, P> {
-    fn new(shared: &'a Rc<Shared<P>>, streams: &'a Streams, admitted: Admitted) -> Self {
+    fn new(proxy: &'a Proxy<P>, sender: Sender, admitted: Admitted) -> Self {
         let last_event = admitted.request.last_event.clone();
         Self {
-            shared,
-            streams,
+            shared: &proxy.shared,
+            streams: &proxy.streams,
+            peers: &proxy.peers,
+            sender,
             admitted,
             events: crate::events::Parser::after(last_event),
             tried: Vec::new(),
             build: None,
             origin: None,
+            relays: Vec::new(),
+            relay_refused_for: None,
             sends: 0,
             runs: 0,
             sent_at: Time::default(),
@@ -158,11 +187,12 @@
     }
 
     async fn run(&mut self, responder: &mut Responder<'_>) -> io::Result<()> {
-        let now = self.shared.now();
-        self.shared
-            .fleet
-            .borrow_mut()
-            .record_request(now, &self.admitted.target.service);
+        // A relayed request counts for the retry budget of the router whose caller sent it.
+        if self.sender == Sender::Caller {
+            let now = self.shared.now();
+            let mut fleet = self.shared.fleet.borrow_mut();
+            fleet.record_request(now, &self.admitted.target.service);
+        }
         let deadline = tokio::time::Instant::from_std(self.admitted.deadline);
         let ended = timeout_at(deadline, self.attempts(responder)).await;
         let (result, outcome) = match ended {
@@ -179,6 +209,16 @@
             return (self.refuse(refusal, responder).await, refusal.reason());
         }
         loop {
+            if let Some(peer) = self.relay_target(responder) {
+                match self.relay(peer, responder).await {
+                    Relayed::Answered(result) => return answered(result),
+                    Relayed::NotRun => continue,
+                    Relayed::Lost => {
+                        let refusal = Refusal::Lost;
+                        return (self.refuse(refusal, responder).await, refusal.reason());
+                    }
+                }
+            }
             let placement = match self.place() {
                 Ok(placement) => placement,
                 Err(refusal) => return (self.refuse(refusal, responder).await, refusal.reason()),
@@ -186,10 +226,7 @@
             self.tried.push(placement.upstream.clone());
             self.build = Some(placement.build.clone());
             match self.attempt(placement, responder).await {
-                Step::Answered(result) => {
-                    let outcome = if result.is_ok() { "answered" } else { "broken" };
-                    return (result, outcome);
-                }
+                Step::Answered(result) => return answered(result),
                 Step::Declined => self.declined += 1,
                 Step::Unreachable => self.unreachable += 1,
                 Step::Lost => {
@@ -215,6 +252,9 @@
         if self.unreachable >= UNREACHABLE_MAX {
             return Err(self.not_run("unreachable", self.retry_after()));
         }
+        if let Some(retry_after) = self.relay_refused_for {
+            return Err(self.not_run("relay_refused", retry_after));
+        }
         if let Some(retry_after) = self.blocked_for() {
             return Err(self.not_run("crash_inducing", retry_after));
         }
@@ -323,7 +363,7 @@
                 .await;
         }
         self.status = Some(refusal.status());
-        refusal.write(responder).await
+        refusal.write(responder, self.sender).await
     }
 
     async fn time_out(&mut self, responder: &mut Responder<'_>) -> io::Result<()> {
@@ -352,6 +392,8 @@
             "after" => admitted.request.last_event.as_deref(),
             "outcome" => outcome,
             "status" => self.status.map(|status| status.as_u16()),
+            "relays" => self.relays.len(),
+            "from_peer" => self.sender == Sender::Peer,
             "sends" => self.sends,
             "runs" => self.runs,
             "declined" => self.declined,
@@ -363,6 +405,12 @@
     }
 }
 
+/// What became of a request that was answered.
+fn answered(result: io::Result<()>) -> (io::Result<()>, &'static str) {
+    let outcome = if result.is_ok() { "answered" } else { "broken" };
+    (result, outcome)
+}
+
 /// An error that closes the caller's connection, since a started response cannot be completed.
 fn broken() -> io::Result<()> {
     Err(io::ErrorKind::ConnectionAborted.into())
--- a/crates/edge/src/exchange/admit.rs
+++ b/crates/edge/src/exchange/admit.rs
@@ -33,6 +33,8 @@
 /// A request that was admitted.
 pub(super) struct Admitted {
     pub(super) request: Request,
+    /// Request line and headers as received.
+    pub(super) head: actix_http::Request,
     pub(super) method: Method,
     pub(super) uri: Uri,
     /// Headers to forward, without reserved and hop-by-hop ones.
@@ -175,10 +177,13 @@
     let service = route.backend(point).clone();
     let target = Target::new(&admission.table, service, &request);
     let tenant = admission.tenant;
+    let (method, uri) = (head.method.clone(), head.uri.clone());
+    let headers = headers::to_upstream(&shared.platform, &head.headers);
     Ok(Admitted {
-        method: head.method.clone(),
-        uri: head.uri.clone(),
-        headers: headers::to_upstream(&shared.platform, &head.headers),
+        method,
+        uri,
+        headers,
+        head: inbound.head,
         body: inbound.body,
         received: inbound.received,
         deadline: inbound.received + time_limit,
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -30,7 +30,7 @@
 use crate::responder::Responder;
 
 /// Largest body of a response that is not a stream.
-const BODY_BYTES_MAX: usize = 8 << 20;
+pub(super) const BODY_BYTES_MAX: usize = 8 << 20;
 /// Responses to earlier requests that are skipped before the connection is given up.
 const STALE_MAX: u32 = 2;
 /// Factor of the route's latency objective after which a request that may be retried is sent to
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -1,9 +1,11 @@
 //! Streamed responses: complete events are passed on as they arrive. If the upstream fails, a
 //! resumable stream continues at another one.
 
+use std::io;
 use std::time::Duration;
 use std::time::Instant;
 
+use actix_http::header::HeaderValue;
 use slog::info;
 use snipeusher::fleet::Outcome;
 use snipeusher::name;
@@ -20,6 +22,7 @@
 use crate::headers;
 use crate::in_flight::Guard;
 use crate::responder::Responder;
+use crate::server::Sender;
 
 /// Multiple of the route's maximum event gap after which a resumable stream continues at another
 /// upstream.
@@ -78,7 +81,10 @@
                     }
                     self.release(upstream, connection);
                     guard.finish(Outcome::Served);
-                    return Step::Answered(finish(&reply, responder).await);
+                    if let Err(error) = self.start(&reply, responder) {
+                        return Step::Answered(Err(error));
+                    }
+                    return Step::Answered(responder.finish().await);
                 }
                 Next::End => {
                     self.suspect_crash_of(upstream, began, &connection::Error::Ended);
@@ -108,7 +114,7 @@
             self.status.get_or_insert(reply.head.status);
             self.first_byte.get_or_insert_with(Instant::now);
             self.record_origin();
-            if let Err(error) = start(&reply, responder) {
+            if let Err(error) = self.start(&reply, responder) {
                 return Step::Answered(Err(error));
             }
             if let Err(error) = responder.send_chunk(events).await {
@@ -117,6 +123,19 @@
         }
     }
 
+    fn start(&self, reply: &Reply, responder: &mut Responder<'_>) -> io::Result<()> {
+        if responder.has_started() {
+            return Ok(());
+        }
+        // After a resumption the head of the first upstream stays valid.
+        let mut headers = headers::to_caller(&reply.head.headers);
+        let build = self.build.as_ref().filter(|_| self.sender == Sender::Peer);
+        if let Some(build) = build.and_then(|build| HeaderValue::from_str(build.as_str()).ok()) {
+            headers.insert(headers::RELAY_BUILD, build);
+        }
+        responder.start(reply.head.status, headers)
+    }
+
     /// Whether a stream that has ended is complete as far as can be told. One without a length that
     /// ends before its first event was broken off.
     fn is_whole(&self, connection: &Connection) -> bool {
@@ -163,16 +182,3 @@
         Step::Lost
     }
 }
-
-fn start(reply: &Reply, responder: &mut Responder<'_>) -> std::io::Result<()> {
-    if responder.has_started() {
-        return Ok(());
-    }
-    // After a resumption the head of the first upstream stays valid.
-    responder.start(reply.head.status, headers::to_caller(&reply.head.headers))
-}
-
-async fn finish(reply: &Reply, responder: &mut Responder<'_>) -> std::io::Result<()> {
-    start(reply, responder)?;
-    responder.finish().await
-}
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -8,6 +8,10 @@
 
 /// States how long a connection stays open while idle.
 pub(crate) const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// States, in a response to a relayed request, why the peer refused it.
+pub(crate) const RELAY_REFUSAL: HeaderName = HeaderName::from_static("relay-refusal");
+/// States, in a response to a relayed request, the software version of the upstream.
+pub(crate) const RELAY_BUILD: HeaderName = HeaderName::from_static("relay-build");
 /// Headers that apply to a single connection, or that the codec writes itself.
 const HOP_BY_HOP: [HeaderName; 9] = [
     header::CONNECTION,
@@ -37,6 +41,14 @@
 
 /// Headers of an upstream to forward to a caller.
 pub(crate) fn to_caller(headers: &HeaderMap) -> HeaderMap {
+    let mut forwarded = end_to_end(headers);
+    forwarded.remove(RELAY_REFUSAL);
+    forwarded.remove(RELAY_BUILD);
+    forwarded
+}
+
+/// Headers that apply to more than a single connection.
+pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
     let options = connection_options(headers);
     let mut forwarded = HeaderMap::with_capacity(headers.len() + 2);
     for (name, value) in headers {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -89,17 +89,19 @@
         shared: Rc::clone(shared),
         lifecycle: Lifecycle::default(),
     };
-    listen(shared, settings.ready, readiness).await?;
-    let control = Control::new(Rc::clone(shared), Rc::clone(&peers));
-    listen(shared, settings.control, control).await?;
+    listen(shared, settings.ready, Rc::new(readiness)).await?;
     let streams = Rc::new(Streams::new(Rc::clone(&peers)));
-    let proxy = Proxy {
+    let proxy = Rc::new(Proxy {
         shared: Rc::clone(shared),
         streams: Rc::clone(&streams),
-    };
+        peers: Rc::clone(&peers),
+    });
+    let control = Control::new(Rc::clone(&proxy));
+    listen(shared, settings.control, Rc::new(control)).await?;
     listen(shared, settings.front, proxy).await?;
     if let Some(address) = settings.metrics {
-        listen(shared, address, Exposition::new(Rc::clone(shared))).await?;
+        let exposition = Exposition::new(Rc::clone(shared));
+        listen(shared, address, Rc::new(exposition)).await?;
     }
     let store = Rc::new(store);
     actix_rt::spawn(watch::run(Rc::clone(shared), Rc::clone(&store)));
@@ -138,14 +140,14 @@
     info!(shared.log, "node: stopped");
 }
 
-async fn listen<P, H>(shared: &Shared<P>, address: SocketAddr, handler: H) -> Result<(), Error>
+async fn listen<P, H>(shared: &Shared<P>, address: SocketAddr, handler: Rc<H>) -> Result<(), Error>
 where
     P: Platform,
     H: Handler,
 {
     let listener = server::bind(address).await.context(Snafu { address })?;
     let config = shared.http.clone();
-    actix_rt::spawn(server::accept(listener, Rc::new(handler), config));
+    actix_rt::spawn(server::accept(listener, handler, config));
     Ok(())
 }
 
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -13,6 +13,7 @@
 mod link;
 mod outage;
 mod peers;
+mod relay;
 mod server;
 mod streams;
 
@@ -39,6 +40,7 @@
 pub use self::fetch::fetch_rosters;
 pub use self::outage::report_outages;
 pub use self::peers::Peers;
+pub(crate) use self::relay::relay_uri;
 pub use self::server::Control;
 pub(crate) use self::streams::Answer;
 pub use self::streams::Question;
--- a/crates/edge/src/peer/server.rs
+++ b/crates/edge/src/peer/server.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use actix_http::StatusCode;
+use actix_http::Uri;
 use actix_http::header::HeaderMap;
 use bytes::Bytes;
 use serde::Serialize;
@@ -32,12 +33,15 @@
 use super::digest;
 use super::merge;
 use super::outage;
+use super::relay;
 use super::streams;
 use crate::dialect::Platform;
+use crate::exchange::Proxy;
 use crate::lifecycle::Lifecycle;
 use crate::responder::Responder;
 use crate::server::Handler;
 use crate::server::Request;
+use crate::server::Sender;
 use crate::shared::Shared;
 
 /// Upstreams up to which a complete list is part of the response to a digest.
@@ -47,11 +51,17 @@
 /// serves others.
 const TRANSFERS_MAX: usize = 3;
 
-/// Serves digests, the configuration and the list of upstreams to peers.
+/// What relaying adds at most to the head of a request.
+const RELAY_HEAD_BYTES: usize = 1 << 10;
+
+/// Serves digests, the configuration and the list of upstreams to peers, and requests that they
+/// relay.
 #[derive(Debug)]
 pub struct Control<P> {
     shared: Rc<Shared<P>>,
     peers: Rc<RefCell<Peers>>,
+    /// Serves the requests that peers relay.
+    proxy: Rc<Proxy<P>>,
     /// Transfers in progress.
     transfers: Cell<usize>,
     /// Apart from that of the process, so that exchanges do not count as in-flight requests.
@@ -60,10 +70,11 @@
 
 impl<P: Platform> Control<P> {
     /// Creates the handler for the control address of a router.
-    pub fn new(shared: Rc<Shared<P>>, peers: Rc<RefCell<Peers>>) -> Self {
+    pub fn new(proxy: Rc<Proxy<P>>) -> Self {
         Self {
-            shared,
-            peers,
+            shared: Rc::clone(&proxy.shared),
+            peers: Rc::clone(&proxy.peers),
+            proxy,
             transfers: Cell::new(0),
             lifecycle: Lifecycle::default(),
         }
@@ -133,6 +144,18 @@
         })
     }
 
+    /// Serves a request that a peer relays, which counts as in-flight like one of a caller.
+    async fn relay(
+        &self,
+        mut request: Request,
+        uri: Uri,
+        responder: &mut Responder<'_>,
+    ) -> io::Result<()> {
+        let _guard = self.shared.lifecycle.track();
+        request.head.head_mut().uri = uri;
+        self.proxy.serve(request, Sender::Peer, responder).await
+    }
+
     fn decode<T: DeserializeOwned>(&self, body: &[u8]) -> Result<T, StatusCode> {
         rmp_serde::from_slice(body).map_err(|error| {
             warn!(self.shared.log, "peer: request cannot be decoded"; "error" => %error);
@@ -150,8 +173,10 @@
 
 impl<P: Platform> Handler for Control<P> {
     fn limits(&self) -> Limits {
+        let callers = self.shared.limits();
         Limits {
-            body_bytes: BYTES_MAX,
+            body_bytes: BYTES_MAX.max(callers.body_bytes),
+            head_bytes: RELAY_HEAD_BYTES + callers.head_bytes,
             ..Limits::default()
         }
     }
@@ -161,6 +186,9 @@
     }
 
     async fn handle(&self, request: Request, responder: &mut Responder<'_>) -> io::Result<()> {
+        if let Some(uri) = relay::original_uri(request.head.uri()) {
+            return self.relay(request, uri, responder).await;
+        }
         let path = request.head.path();
         let is_transfer = matches!(path, CONFIGURATION_PATH | UPSTREAMS_PATH);
         let is_busy = is_transfer && self.transfers.get() >= TRANSFERS_MAX;
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -9,7 +9,9 @@
 use actix_http::header::HeaderValue;
 use bytes::Bytes;
 
+use crate::headers;
 use crate::responder::Responder;
+use crate::server::Sender;
 
 /// Why the router does not pass on a response of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,8 +73,16 @@
         }
     }
 
-    pub(crate) async fn write(self, responder: &mut Responder<'_>) -> io::Result<()> {
+    pub(crate) async fn write(
+        self,
+        responder: &mut Responder<'_>,
+        sender: Sender,
+    ) -> io::Result<()> {
         let mut headers = HeaderMap::new();
+        if sender == Sender::Peer {
+            let reason = HeaderValue::from_static(self.reason());
+            headers.insert(headers::RELAY_REFUSAL, reason);
+        }
         if let Some(after) = self.retry_after() {
             let value = HeaderValue::try_from(format!("{:.3}", after.as_secs_f64()));
             headers.insert(header::RETRY_AFTER, value.map_err(io::Error::other)?);
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -46,6 +46,15 @@
     pub received: Instant,
 }
 
+/// Who sent a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Sender {
+    /// A caller.
+    Caller,
+    /// A peer that relays the request of its caller.
+    Peer,
+}
+
 /// Responds to requests.
 pub trait Handler: 'static {
     /// Current limits on requests.
--- a/crates/edge/tests/common/platform.rs
+++ b/crates/edge/tests/common/platform.rs
@@ -58,11 +58,15 @@
         ["t-key", "t-deadline", "t-workspace", "t-upstream"].contains(&name.as_str())
     }
 
+    fn set_deadline(&self, remaining: Duration, headers: &mut HeaderMap) {
+        let ms = HeaderValue::from(remaining.as_millis() as u64);
+        headers.insert(HeaderName::from_static("t-deadline"), ms);
+    }
+
     fn set_context(&self, context: &Context<'_>, headers: &mut HeaderMap) {
-        let deadline = context.deadline.as_millis().to_string();
+        self.set_deadline(context.deadline, headers);
         let workspace = context.workspace.map(name::Workspace::as_str);
         let texts = [
-            ("t-deadline", Some(deadline.as_str())),
             ("t-upstream", Some(context.upstream.as_str())),
             ("t-workspace", workspace),
             ("t-last", context.last_event),
