--- a/crates/edge/tests/cut_off.rs
+++ b/crates/edge/tests/cut_off.rs
@@ -293,7 +293,7 @@
                 T-Key: secret-key\r\nT-Deadline: 700\r\nX-Own: y\r\nContent-Length: 4\r\n\r\nbody";
     let answer = call(fleet.nodes[0].front, text).await;
     let all = fleet.seen("/closed/");
-    let [seen] = &all[..] else {
+    let [seen] = &*all else {
         panic!("one run: {all:?}");
     };
     assert!(
