Do not take upstreams as crashed while the way to them is cut

A router that was cut off from all upstreams logged four of them as crashed within 30 ms, since they refused connections, and told its peers of the requests that it had lost.

An upstream that refuses a connection now counts as crashed only if one of up to two neighbours accepts one. Neighbours are the other upstreams of its zone; those that were known to be down before, or to have crashed, tell nothing, so a request that takes all upstreams down one after the other is still found.

--- a/crates/edge/src/crash.rs
+++ b/crates/edge/src/crash.rs
@@ -1,7 +1,8 @@
 //! Recognises upstreams that crash while requests wait for their answers.
 //!
 //! A lost connection alone does not show a crash: upstreams also break off single responses. An
-//! upstream that refuses the next connection has ended. The requests that it had not begun to
+//! upstream that refuses the next connection has ended, unless its neighbours cannot be reached
+//! either: then this router's links are cut. The requests that it had not begun to
 //! answer by then may be the cause; one that had brought events for a while is not. See
 //! `docs/platform.md#requests-that-crash-upstreams`.
 
@@ -9,9 +10,11 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use slog::info;
 use slog::warn;
 use snipeusher::fleet::Entry;
 use snipeusher::name;
@@ -29,6 +32,9 @@
 /// Lost requests that are kept for each upstream; more would not narrow down the cause.
 const LOST_MAX: usize = 256;
 
+/// Other upstreams of which one has to accept a connection, else the way to all may be cut.
+const NEIGHBOURS_MAX: usize = 2;
+
 /// A request that was lost before its answer had begun, or shortly after.
 #[derive(Clone, Debug)]
 pub(crate) struct Lost {
@@ -97,15 +103,20 @@
     if !opened.is_err_and(|error| is_refused(&error)) {
         return;
     }
+    let Some(crashed_at) = lost.iter().map(|lost| lost.ended_at).min() else {
+        return;
+    };
+    if is_way_cut(shared, upstream, crashed_at).await {
+        info!(shared.log, "upstream: refuses like its neighbours";
+            "upstream" => upstream.as_str(), "requests" => lost.len());
+        return;
+    }
     let fingerprints: BTreeSet<u64> = lost.iter().map(|lost| lost.fingerprint).collect();
     let parts: BTreeSet<u64> = lost.iter().flat_map(|lost| &lost.parts).copied().collect();
     shared.metrics.crash();
     warn!(shared.log, "upstream: crashed";
         "upstream" => upstream.as_str(), "requests" => lost.len(),
         "fingerprints" => hex(&fingerprints), "parts" => hex(&parts));
-    let Some(crashed_at) = lost.iter().map(|lost| lost.ended_at).min() else {
-        return;
-    };
     let crash = poison::Crash::of(upstream, entry.incarnation);
     let losses = lost.into_iter();
     let losses = losses.map(|lost| lost.into_loss(crash, &entry.service));
@@ -113,6 +124,29 @@
     log_blocked(shared, &blocked, "crashes");
 }
 
+/// Whether the neighbours of an upstream that was lost at a time do not accept connections either.
+/// Those that are known to have been down before tell nothing.
+async fn is_way_cut<P: Platform>(shared: &Shared<P>, upstream: &name::Upstream, at: Time) -> bool {
+    let neighbours: Vec<SocketAddr> = {
+        let fleet = shared.fleet.borrow();
+        let poison = shared.poison.borrow();
+        let neighbours = fleet.neighbours(upstream, at, shared.random()).into_iter();
+        let up = neighbours
+            .filter(|other| !poison.is_known(poison::Crash::of(&other.id, other.incarnation)));
+        up.map(|other| other.address).take(NEIGHBOURS_MAX).collect()
+    };
+    for address in &neighbours {
+        let limit = shared.settings.connect_timeout;
+        if Connection::open(*address, limit, &shared.http)
+            .await
+            .is_ok()
+        {
+            return false;
+        }
+    }
+    !neighbours.is_empty()
+}
+
 /// Logs which requests and combinations of prompt parts are newly blocked, and how this router
 /// learnt of them.
 pub(crate) fn log_blocked<P: Platform>(
--- a/crates/edge/tests/repeated_crash.rs
+++ b/crates/edge/tests/repeated_crash.rs
@@ -17,6 +17,7 @@
 use common::engine::Engine;
 use common::engine::Seen;
 use common::engine::response;
+use common::single;
 use common::store::Store;
 use common::until;
 use common::zone;
@@ -113,6 +114,38 @@
     call(node.front, &post(path, &format!("{body}-{id}"), body)).await
 }
 
+/// Guards against a router that takes each upstream as crashed when its own links are cut, and has
+/// harmless requests blocked everywhere.
+#[rstest]
+#[case::one_of_two(false)]
+#[case::both(true)]
+#[actix_rt::test]
+async fn upstreams_that_are_lost_together_have_not_crashed(#[case] both: bool) {
+    let acts = |seen: &Seen| vec![Act::Pause(200), response(seen.id(), "200 OK", "done")];
+    let crashing = |_seen: &Seen| vec![Act::Pause(60), Act::Crash];
+    let first = Engine::start(crashing).await;
+    let second = if both {
+        Engine::start(crashing).await
+    } else {
+        Engine::start(acts).await
+    };
+    let (node, _store) = single(&[&first, &second]).await;
+    let calls: Vec<_> = (0..4)
+        .map(|id| {
+            let front = node.front;
+            actix_rt::spawn(
+                async move { call(front, &post("/write/x", &id.to_string(), "x")).await },
+            )
+        })
+        .collect();
+    for answer in calls {
+        answer.await.expect("an answer");
+    }
+    sleep(Duration::from_millis(500)).await;
+    let report = node.shared.poison.borrow().report(node.shared.now());
+    assert_eq!(report.losses.is_empty(), both, "{report:?}");
+}
+
 /// Guards against a repeated request that ends the upstreams of a plain service one after the
 /// other, and against a block of other requests of the same route.
 #[rstest]
--- a/crates/snipeusher/src/fleet/health.rs
+++ b/crates/snipeusher/src/fleet/health.rs
@@ -54,6 +54,7 @@
     /// Time of the next connection attempt; set while the upstream is unreachable.
     probe_at: Option<Time>,
     failed_probes: u32,
+    unreachable_since: Option<Time>,
 }
 
 impl Health {
@@ -79,6 +80,7 @@
     pub const fn record_connected(&mut self) {
         self.probe_at = None;
         self.failed_probes = 0;
+        self.unreachable_since = None;
     }
 
     /// Marks it unreachable and schedules the next connection attempt.
@@ -86,6 +88,7 @@
         let time = PROBE_INTERVAL * (1 << self.failed_probes.min(4));
         self.probe_at = Some(now + time.min(PROBE_INTERVAL_MAX));
         self.failed_probes += 1;
+        self.unreachable_since.get_or_insert(now);
     }
 
     /// Marks it unreachable until a connection attempt, which is due at once, succeeds.
@@ -93,6 +96,11 @@
         self.probe_at = Some(now);
     }
 
+    /// Whether connection attempts have failed since before a time.
+    pub fn was_unreachable_at(&self, time: Time) -> bool {
+        self.unreachable_since.is_some_and(|since| since < time)
+    }
+
     /// Whether the last connection attempt failed.
     pub const fn is_unreachable(&self) -> bool {
         self.probe_at.is_some()
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -294,6 +294,23 @@
         !ready.is_empty() && upstreams.all(is_unreachable)
     }
 
+    /// Upstreams that share the way to one that was lost at a time: the others of its zone, or those
+    /// of other zones if it is alone there. If they can't be reached either, the way is cut, unless
+    /// they had been unreachable before. The order is given by `random`.
+    pub fn neighbours(&self, id: &name::Upstream, at: Time, random: u64) -> Vec<&Entry> {
+        let Some(upstream) = self.upstream(id) else {
+            return Vec::new();
+        };
+        let zone = &upstream.entry.zone;
+        let others = self.upstreams.iter().filter(|other| other.entry.id != *id);
+        let (local, remote): (Vec<&Upstream>, Vec<&Upstream>) =
+            others.partition(|other| other.entry.zone == *zone);
+        let mut neighbours = if local.is_empty() { remote } else { local };
+        neighbours.retain(|other| !other.health.was_unreachable_at(at));
+        neighbours.sort_by_key(|other| hash::score(random, other.id_hash));
+        neighbours.iter().map(|other| &other.entry).collect()
+    }
+
     /// Upstreams to which a connection should be attempted now, since they or their zones are
     /// unreachable or have fallen silent.
     pub fn due_probes(&mut self, now: Time) -> Vec<(name::Upstream, SocketAddr)> {
--- a/crates/snipeusher/src/poison.rs
+++ b/crates/snipeusher/src/poison.rs
@@ -155,6 +155,11 @@
         (now < until).then(|| until.since(now))
     }
 
+    /// Whether requests are known to have been lost in a crash.
+    pub fn is_known(&self, crash: Crash) -> bool {
+        self.losses.keys().any(|loss| loss.crash == crash)
+    }
+
     /// The blocked requests and combinations of parts.
     pub fn blocked(&self, now: Time) -> impl Iterator<Item = &Cause> {
         let blocked = self.blocked.iter();
