Do not report an outage of everything to peers

A router that reaches no upstream of any service now reports none; departures that upstreams announced are still passed on.

Evidence: a_router_that_reaches_no_upstream_reports_none failed with a report of five zones and 75 upstreams.

--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -345,9 +345,14 @@
     }
 
     /// What has become unreachable since the last call, for the peers of this router's zone;
-    /// `None` if there is no news.
+    /// `None` if there is no news. A router that reaches nothing does not report it, since its own
+    /// links may be the cause.
     pub fn take_outage(&mut self) -> Option<Outage> {
-        let outage = std::mem::take(&mut self.outage);
+        let mut outage = std::mem::take(&mut self.outage);
+        if self.unreachable_services().len() == self.ready.len() {
+            outage.zones.clear();
+            outage.upstreams.clear();
+        }
         (!outage.is_empty()).then_some(outage)
     }
 
--- a/crates/snipeusher/tests/outage.rs
+++ b/crates/snipeusher/tests/outage.rs
@@ -245,3 +245,27 @@
     assert!(!view.merge_outage(Time::from_millis(5), &outage));
     assert_eq!(view.take_outage(), None);
 }
+
+/// Guards against a router without links to upstreams that has its peers doubt all of them.
+#[test]
+fn a_router_that_reaches_no_upstream_reports_none() {
+    let mut view = fleet_view();
+    let now = Time::from_millis(100);
+    let ids: Vec<name::Upstream> = view
+        .upstreams()
+        .iter()
+        .map(|it| it.entry.id.clone())
+        .collect();
+    for (count, id) in (1..).zip(&ids) {
+        view.record_outcome(now, id, Outcome::Unreachable);
+        assert_eq!(view.is_unreachable(&service()), count > 4 * UPSTREAMS + 1);
+    }
+    assert_eq!(view.take_outage(), None);
+    for zone in ["a-0", "b-0"] {
+        view.record_probe(now, &name::Upstream::from(zone), true);
+    }
+    assert!(!view.is_unreachable(&service()));
+    view.record_outcome(now, &ids[1], Outcome::Unreachable);
+    view.record_outcome(now, &ids[1], Outcome::Unreachable);
+    assert!(view.take_outage().is_some(), "of the zone");
+}
