--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -74,6 +74,8 @@
     pub pause: Option<Duration>,
     /// Requests a second that the upstream takes from all routers together.
     pub rate_limit: Option<f64>,
+    /// Requests a second that the upstream can decline for want of room; it crashes beyond that.
+    pub decline_limit: Option<f64>,
     /// Headers that are ignored since they are repeated or cannot be parsed.
     pub malformed: u32,
 }
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -113,6 +113,12 @@
             info!(shared.log, "upstream: rate limit";
                 "upstream" => upstream.as_str(), "per_s" => facts.rate_limit);
         }
+        if let Some(per_s) = facts.decline_limit
+            && fleet.record_decline_limit(now, upstream, per_s)
+        {
+            info!(shared.log, "upstream: decline limit";
+                "upstream" => upstream.as_str(), "per_s" => per_s);
+        }
         shared.metrics.malformed_headers(facts.malformed);
     }
 
--- a/crates/edge/tests/common/platform.rs
+++ b/crates/edge/tests/common/platform.rs
@@ -95,6 +95,7 @@
                 .and_then(|text| text.parse().ok())
                 .map(Duration::from_millis),
             rate_limit: text(headers, "t-limit").and_then(|text| text.parse().ok()),
+            decline_limit: text(headers, "t-decline-limit").and_then(|text| text.parse().ok()),
             malformed: 0,
         }
     }
--- a/crates/snipeusher/src/fleet.rs
+++ b/crates/snipeusher/src/fleet.rs
@@ -7,6 +7,7 @@
 mod budget;
 mod builds;
 mod choice;
+mod decline;
 mod departure;
 mod health;
 mod load;
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -21,6 +21,7 @@
 use super::Upstream;
 use super::builds::Builds;
 use super::choice;
+use super::decline::DeclineLimits;
 use super::rate::Routers;
 use super::zone::Zone;
 use crate::hash;
@@ -68,6 +69,7 @@
     outage: Outage,
     routers: usize,
     sharers: Routers,
+    decline_limits: DeclineLimits,
 }
 
 impl Fleet {
@@ -86,6 +88,7 @@
             outage: Outage::default(),
             routers: 1,
             sharers: Routers::default(),
+            decline_limits: DeclineLimits::default(),
         }
     }
 
@@ -433,6 +436,16 @@
         upstream.rate.record(now, now, per_s, share)
     }
 
+    /// Records how many requests a second an upstream can decline before it crashes. Returns whether
+    /// this is news of its service.
+    pub fn record_decline_limit(&mut self, now: Time, id: &name::Upstream, per_s: f64) -> bool {
+        let Some(slot) = self.slots.get(id) else {
+            return false;
+        };
+        let service = &self.upstreams[*slot].entry.service;
+        self.decline_limits.record(now, service, per_s)
+    }
+
     /// Records whether a connection to an upstream could be opened. Returns true if the upstream or
     /// its zone was unreachable until now.
     pub fn record_probe(&mut self, now: Time, id: &name::Upstream, is_connected: bool) -> bool {
