Divide the slots of upstreams that can decline few requests among the routers

Cause: each router sends where it believes that there is room, and all believe the same. Now a router uses only its own slots while the limit holds, relays what exceeds them to a peer that has slots, and refuses the rest at once.

--- a/crates/edge/src/exchange/relay.rs
+++ b/crates/edge/src/exchange/relay.rs
@@ -1,4 +1,5 @@
-//! Relays requests to a peer while this router reaches no upstream of their service.
+//! Relays requests to a peer while this router reaches no upstream of their service, or has no slot
+//! at upstreams that can decline few requests.
 //!
 //! The peer handles a relayed request like one of its own caller, within what remains of the
 //! deadline, and its response is passed on. It counts as one attempt, since the peer may have run
@@ -51,17 +52,17 @@
             && self.runs == 0
             && !responder.has_started()
             && self.relays.len() < RELAYS_MAX;
-        if !may_relay || !self.shared.fleet.borrow().is_unreachable(service) {
+        let now = self.shared.now();
+        let fleet = self.shared.fleet.borrow();
+        if !may_relay || !fleet.needs_relay(now, service) {
             return None;
         }
-        let now = self.shared.now();
-        let reaching = self
-            .peers
-            .borrow()
-            .reaching(now, service, self.shared.random());
-        reaching
-            .into_iter()
-            .find(|peer| !self.relays.contains(peer))
+        let peers = self.peers.borrow();
+        let reaching = peers.reaching(now, service, self.shared.random());
+        let mut suitable = reaching.into_iter().filter(|(host, peer)| {
+            !self.relays.contains(peer) && fleet.has_slots(now, service, host)
+        });
+        suitable.next().map(|(_, peer)| peer)
     }
 
     /// Relays the request to a peer and passes its response on.
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -23,6 +23,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use snipeusher::fetch::Source;
+use snipeusher::fleet::DeclineLimit;
 use snipeusher::fleet::Delta;
 use snipeusher::fleet::Observation;
 use snipeusher::fleet::Outage;
@@ -106,6 +107,8 @@
     pub rate_limits: Vec<RateLimit>,
     /// Services of which the router can reach no upstream.
     pub unreachable: Vec<name::Service>,
+    /// How many requests upstreams can decline, by service.
+    pub decline_limits: Vec<DeclineLimit>,
 }
 
 /// A report of what a router cannot reach, to peers of its availability zone.
@@ -157,6 +160,7 @@
         poison: shared.poison.borrow().report(now),
         rate_limits: fleet.rate_limits(now),
         unreachable: fleet.unreachable_services(),
+        decline_limits: fleet.decline_limits(now),
     }
 }
 
@@ -181,6 +185,7 @@
     fleet.set_hosts(now, &shared.settings.host, peers.hosts(now));
     fleet.merge_observations(now, &digest.loads);
     fleet.merge_rate_limits(now, &digest.rate_limits);
+    fleet.merge_decline_limits(now, &digest.decline_limits);
 }
 
 /// The sender of a digest as a source of the data that it announces.
--- a/crates/edge/src/peer/peers.rs
+++ b/crates/edge/src/peer/peers.rs
@@ -131,7 +131,12 @@
 
     /// Peers that reach upstreams of a service as far as is known, those of the own availability
     /// zone first; the order among them is given by `random`.
-    pub fn reaching(&self, now: Time, service: &name::Service, random: u64) -> Vec<SocketAddr> {
+    pub fn reaching(
+        &self,
+        now: Time,
+        service: &name::Service,
+        random: u64,
+    ) -> Vec<(&name::Host, SocketAddr)> {
         let reaches = |known: &Known| {
             let reach = known.reach.as_ref();
             reach.is_some_and(|reach| {
@@ -139,9 +144,14 @@
                 is_recent && !reach.unreachable.contains(service)
             })
         };
-        let (mut local, remote) = self.split_where(random, reaches);
-        local.extend(remote);
-        local
+        let reaching = self.known.iter().filter(|(_, known)| reaches(known));
+        let mut reaching: Vec<_> = reaching.collect();
+        reaching.sort_by_cached_key(|(host, known)| {
+            let score = hash::score(random, hash::bytes(host.as_str().as_bytes()));
+            (!self.is_local(&known.zone), score)
+        });
+        let peers = reaching.into_iter();
+        peers.map(|(host, known)| (host, known.address)).collect()
     }
 
     /// Records the sender of a digest and the members listed in it.
@@ -211,16 +221,7 @@
 
     /// Addresses of the peers in the own zone and of the others, each rotated by `random`.
     fn split(&self, random: u64) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-        self.split_where(random, |_known| true)
-    }
-
-    /// The same for the peers that meet a condition.
-    fn split_where(
-        &self,
-        random: u64,
-        condition: impl Fn(&Known) -> bool,
-    ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-        let known = self.known.values().filter(|known| condition(known));
+        let known = self.known.values();
         let (local, remote): (Vec<_>, Vec<_>) = known.partition(|known| self.is_local(&known.zone));
         let rotated = |known: Vec<&Known>| {
             let mut addresses: Vec<SocketAddr> = known.iter().map(|known| known.address).collect();
--- a/crates/edge/src/peer/relay.rs
+++ b/crates/edge/src/peer/relay.rs
@@ -20,21 +20,3 @@
     let original = uri.path_and_query()?.as_str().strip_prefix(RELAY_PATH)?;
     original.starts_with('/').then(|| original.parse().ok())?
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against a path or query that a relay changes.
-    #[test]
-    fn the_original_path_and_query_return_unchanged() {
-        for text in ["/", "/a/b%2Fc?d=e%20f&g", "//a/../b?", "/fleet/v6/relay/x"] {
-            let uri: Uri = text.parse().expect("it is valid");
-            let relayed = relay_uri(&uri).expect("it has a path");
-            let original = original_uri(&relayed).expect("it is relayed");
-            assert_eq!(original.to_string(), uri.to_string());
-        }
-        let other: Uri = "/fleet/v6/exchange".parse().expect("it is valid");
-        assert!(original_uri(&other).is_none());
-    }
-}
--- a/crates/edge/tests/bulk.rs
+++ b/crates/edge/tests/bulk.rs
@@ -67,6 +67,7 @@
                 poison: poison::Report::default(),
                 rate_limits: Vec::new(),
                 unreachable: Vec::new(),
+                decline_limits: Vec::new(),
             },
             upstreams: (revision.number > 0).then(|| Delta {
                 revision,
--- a/crates/edge/tests/control_cost.rs
+++ b/crates/edge/tests/control_cost.rs
@@ -70,6 +70,7 @@
         poison: poison::Report::default(),
         rate_limits: limits.collect(),
         unreachable: Vec::new(),
+        decline_limits: Vec::new(),
     }
 }
 
--- a/crates/edge/tests/cut_off.rs
+++ b/crates/edge/tests/cut_off.rs
@@ -118,6 +118,7 @@
                 poison: Report::default(),
                 rate_limits: Vec::new(),
                 unreachable: Vec::new(),
+                decline_limits: Vec::new(),
             };
             let body = rmp_serde::to_vec(&digest).expect("it can be encoded");
             let head = format!(
@@ -278,8 +279,12 @@
 }
 
 /// Guards against a relay that changes the request, its workspace or its deadline, or the response.
+#[rstest]
+#[case("/closed/a%2Fb/..?c=d%20e&f")]
+#[case("/closed//x?")]
+#[case("/closed/fleet/v6/relay/x")]
 #[actix_rt::test]
-async fn a_relayed_request_arrives_as_it_was_sent() {
+async fn a_relayed_request_arrives_as_it_was_sent(#[case] path: &str) {
     let fleet = Fleet::cut_off(1, |seen| {
         vec![response_with(
             seen.id(),
@@ -289,16 +294,17 @@
         )]
     })
     .await;
-    let text = "POST /closed/a%2Fb/..?c=d%20e&f HTTP/1.1\r\nHost: test.example\r\nT-Id: one\r\n\
-                T-Key: secret-key\r\nT-Deadline: 700\r\nX-Own: y\r\nContent-Length: 4\r\n\r\nbody";
-    let answer = call(fleet.nodes[0].front, text).await;
+    let text = format!(
+        "POST {path} HTTP/1.1\r\nHost: test.example\r\nT-Id: one\r\nT-Key: secret-key\r\n\
+         T-Deadline: 700\r\nX-Own: y\r\nContent-Length: 4\r\n\r\nbody"
+    );
+    let answer = call(fleet.nodes[0].front, &text).await;
     let all = fleet.seen("/closed/");
     let [seen] = &*all else {
         panic!("one run: {all:?}");
     };
     assert!(
-        seen.head
-            .starts_with("POST /closed/a%2Fb/..?c=d%20e&f HTTP/1.1"),
+        seen.head.starts_with(&format!("POST {path} HTTP/1.1")),
         "{}",
         seen.head
     );
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -44,6 +44,7 @@
         poison: poison::Report::default(),
         rate_limits: Vec::new(),
         unreachable: Vec::new(),
+        decline_limits: Vec::new(),
     };
     peers.record(Time::from_millis(1_000), &digest);
     peers
--- a/crates/edge/tests/serialized.rs
+++ b/crates/edge/tests/serialized.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use snipeusher::fleet::DeclineLimit;
 use snipeusher::fleet::Delta;
 use snipeusher::fleet::Entry;
 use snipeusher::fleet::Observation;
@@ -85,6 +86,11 @@
             age_ms: 28,
         }],
         unreachable: vec!["embed".into()],
+        decline_limits: vec![DeclineLimit {
+            service: "chat".into(),
+            per_s: 3.5,
+            age_ms: 32,
+        }],
     }
 }
 
--- a/crates/snipeusher/src/fleet.rs
+++ b/crates/snipeusher/src/fleet.rs
@@ -23,6 +23,7 @@
 pub use self::choice::Cause;
 pub use self::choice::Decision;
 pub use self::choice::Query;
+pub use self::decline::DeclineLimit;
 pub use self::departure::Leaving;
 pub use self::health::Health;
 pub use self::health::Outcome;
--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -48,10 +48,11 @@
     }
 
     /// Whether an upstream may get the request at `now`: it runs the required version, was not
-    /// tried, has not asked for a pause and has not had what it takes from this router.
-    pub(super) fn admits(&self, now: Time, upstream: &Upstream) -> bool {
+    /// tried, has not asked for a pause, has not had what it takes from this router and, if it can
+    /// decline few requests, has room.
+    pub(super) fn admits(&self, now: Time, upstream: &Upstream, needs_room: bool) -> bool {
         let is_tried = self.tried.contains(&upstream.entry.id);
-        self.suits(upstream) && !is_tried && upstream.available_at(now).is_none()
+        self.suits(upstream) && !is_tried && upstream.available_at(now, needs_room).is_none()
     }
 }
 
@@ -83,7 +84,7 @@
 pub enum Cause {
     /// There is none, or all were tried.
     NoUpstream,
-    /// All have asked for a pause or have had what they take from this router.
+    /// All have asked for a pause, have had what they take from this router or have no room.
     Paused,
 }
 
@@ -94,10 +95,11 @@
     ready: &[usize],
     is_unreachable: impl Fn(&name::Zone) -> bool,
     connection_share: u32,
+    needs_room: bool,
     query: &Query<'_>,
 ) -> Decision {
     let all = ready.iter().map(|slot| &upstreams[*slot]);
-    let untried = all.filter(|upstream| query.admits(now, upstream));
+    let untried = all.filter(|upstream| query.admits(now, upstream, needs_room));
     let untried: Vec<&Upstream> = untried.collect();
     let available = prefer(&untried, |upstream| upstream.health.is_available(now));
     let reachable = prefer(&available, |upstream| !is_unreachable(&upstream.entry.zone));
@@ -120,17 +122,23 @@
             address: upstream.entry.address,
             source: source(upstream),
         },
-        None => refuse(now, upstreams, ready, query),
+        None => refuse(now, upstreams, ready, needs_room, query),
     }
 }
 
 /// Refuses a request. If all upstreams have asked for a pause or have had what they take from this
 /// router, the caller may return when the first takes one again.
-fn refuse(now: Time, upstreams: &[Upstream], ready: &[usize], query: &Query<'_>) -> Decision {
+fn refuse(
+    now: Time,
+    upstreams: &[Upstream],
+    ready: &[usize],
+    needs_room: bool,
+    query: &Query<'_>,
+) -> Decision {
     let ready = ready.iter().map(|slot| &upstreams[*slot]);
     let ends = ready
         .filter(|upstream| query.suits(upstream))
-        .map(|upstream| upstream.available_at(now));
+        .map(|upstream| upstream.available_at(now, needs_room));
     // An upstream that takes requests counts as `None`, which is the least.
     match ends.min().flatten() {
         Some(end) => Decision::Refuse {
--- a/crates/snipeusher/src/fleet/rate.rs
+++ b/crates/snipeusher/src/fleet/rate.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Upstream;
 use crate::hash;
 use crate::name;
 use crate::time::Time;
@@ -56,6 +57,26 @@
         Self { own, others, count }
     }
 
+    /// How many of the slots of an upstream this router has for itself. All routers together have
+    /// them all.
+    pub(super) fn own_slots(&self, upstream: &Upstream) -> u32 {
+        self.slots_of(self.own, upstream)
+    }
+
+    /// The same for any router, given the hash of its host. An upstream that states no slots has
+    /// one for each router.
+    pub(super) fn slots_of(&self, router: u64, upstream: &Upstream) -> u32 {
+        let Some(slots) = upstream.entry.slots else {
+            return 1;
+        };
+        let count = self.count.max(self.others.len() + 1).max(1) as u32;
+        let score = |router| hash::score(upstream.id_hash, router);
+        let all = self.others.iter().chain([&self.own]);
+        let before = all.filter(|other| score(**other) > score(router));
+        let has_one_more = (before.count() as u32) < slots % count;
+        slots / count + u32::from(has_one_more)
+    }
+
     /// This router's share of a limit of an upstream, in requests a second.
     pub(super) fn share(&self, upstream: u64, per_s: f64) -> f64 {
         let per_s = per_s.max(RATE_MIN);
--- a/crates/snipeusher/src/fleet/upstream.rs
+++ b/crates/snipeusher/src/fleet/upstream.rs
@@ -7,6 +7,7 @@
 use super::Leaving;
 use super::Load;
 use super::Rate;
+use super::decline;
 use super::zone::REPORTS_IGNORED_FOR;
 use crate::hash;
 use crate::name;
@@ -39,6 +40,11 @@
     pub paused_until: Option<Time>,
     /// The rate limit that it states, if any.
     pub rate: Rate,
+    /// End of the time for which this router stays away, since it can decline few requests and has
+    /// declined one.
+    pub(super) backoff_until: Option<Time>,
+    /// Its slots that only this router uses while it can decline few requests.
+    pub(super) own_slots: u32,
     /// Until when reports of peers are ignored.
     reports_ignored_until: Time,
 }
@@ -56,6 +62,8 @@
             is_doubtful: false,
             paused_until: None,
             rate: Rate::default(),
+            backoff_until: None,
+            own_slots: 0,
             reports_ignored_until: Time::default(),
         }
     }
@@ -84,10 +92,18 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
-    /// When it takes a request again, by its pause and its rate limit; `None` if it does now.
-    pub(super) fn available_at(&self, now: Time) -> Option<Time> {
+    /// When it takes a request again, by its pause, its rate limit and, if it can decline few
+    /// requests, this router's slots; `None` if it does now.
+    pub(super) fn available_at(&self, now: Time, needs_room: bool) -> Option<Time> {
         let pause = self.paused_until.filter(|_| self.is_paused(now));
-        pause.max(self.rate.available_at(now))
+        let room = needs_room.then(|| self.room_at(now)).flatten();
+        pause.max(self.rate.available_at(now)).max(room)
+    }
+
+    /// When it has room for a request of this router; `None` if it has now.
+    fn room_at(&self, now: Time) -> Option<Time> {
+        let backoff = self.backoff_until.filter(|until| now < *until);
+        backoff.max(decline::slot_free_at(now, &self.load, self.own_slots))
     }
 
     /// Whether it has sent nothing for so long that other upstreams are preferred.
@@ -107,6 +123,7 @@
         if entry.incarnation != self.entry.incarnation || entry.address != self.entry.address {
             self.health = Health::default();
             self.paused_until = None;
+            self.backoff_until = None;
             self.rate = Rate::default();
         }
         self.local = entry.zone == *zone;
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -6,6 +6,7 @@
 
 use super::Budget;
 use super::Decision;
+use super::DeclineLimit;
 use super::Delta;
 use super::Entry;
 use super::Leaving;
@@ -21,6 +22,7 @@
 use super::Upstream;
 use super::builds::Builds;
 use super::choice;
+use super::decline;
 use super::decline::DeclineLimits;
 use super::rate::Routers;
 use super::zone::Zone;
@@ -125,6 +127,7 @@
         for upstream in &mut self.upstreams {
             let share = |per_s| self.sharers.share(upstream.id_hash, per_s);
             upstream.rate.update(now, share);
+            upstream.own_slots = self.sharers.own_slots(upstream);
         }
     }
 
@@ -262,10 +265,38 @@
             ready,
             is_unreachable,
             connection_share,
+            self.needs_room(now, query.service),
             query,
         )
     }
 
+    /// Whether the upstreams of a service get only requests for which they have room.
+    fn needs_room(&self, now: Time, service: &name::Service) -> bool {
+        self.decline_limits.get(now, service).is_some()
+    }
+
+    /// Whether requests for a service are better relayed to a peer: this router reaches no upstream
+    /// of it, or has no free slot at those that can decline few requests.
+    pub fn needs_relay(&self, now: Time, service: &name::Service) -> bool {
+        let is_free = |upstream: &Upstream| upstream.available_at(now, true).is_none();
+        let is_full = self.needs_room(now, service) && !self.ready_upstreams(service).any(is_free);
+        is_full || self.is_unreachable(service)
+    }
+
+    /// Whether a router has slots at upstreams of a service that can decline few requests. At other
+    /// services each router has.
+    pub fn has_slots(&self, now: Time, service: &name::Service, host: &name::Host) -> bool {
+        let router = hash::bytes(host.as_str().as_bytes());
+        let mut upstreams = self.ready_upstreams(service);
+        !self.needs_room(now, service)
+            || upstreams.any(|upstream| self.sharers.slots_of(router, upstream) > 0)
+    }
+
+    fn ready_upstreams(&self, service: &name::Service) -> impl Iterator<Item = &Upstream> {
+        let ready = self.ready.get(service).map_or(&[][..], Vec::as_slice);
+        ready.iter().map(|slot| &self.upstreams[*slot])
+    }
+
     /// This router's share of the connections that one upstream accepts from all routers; zero if
     /// there are more routers than connections.
     ///
@@ -288,13 +319,12 @@
 
     /// Whether a service has ready upstreams of which this router can reach none.
     pub fn is_unreachable(&self, service: &name::Service) -> bool {
-        let ready = self.ready.get(service).map_or(&[][..], Vec::as_slice);
-        let mut upstreams = ready.iter().map(|slot| &self.upstreams[*slot]);
+        let mut upstreams = self.ready_upstreams(service).peekable();
         let is_unreachable = |upstream: &Upstream| {
             let zone = self.zones.get(&upstream.entry.zone);
             upstream.health.is_unreachable() || zone.is_some_and(Zone::is_unreachable)
         };
-        !ready.is_empty() && upstreams.all(is_unreachable)
+        upstreams.peek().is_some() && upstreams.all(is_unreachable)
     }
 
     /// Upstreams that share the way to one that was lost at a time: the others of its zone, or those
@@ -443,7 +473,22 @@
             return false;
         };
         let service = &self.upstreams[*slot].entry.service;
-        self.decline_limits.record(now, service, per_s)
+        self.decline_limits.record(now, now, service, per_s)
+    }
+
+    /// How many requests upstreams can decline, by service, to be sent to peers.
+    pub fn decline_limits(&self, now: Time) -> Vec<DeclineLimit> {
+        self.decline_limits.list(now)
+    }
+
+    /// Merges what upstreams stated to peers.
+    pub fn merge_decline_limits(&mut self, now: Time, limits: &[DeclineLimit]) {
+        for limit in limits {
+            let age = u64::from(limit.age_ms) * 1_000;
+            let at = Time(now.0.saturating_sub(age));
+            self.decline_limits
+                .record(now, at, &limit.service, limit.per_s);
+        }
     }
 
     /// Records whether a connection to an upstream could be opened. Returns true if the upstream or
@@ -561,7 +606,8 @@
     pub fn has_alternative(&mut self, now: Time, query: &Query<'_>) -> bool {
         let ready = self.ready.get(query.service).map_or(&[][..], Vec::as_slice);
         let upstreams = ready.iter().map(|slot| &self.upstreams[*slot]);
-        let mut others = upstreams.filter(|upstream| query.admits(now, upstream));
+        let needs_room = self.needs_room(now, query.service);
+        let mut others = upstreams.filter(|upstream| query.admits(now, upstream, needs_room));
         let limits = self.settings.retries;
         let routers = self.routers;
         others.any(|upstream| upstream.health.is_available(now))
@@ -590,6 +636,7 @@
     /// newly marks it unreachable.
     pub fn record_outcome(&mut self, now: Time, id: &name::Upstream, outcome: Outcome) -> bool {
         let service_rate = self.service_failure_rate(id);
+        let backoff = self.backoff(now, id);
         let Some(upstream) = self.upstream_mut(id) else {
             return false;
         };
@@ -597,6 +644,9 @@
         if upstream.load.in_flight() == 0 {
             upstream.silent_since = None;
         }
+        if let Some(backoff) = backoff.filter(|_| outcome == Outcome::Declined) {
+            upstream.backoff_until = Some(now + backoff);
+        }
         let is_news = outcome == Outcome::Unreachable && !upstream.health.is_unreachable();
         let ejected = upstream.health.record_outcome(now, outcome, service_rate);
         if outcome == Outcome::Unreachable {
@@ -609,6 +659,14 @@
         ejected
     }
 
+    /// Time for which this router stays away from an upstream that has declined its request, if the
+    /// upstream can decline few.
+    fn backoff(&self, now: Time, id: &name::Upstream) -> Option<Duration> {
+        let service = &self.upstream(id)?.entry.service;
+        let per_s = self.decline_limits.get(now, service)?;
+        Some(decline::backoff(per_s))
+    }
+
     /// Mean failure rate of the other upstreams of the same service.
     fn service_failure_rate(&self, id: &name::Upstream) -> f64 {
         let Some(service) = self.upstream(id).map(|upstream| &upstream.entry.service) else {
@@ -654,8 +712,9 @@
                 self.upstreams[*slot].update(entry.clone(), &self.settings.zone);
             } else {
                 self.slots.insert(entry.id.clone(), self.upstreams.len());
-                self.upstreams
-                    .push(Upstream::new(entry.clone(), &self.settings.zone));
+                let mut upstream = Upstream::new(entry.clone(), &self.settings.zone);
+                upstream.own_slots = self.sharers.own_slots(&upstream);
+                self.upstreams.push(upstream);
             }
         }
         self.builds.update(now, roster.entries());
--- a/crates/snipeusher/tests/decline.rs
+++ b/crates/snipeusher/tests/decline.rs
@@ -7,6 +7,7 @@
 
 use rand::Rng as _;
 use rand::SeedableRng as _;
+use rand::seq::SliceRandom as _;
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
 use snipeusher::fleet::Decision;
@@ -34,6 +35,8 @@
 const DECLINE_LIMIT: usize = 5;
 /// Interval of a router's exchanges, in each of which two routers tell each other of loads.
 const EXCHANGE_MS: u64 = 250;
+/// Routers that a request is relayed to.
+const RELAYS_MAX: usize = 2;
 /// Times that a refused caller comes back.
 const RETURNS_MAX: u32 = 2;
 
@@ -103,6 +106,8 @@
     run_ms: u64,
     /// Requests in relation to what the upstreams can run.
     factor: f64,
+    /// Fraction of the requests that the first router gets beside its share.
+    at_first: f64,
 }
 
 struct Simulation {
@@ -173,6 +178,12 @@
         self.events.push(Reverse((at, self.sequence, event)));
     }
 
+    /// Requests served since fewer may wait, in relation to what the upstreams can run.
+    fn share(&self) -> f64 {
+        let time_s = (END_MS - SMALLER_MS) as f64 / 1_000.0;
+        self.served as f64 / (self.capacity() * time_s)
+    }
+
     /// Requests a second that the upstreams can run.
     fn capacity(&self) -> f64 {
         let slots = f64::from(self.load.slots) * self.load.upstreams as f64;
@@ -185,7 +196,12 @@
             let mut calls = rate.floor() as usize;
             calls += usize::from(self.rng.random_bool(rate.fract()));
             for _ in 0..calls {
-                let router = self.rng.random_range(0..self.load.routers);
+                let is_at_first = self.rng.random_bool(self.load.at_first);
+                let router = if is_at_first {
+                    0
+                } else {
+                    self.rng.random_range(0..self.load.routers)
+                };
                 self.schedule(0, Event::Call(Request { router, returns: 0 }));
             }
             while let Some(Reverse((at, _, event))) = self.events.peek().copied() {
@@ -217,6 +233,32 @@
     }
 
     fn call(&mut self, request: Request) {
+        if let Some(retry_after) = self.try_send(request) {
+            let relayed = (0..RELAYS_MAX).any(|_| self.relay(request));
+            if !relayed {
+                self.refuse(request, retry_after);
+            }
+        }
+    }
+
+    /// Relays a request to a router with slots; returns whether it sent the request.
+    fn relay(&mut self, request: Request) -> bool {
+        let now = self.time();
+        let from = &self.routers[request.router];
+        if !from.needs_relay(now, &service()) {
+            return false;
+        }
+        let mut routers: Vec<usize> = (0..self.load.routers).collect();
+        routers.shuffle(&mut self.rng);
+        let target = routers.into_iter().find(|router| {
+            let host = name::Host::from(format!("host-{router}"));
+            *router != request.router && from.has_slots(now, &service(), &host)
+        });
+        target.is_some_and(|router| self.try_send(Request { router, ..request }).is_none())
+    }
+
+    /// Sends a request; returns when its caller may come back if it is refused.
+    fn try_send(&mut self, request: Request) -> Option<Duration> {
         let now = self.time();
         let query = Query {
             service: &service(),
@@ -235,8 +277,9 @@
                 let index = usize::from(known.address.port()) - 1;
                 let incarnation = known.incarnation.0;
                 self.schedule(LATENCY_MS, Event::Arrive(request, index, incarnation));
+                None
             }
-            Decision::Refuse { retry_after, .. } => self.refuse(request, retry_after),
+            Decision::Refuse { retry_after, .. } => Some(retry_after),
         }
     }
 
@@ -377,8 +420,12 @@
         let now = self.time();
         let own = self.routers[router].observations(now);
         let others = self.routers[peer].observations(now);
+        let own_limits = self.routers[router].decline_limits(now);
+        let other_limits = self.routers[peer].decline_limits(now);
         self.routers[peer].merge_observations(now, &own);
+        self.routers[peer].merge_decline_limits(now, &own_limits);
         self.routers[router].merge_observations(now, &others);
+        self.routers[router].merge_decline_limits(now, &other_limits);
     }
 }
 
@@ -403,11 +450,11 @@
         slots,
         run_ms,
         factor,
+        at_first: 0.0,
     });
     simulation.run();
     let falls_max = 2.0 + upstreams as f64 / 10.0;
-    let time_s = (END_MS - SMALLER_MS) as f64 / 1_000.0;
-    let share = simulation.served as f64 / (simulation.capacity() * time_s);
+    let share = simulation.share();
     println!(
         "{} falls, {} declined, {share:.3} of what the upstreams can run",
         simulation.falls, simulation.declined
@@ -419,3 +466,35 @@
     );
     assert!(share >= 0.5, "{share:.3} of what they can run");
 }
+
+/// Guards against callers who are refused although upstreams that can decline few requests have
+/// room, since their router has few slots or none.
+#[rstest]
+#[case::engines(9, 12, 64, 600, 0.3)]
+#[case::plain(9, 3, 6, 16, 0.2)]
+#[case::more_routers_than_slots(195, 4, 6, 16, 0.0)]
+fn callers_are_served_while_there_is_room(
+    #[case] routers: usize,
+    #[case] upstreams: usize,
+    #[case] slots: u32,
+    #[case] run_ms: u64,
+    #[case] at_first: f64,
+) {
+    const FACTOR: f64 = 0.25;
+    let mut simulation = Simulation::new(Load {
+        routers,
+        upstreams,
+        slots,
+        run_ms,
+        factor: FACTOR,
+        at_first,
+    });
+    simulation.run();
+    let served = simulation.share() / FACTOR;
+    println!(
+        "{} falls, {served:.3} of the requests served",
+        simulation.falls
+    );
+    assert_eq!(simulation.falls, 0);
+    assert!(served >= 0.95, "{served:.3} of the requests");
+}
