Divide slots when routers or limits change, not at each digest

The shares were computed again at each digest by hashing all routers for all upstreams, 1.2 million scores a digest at 370 routers and 3,300 upstreams. Now only when the known routers change, and slots only at services that state a limit. No change of behaviour.

--- a/crates/snipeusher/src/fleet/rate.rs
+++ b/crates/snipeusher/src/fleet/rate.rs
@@ -44,7 +44,7 @@
 }
 
 /// The routers of the fleet, as hashes of their hosts.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct Routers {
     own: u64,
     others: Vec<u64>,
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -123,10 +123,26 @@
         others: impl Iterator<Item = &'a name::Host>,
     ) {
         let id = |host: &name::Host| hash::bytes(host.as_str().as_bytes());
-        self.sharers = Routers::new(id(own), others.map(id).collect(), self.routers);
+        let sharers = Routers::new(id(own), others.map(id).collect(), self.routers);
+        if self.sharers == sharers {
+            return;
+        }
+        self.sharers = sharers;
         for upstream in &mut self.upstreams {
             let share = |per_s| self.sharers.share(upstream.id_hash, per_s);
             upstream.rate.update(now, share);
+        }
+        self.divide_slots(now);
+    }
+
+    /// Determines this router's slots at the upstreams that can decline few requests.
+    fn divide_slots(&mut self, now: Time) {
+        let limits = &self.decline_limits;
+        let limited = self
+            .upstreams
+            .iter_mut()
+            .filter(|upstream| limits.get(now, &upstream.entry.service).is_some());
+        for upstream in limited {
             upstream.own_slots = self.sharers.own_slots(upstream);
         }
     }
@@ -473,7 +489,11 @@
             return false;
         };
         let service = &self.upstreams[*slot].entry.service;
-        self.decline_limits.record(now, now, service, per_s)
+        let is_news = self.decline_limits.record(now, now, service, per_s);
+        if is_news {
+            self.divide_slots(now);
+        }
+        is_news
     }
 
     /// How many requests upstreams can decline, by service, to be sent to peers.
@@ -483,11 +503,15 @@
 
     /// Merges what upstreams stated to peers.
     pub fn merge_decline_limits(&mut self, now: Time, limits: &[DeclineLimit]) {
+        let mut is_news = false;
         for limit in limits {
             let age = u64::from(limit.age_ms) * 1_000;
             let at = Time(now.0.saturating_sub(age));
-            self.decline_limits
-                .record(now, at, &limit.service, limit.per_s);
+            let known = &mut self.decline_limits;
+            is_news |= known.record(now, at, &limit.service, limit.per_s);
+        }
+        if is_news {
+            self.divide_slots(now);
         }
     }
 
@@ -712,8 +736,7 @@
                 self.upstreams[*slot].update(entry.clone(), &self.settings.zone);
             } else {
                 self.slots.insert(entry.id.clone(), self.upstreams.len());
-                let mut upstream = Upstream::new(entry.clone(), &self.settings.zone);
-                upstream.own_slots = self.sharers.own_slots(&upstream);
+                let upstream = Upstream::new(entry.clone(), &self.settings.zone);
                 self.upstreams.push(upstream);
             }
         }
@@ -723,5 +746,6 @@
             let slots = self.ready.entry(entry.service.clone()).or_default();
             slots.extend(self.slots.get(&entry.id));
         }
+        self.divide_slots(now);
     }
 }
