Tell peers of lost requests for ten seconds

Since requests without prompts are told as well, a crash of a plain service would have added up to 24 requests to each digest for a minute. Each router passes on what it hears, so all know after some exchanges; the losses go on counting for a minute. The test failed before, with a report after 10.5 s.

--- a/crates/snipeusher/src/poison.rs
+++ b/crates/snipeusher/src/poison.rs
@@ -42,6 +42,9 @@
 const LOSSES_MAX: usize = 512;
 /// Maximum number of blocked combinations; further ones are not blocked.
 const BLOCKS_MAX: usize = 64;
+/// Time for which lost requests and successful answers are told to peers. Each router passes on
+/// what it hears, so all have heard of it by then.
+const REPORTED_FOR: Duration = Duration::from_secs(10);
 /// Lost requests, served parts and blocks of one report to a peer.
 const REPORTED_MAX: usize = 24;
 
@@ -173,7 +176,9 @@
         let losses = self.losses.iter();
         let losses = losses.filter(|(loss, _)| !explained.contains(&loss.crash));
         let losses = losses.map(|(loss, seen)| (seen.at, loss));
+        let losses = losses.filter(|(at, _)| now.since(*at) < REPORTED_FOR);
         let served = self.served.iter().map(|(part, at)| (*at, part));
+        let served = served.filter(|(at, _)| now.since(*at) < REPORTED_FOR);
         let blocked = self.blocked.iter();
         let blocked = blocked.filter(|(_, block)| now < block.until);
         let blocked = blocked.map(|(cause, block)| (block.since, (cause, block.count)));
--- a/crates/snipeusher/tests/poison.rs
+++ b/crates/snipeusher/tests/poison.rs
@@ -286,6 +286,22 @@
     assert!(is_blocked(&tracker, at(1_600), &[FIRST, POISON]));
 }
 
+/// Guards against digests that hold each lost request for as long as it counts, a minute.
+#[test]
+fn lost_requests_are_told_for_ten_seconds() {
+    let mut tracker = Tracker::new(0);
+    tracker.record_losses(at(0), [repeated(0, &[FIRST])]);
+    serve(&mut tracker, at(1), &[FIRST]);
+    assert!(!tracker.report(at(9_000)).is_empty());
+    assert!(tracker.report(at(10_500)).is_empty());
+    tracker.record_losses(at(20_000), [repeated(1, &[FIRST])]);
+    tracker.record_losses(at(30_000), [repeated(2, &[FIRST])]);
+    serve(&mut tracker, at(30_001), &[OWN]);
+    serve(&mut tracker, at(30_001), &[OWN]);
+    let blocked = tracker.record_losses(at(31_000), []);
+    assert_eq!(blocked.len(), 1, "it still counts: {blocked:?}");
+}
+
 /// Guards against one more upstream that ends under a repeat of the router itself.
 #[test]
 fn a_router_does_not_repeat_what_the_next_crash_would_show() {
