--- a/crates/edge/tests/common/link.rs
+++ b/crates/edge/tests/common/link.rs
@@ -11,6 +11,8 @@
 use socket2::Socket;
 use socket2::Type;
 
+const BACKLOG: i32 = 128;
+
 /// How a link is cut.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cut {
@@ -27,6 +29,8 @@
     pub address: SocketAddr,
     target: SocketAddr,
     state: Rc<State>,
+    /// Keeps the port while nothing listens, so that no other process takes it.
+    _reserved: Socket,
     listening: RefCell<Option<JoinHandle<()>>>,
     /// Fill the queue of a listener that accepts nothing.
     hanging: RefCell<Vec<Socket>>,
@@ -38,16 +42,18 @@
 }
 
 impl Link {
-    pub async fn start(target: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    pub fn start(target: SocketAddr) -> Self {
+        let reserved = bind(([127, 0, 0, 1], 0).into());
+        let address = reserved.local_addr().expect("it is bound");
         let link = Self {
-            address: listener.local_addr().expect("it is bound"),
+            address: address.as_socket().expect("an address and a port"),
             target,
             state: Rc::default(),
+            _reserved: reserved,
             listening: RefCell::default(),
             hanging: RefCell::default(),
         };
-        link.listen(listener);
+        link.listen();
         link
     }
 
@@ -64,10 +70,7 @@
 
     /// Has attempts to open a connection hang. The listener must have ended.
     pub fn hang(&self) {
-        let socket = || Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-        let listener = socket();
-        listener.set_reuse_address(true).expect("an option");
-        listener.bind(&self.address.into()).expect("a free port");
+        let listener = bind(self.address);
         listener.listen(0).expect("it is bound");
         let mut hanging = self.hanging.borrow_mut();
         hanging.push(listener);
@@ -79,13 +82,16 @@
         }
     }
 
-    pub async fn heal(&self) {
+    pub fn heal(&self) {
         self.hanging.take();
-        let listener = TcpListener::bind(self.address).await;
-        self.listen(listener.expect("the port is free again"));
+        self.listen();
     }
 
-    fn listen(&self, listener: TcpListener) {
+    fn listen(&self) {
+        let listener = bind(self.address);
+        listener.listen(BACKLOG).expect("it is bound");
+        listener.set_nonblocking(true).expect("an option");
+        let listener = TcpListener::from_std(listener.into()).expect("a runtime");
         let (target, state) = (self.target, Rc::clone(&self.state));
         let listening = actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -97,6 +103,18 @@
     }
 }
 
+fn socket() -> Socket {
+    Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket")
+}
+
+/// A socket that shares its port with the others of a link.
+fn bind(address: SocketAddr) -> Socket {
+    let socket = socket();
+    socket.set_reuse_port(true).expect("an option");
+    socket.bind(&address.into()).expect("the port is free");
+    socket
+}
+
 async fn forward(mut stream: TcpStream, target: SocketAddr) {
     // A link that is cut resets its connections.
     stream.set_zero_linger().expect("the socket takes options");
--- a/crates/edge/tests/cut_off.rs
+++ b/crates/edge/tests/cut_off.rs
@@ -81,7 +81,7 @@
             if index < cut_off {
                 let mut links = Vec::new();
                 for address in &mut addresses {
-                    let link = Link::start(*address).await;
+                    let link = Link::start(*address);
                     *address = link.address;
                     links.push(link);
                 }
@@ -174,10 +174,8 @@
         }
     }
 
-    async fn heal(&self) {
-        for link in self.links.iter().flatten() {
-            link.heal().await;
-        }
+    fn heal(&self) {
+        self.links.iter().flatten().for_each(Link::heal);
     }
 }
 
@@ -271,7 +269,7 @@
         cut_off.served * others.sent * 3 >= others.served * cut_off.sent * 2,
         "cut off: {cut_off:?}, others: {others:?}"
     );
-    fleet.heal().await;
+    fleet.heal();
     sleep(BOUND).await;
     let (healed, _) = send_to_all(&fleet, "healed", COUNTED).await;
     assert_eq!(healed.served, healed.sent, "after the cut");
