--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -210,7 +210,9 @@
         }
         loop {
             if let Some(peer) = self.relay_target(responder) {
-                match self.relay(peer, responder).await {
+                let relayed = self.relay(peer, responder).await;
+                self.shared.metrics.relay(relayed.as_str());
+                match relayed {
                     Relayed::Answered(result) => return answered(result),
                     Relayed::NotRun => continue,
                     Relayed::Lost => {
--- a/crates/edge/src/exchange/relay.rs
+++ b/crates/edge/src/exchange/relay.rs
@@ -44,6 +44,18 @@
     Lost,
 }
 
+impl Relayed {
+    /// Name in metrics.
+    pub(super) const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Answered(Ok(())) => "answered",
+            Self::Answered(Err(_)) => "broken",
+            Self::NotRun => "not_run",
+            Self::Lost => "lost",
+        }
+    }
+}
+
 impl<P: Platform> Exchange<'_, P> {
     /// The peer to relay the request to; `None` if it is to be handled here.
     pub(super) fn relay_target(&self, responder: &Responder<'_>) -> Option<SocketAddr> {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -77,6 +77,7 @@
     streams_taken_up: Family<OutcomeLabels, Counter>,
     malformed_headers: Counter,
     crashes: Counter,
+    relays: Family<OutcomeLabels, Counter>,
     first_byte: Family<WorkspaceLabels, Histogram>,
     duration: Family<KindLabels, Histogram>,
     in_flight: Gauge,
@@ -113,16 +114,20 @@
             "Requests that were admitted, by how they ended",
             requests.clone(),
         );
-        let rejections = outcomes(
-            &mut registry,
-            "rejections",
-            "Requests that were not admitted, by reason",
-        );
-        let streams_taken_up = outcomes(
-            &mut registry,
-            "streams_taken_up",
-            "Streams that callers took up, by how their software version was determined",
-        );
+        let by_outcome = [
+            ("rejections", "Requests that were not admitted, by reason"),
+            (
+                "streams_taken_up",
+                "Streams that callers took up, by how their software version was determined",
+            ),
+            ("attempts", "Sends to upstreams, by how they ended"),
+            (
+                "relays",
+                "Requests relayed to peers, by what became of them",
+            ),
+        ];
+        let by_outcome = by_outcome.map(|(name, help)| outcomes(&mut registry, name, help));
+        let [rejections, streams_taken_up, attempts, relays] = by_outcome;
         let malformed_headers = counter(
             &mut registry,
             "malformed_headers",
@@ -131,12 +136,7 @@
         let crashes = counter(
             &mut registry,
             "upstream_crashes",
-            "Upstreams that ended while prompts of this router waited for their answers",
-        );
-        let attempts = outcomes(
-            &mut registry,
-            "attempts",
-            "Sends to upstreams, by how they ended",
+            "Upstreams that ended while requests of this router waited for their answers",
         );
         let first_byte = Family::new_with_constructor(histogram as fn() -> Histogram);
         registry.register(
@@ -195,6 +195,7 @@
             streams_taken_up,
             malformed_headers,
             crashes,
+            relays,
             first_byte,
             duration,
             in_flight,
@@ -260,6 +261,11 @@
         self.crashes.inc();
     }
 
+    /// Counts a request that was relayed to a peer.
+    pub(crate) fn relay(&self, outcome: &'static str) {
+        self.relays.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
     /// Counts the end of an attempt.
     pub(crate) fn attempt(&self, outcome: Outcome) {
         let outcome = match outcome {
