Relay a request whose connections failed instead of refusing it

The first requests after a cut were refused after four failed connections, before the router had found that it reaches no upstream, although peers reached them. The test failed with 503 where connections are refused and where they hang (nine upstreams in three zones); now the first request is served.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -113,6 +113,14 @@
     source: Option<SocketAddr>,
 }
 
+/// Where a request goes next.
+enum Hop {
+    /// To an upstream.
+    Send(Placement),
+    /// To a peer, which handles it.
+    Relay(SocketAddr),
+}
+
 /// Result of one attempt.
 enum Step {
     /// The response was passed on; an error if it could not be completed.
@@ -209,20 +217,20 @@
             return (self.refuse(refusal, responder).await, refusal.reason());
         }
         loop {
-            if let Some(peer) = self.relay_target(responder) {
-                let relayed = self.relay(peer, responder).await;
-                self.shared.metrics.relay(relayed.as_str());
-                match relayed {
-                    Relayed::Answered(result) => return answered(result),
-                    Relayed::NotRun => continue,
-                    Relayed::Lost => {
-                        let refusal = Refusal::Lost;
-                        return (self.refuse(refusal, responder).await, refusal.reason());
+            let placement = match self.next_hop(responder) {
+                Ok(Hop::Send(placement)) => placement,
+                Ok(Hop::Relay(peer)) => {
+                    let relayed = self.relay(peer, responder).await;
+                    self.shared.metrics.relay(relayed.as_str());
+                    match relayed {
+                        Relayed::Answered(result) => return answered(result),
+                        Relayed::NotRun => continue,
+                        Relayed::Lost => {
+                            let refusal = Refusal::Lost;
+                            return (self.refuse(refusal, responder).await, refusal.reason());
+                        }
                     }
                 }
-            }
-            let placement = match self.place() {
-                Ok(placement) => placement,
                 Err(refusal) => return (self.refuse(refusal, responder).await, refusal.reason()),
             };
             self.tried.push(placement.upstream.clone());
@@ -241,6 +249,20 @@
         }
     }
 
+    /// Decides where the request goes next. Once connections have failed, a relay to a peer is better
+    /// than a refusal.
+    fn next_hop(&mut self, responder: &Responder<'_>) -> Result<Hop, Refusal> {
+        if let Some(peer) = self.relay_target(responder) {
+            return Ok(Hop::Relay(peer));
+        }
+        let refusal = match self.place() {
+            Ok(placement) => return Ok(Hop::Send(placement)),
+            Err(refusal) => refusal,
+        };
+        let peer = (self.unreachable > 0).then(|| self.reaching_peer(responder));
+        peer.flatten().map(Hop::Relay).ok_or(refusal)
+    }
+
     /// Chooses the upstream for the next attempt, or a refusal if none is allowed.
     fn place(&mut self) -> Result<Placement, Refusal> {
         let shared = self.shared;
--- a/crates/edge/src/exchange/relay.rs
+++ b/crates/edge/src/exchange/relay.rs
@@ -60,15 +60,23 @@
     /// The peer to relay the request to; `None` if it is to be handled here.
     pub(super) fn relay_target(&self, responder: &Responder<'_>) -> Option<SocketAddr> {
         let service = &self.admitted.target.service;
+        let now = self.shared.now();
+        let needs_relay = self.shared.fleet.borrow().needs_relay(now, service);
+        needs_relay.then(|| self.reaching_peer(responder)).flatten()
+    }
+
+    /// A peer that reaches the service and may get the request, if it may be relayed.
+    pub(super) fn reaching_peer(&self, responder: &Responder<'_>) -> Option<SocketAddr> {
         let may_relay = self.sender == Sender::Caller
             && self.runs == 0
             && !responder.has_started()
             && self.relays.len() < RELAYS_MAX;
-        let now = self.shared.now();
-        let fleet = self.shared.fleet.borrow();
-        if !may_relay || !fleet.needs_relay(now, service) {
+        if !may_relay {
             return None;
         }
+        let service = &self.admitted.target.service;
+        let now = self.shared.now();
+        let fleet = self.shared.fleet.borrow();
         let peers = self.peers.borrow();
         let reaching = peers.reaching(now, service, self.shared.random());
         let mut suitable = reaching.into_iter().filter(|(host, peer)| {
--- a/crates/edge/tests/common/platform.rs
+++ b/crates/edge/tests/common/platform.rs
@@ -156,11 +156,14 @@
         let [service, address, state, build] = words[..] else {
             return Err(invalid());
         };
+        let id = self.upstream(&entry.key).ok_or_else(invalid)?;
+        // An id may name the zone.
+        let zone = id.as_str().split_once('@').map_or("here", |(_, zone)| zone);
         Ok(fleet::Entry {
-            id: self.upstream(&entry.key).ok_or_else(invalid)?,
+            zone: name::Zone::from(zone),
+            id,
             service: name::Service::from(service),
             address: address.parse().map_err(|_error| invalid())?,
-            zone: name::Zone::from("here"),
             build: name::Build::from(build),
             slots: None,
             draining: state == "draining",
--- a/crates/edge/tests/cut_off.rs
+++ b/crates/edge/tests/cut_off.rs
@@ -34,7 +34,8 @@
 use snipeusher::poison::Report;
 use snipeusher_edge::peer::Digest;
 
-const ENGINES: usize = 3;
+const ENGINES: usize = 9;
+const ZONES: usize = 3;
 /// Software versions of the upstreams, in turn.
 const BUILDS: [&str; 2] = ["v1", "v2"];
 const ROUTERS: usize = 4;
@@ -186,7 +187,13 @@
     store.configure(DEFAULT);
     for (index, address) in addresses.iter().enumerate() {
         let build = BUILDS[index % BUILDS.len()];
-        store.upstream_of_build(&format!("e{index}"), "letters", *address, "ready", build);
+        store.upstream_of_build(
+            &format!("e{index}@zone-{}", index % ZONES),
+            "letters",
+            *address,
+            "ready",
+            build,
+        );
     }
     store
 }
@@ -276,6 +283,20 @@
     assert!(!fleet.is_cut_off(), "after the cut");
 }
 
+/// Guards against callers who are refused before their router has found that it reaches no upstream.
+#[rstest]
+#[case::refused(Cut::Refuse)]
+#[case::hanging(Cut::Hang)]
+#[actix_rt::test]
+async fn the_first_request_after_a_cut_is_served(#[case] cut: Cut) {
+    let fleet = Fleet::start(1, acts).await;
+    sleep(Duration::from_millis(500)).await;
+    fleet.cut(cut).await;
+    let answer = call(fleet.nodes[0].front, &post("/chat/x", "first", "x")).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert!(answer.complete);
+}
+
 /// Guards against a relay that changes the request, its workspace or its deadline, or the response.
 #[rstest]
 #[case("/closed/a%2Fb/..?c=d%20e&f")]
