Leave out observations for services that are unreachable or limited

Five services that cannot be reached and state how many requests they can decline would have made digests of full size exceed 14 KB/s at 9 and 83 routers: about 205 B more than 1,577. No change while there are none.

--- a/crates/edge/tests/control_cost.rs
+++ b/crates/edge/tests/control_cost.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use snipeusher::fleet::DeclineLimit;
 use snipeusher::fleet::Observation;
 use snipeusher::fleet::RateLimit;
 use snipeusher::kv::Revision;
@@ -25,8 +26,12 @@
 /// Maximum number of rate limits in a digest, and observations that each of them replaces.
 const LIMITS: u16 = 10;
 const OBSERVATIONS_PER_LIMIT: u16 = 2;
+/// Services that cannot be reached, or whose upstreams can decline few requests, and observations
+/// that each of them replaces.
+const SERVICES: u16 = 5;
+const OBSERVATIONS_PER_SERVICE: u16 = 3;
 
-fn digest(zones: u16, limits: u16) -> Digest {
+fn digest(zones: u16, limits: u16, services: u16) -> Digest {
     let address = SocketAddr::from(([10, 200, 100, 200], 65_000));
     let host = |index: u16| name::Host::from(format!("front-hu-central-zone-{index}"));
     let zone = |index: u16| name::Zone::from(format!("hu-central-{index}"));
@@ -36,7 +41,14 @@
         age_ms: 2_000,
         steady_ms: 40_000_000,
     });
-    let loads = OBSERVATIONS - OBSERVATIONS_PER_LIMIT * limits;
+    let service = |index: u16| name::Service::from(format!("service-llm-{index}"));
+    let decline_limits = (0..services).map(|index| DeclineLimit {
+        service: service(index),
+        per_s: 5.2,
+        age_ms: 4_000,
+    });
+    let loads =
+        OBSERVATIONS - OBSERVATIONS_PER_LIMIT * limits - OBSERVATIONS_PER_SERVICE * services;
     let loads = (0..loads).map(|index| Observation {
         upstream: name::Upstream::from(format!("i-{index:010x}")),
         load: 200,
@@ -69,8 +81,8 @@
         // Nothing to report unless upstreams crash.
         poison: poison::Report::default(),
         rate_limits: limits.collect(),
-        unreachable: Vec::new(),
-        decline_limits: Vec::new(),
+        unreachable: (0..services).map(service).collect(),
+        decline_limits: decline_limits.collect(),
     }
 }
 
@@ -84,8 +96,9 @@
     #[case] routers: usize,
     #[case] zones: u16,
     #[values(0, LIMITS)] limits: u16,
+    #[values(0, SERVICES)] services: u16,
 ) {
-    let body = rmp_serde::to_vec(&digest(zones, limits)).expect("it can be encoded");
+    let body = rmp_serde::to_vec(&digest(zones, limits, services)).expect("it can be encoded");
     let bytes_each = (body.len() + HEAD_BYTES) as f64;
     let exchanges_per_s =
         Duration::from_secs(1).as_secs_f64() / interval(routers - 1).as_secs_f64();
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -40,6 +40,9 @@
 const RATE_LIMITS_MAX: usize = 10;
 /// Observations that are left out for each of these statements, so that a digest keeps its size.
 const OBSERVATIONS_PER_RATE_LIMIT: usize = 2;
+/// The same for each statement of how many requests upstreams can decline. A service that cannot be
+/// reached replaces one.
+const OBSERVATIONS_PER_DECLINE_LIMIT: usize = 2;
 
 /// Settings of a [`Fleet`].
 #[derive(Clone, Debug)]
@@ -219,8 +222,10 @@
         });
         let mut observations: Vec<Observation> = observed.collect();
         observations.sort_unstable_by_key(|observation| observation.age_ms);
-        let limits = self.rate_limits(now).len();
-        observations.truncate(OBSERVATIONS_MAX - limits * OBSERVATIONS_PER_RATE_LIMIT);
+        let replaced = self.rate_limits(now).len() * OBSERVATIONS_PER_RATE_LIMIT
+            + self.decline_limits(now).len() * OBSERVATIONS_PER_DECLINE_LIMIT
+            + self.unreachable_services().len();
+        observations.truncate(OBSERVATIONS_MAX.saturating_sub(replaced));
         observations
     }
 
--- a/crates/snipeusher/tests/decline.rs
+++ b/crates/snipeusher/tests/decline.rs
@@ -498,3 +498,24 @@
     assert_eq!(simulation.falls, 0);
     assert!(served >= 0.95, "{served:.3} of the requests");
 }
+
+/// Guards against digests that grow with each service whose upstreams state a limit.
+#[test]
+fn a_limit_takes_the_place_of_two_observations() {
+    let mut simulation = Simulation::new(Load {
+        routers: 1,
+        upstreams: 60,
+        slots: 6,
+        run_ms: 16,
+        factor: 0.0,
+        at_first: 0.0,
+    });
+    let (now, report) = (Time::from_millis(1), Report::default());
+    let router = &mut simulation.routers[0];
+    for index in 0..60 {
+        router.record_load(now, &id(index, 1), report);
+    }
+    assert_eq!(router.observations(now).len(), 40);
+    router.record_decline_limit(now, &id(0, 1), DECLINE_LIMIT as f64);
+    assert_eq!(router.observations(now).len(), 38);
+}
