Copy no prompts from upstreams in unreachable zones

Cause: while a zone is cut off, a session whose engine is there moves to another engine, and its request still named the unreachable one as the source of its prompt. The new engine then waited for the copy.

Change: an upstream that is silent, or whose zone is unreachable, is no source.

The new test failed before (27 of 28 pass), 28 pass now.

--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -109,7 +109,14 @@
     });
     let source = |chosen: &Upstream| {
         let session = query.session?;
-        likely_holder(now, upstreams, query.service, session, chosen)
+        likely_holder(
+            now,
+            upstreams,
+            &is_unreachable,
+            query.service,
+            session,
+            chosen,
+        )
     };
     let chosen = match query.session {
         Some(session) => by_session(now, &candidates, session),
@@ -204,6 +211,7 @@
 fn likely_holder(
     now: Time,
     upstreams: &[Upstream],
+    is_unreachable: impl Fn(&name::Zone) -> bool,
     service: &name::Service,
     session: u64,
     chosen: &Upstream,
@@ -215,6 +223,8 @@
             && is_compatible
             && upstream.entry.service == *service
             && upstream.health.is_available(now)
+            && !upstream.is_silent(now)
+            && !is_unreachable(&upstream.entry.zone)
     });
     let first = others.max_by_key(|upstream| hash::score(session, upstream.id_hash));
     first.map(|upstream| upstream.entry.address)
--- a/crates/snipeusher/tests/fleet_view.rs
+++ b/crates/snipeusher/tests/fleet_view.rs
@@ -208,6 +208,22 @@
     }
 }
 
+/// Guards against an engine that waits for a copy from one beyond a partition.
+#[rstest]
+fn prompts_are_not_copied_from_an_unreachable_zone() {
+    let mut fleet = fleet(8);
+    for id in ["e1", "e3"].map(name::Upstream::from) {
+        fleet.record_sent(at(1), &id);
+    }
+    for session in 0..40 {
+        let Decision::Send { source, .. } = choose(&mut fleet, at(600), Some(session), &[]) else {
+            panic!("the engines of one zone are left");
+        };
+        let source = source.expect("other engines of the zone are left");
+        assert!(source.port().is_multiple_of(2), "{source} is unreachable");
+    }
+}
+
 #[rstest]
 fn a_request_is_not_sent_twice_to_one_upstream() {
     let mut fleet = fleet(2);
