Exclude upstreams whose address another one has

Cause: upstreams that start again at the same addresses answer 421 for their predecessors, whose entries stay listed while the store is down. Each such answer counted as a declined request, and after three of them the caller was refused although others were free.

Change: a 421 excludes that incarnation for five seconds or until its entry changes, and is told to the peers of the zone with the other outages (a trailing field that is left out when empty). Such answers have a limit of their own, since they come at once, and their other headers are not recorded for the upstream that is gone.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -64,6 +64,8 @@
     pub id: Option<String>,
     /// Whether the upstream states that it did not execute the request.
     pub declined: bool,
+    /// Whether another upstream than the intended one answered, which did not execute the request.
+    pub misdirected: bool,
     /// Whether the response carries the signature of the upstream.
     pub signed: bool,
     /// Load of the upstream.
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -43,6 +43,9 @@
 const UNREACHABLE_MAX: u32 = 4;
 /// A request is rejected once more upstreams than this have declined it.
 const DECLINED_MAX: u32 = 2;
+/// The same for upstreams whose address another one has. Their responses come at once, and all
+/// entries of a zone may be outdated at the same time.
+const MISDIRECTED_MAX: u32 = 8;
 /// Base of the `Retry-After` time given to a caller whose request was not executed.
 const RETRY_AFTER_MS: u64 = 100;
 /// Upper bound of the jitter added to it, so that callers rejected together do not retry together.
@@ -127,6 +130,8 @@
     Answered(io::Result<()>),
     /// The upstream states that it did not execute the request.
     Declined,
+    /// Another upstream answered at the address, which did not execute the request.
+    Misdirected,
     /// No connection could be opened, so nothing was sent.
     Unreachable,
     /// There is no usable response, but the request may have been executed.
@@ -160,6 +165,7 @@
     /// When the last attempt was sent.
     sent_at: Time,
     declined: u32,
+    misdirected: u32,
     unreachable: u32,
     fallback: Option<Fallback>,
     /// Status of the response to the caller.
@@ -187,6 +193,7 @@
             runs: 0,
             sent_at: Time::default(),
             declined: 0,
+            misdirected: 0,
             unreachable: 0,
             fallback: None,
             status: None,
@@ -238,6 +245,7 @@
             match self.attempt(placement, responder).await {
                 Step::Answered(result) => return answered(result),
                 Step::Declined => self.declined += 1,
+                Step::Misdirected => self.misdirected += 1,
                 Step::Unreachable => self.unreachable += 1,
                 Step::Lost => {
                     if responder.has_started() && !self.may_run_again() {
@@ -273,6 +281,9 @@
         if self.declined > DECLINED_MAX {
             return Err(self.not_run("declined", self.retry_after()));
         }
+        if self.misdirected > MISDIRECTED_MAX {
+            return Err(self.not_run("misdirected", self.retry_after()));
+        }
         if self.unreachable >= UNREACHABLE_MAX {
             return Err(self.not_run("unreachable", self.retry_after()));
         }
@@ -421,6 +432,7 @@
             "sends" => self.sends,
             "runs" => self.runs,
             "declined" => self.declined,
+            "misdirected" => self.misdirected,
             "unreachable" => self.unreachable,
             "events" => self.events.count(),
             "first_ms" => first_byte.map(|first| first.as_millis() as u64),
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -97,6 +97,14 @@
         let shared = self.shared;
         let now = shared.now();
         let mut fleet = shared.fleet.borrow_mut();
+        if facts.misdirected {
+            // The other headers describe the upstream that has the address now.
+            if fleet.record_replaced(now, upstream) {
+                info!(shared.log, "upstream: replaced"; "upstream" => upstream.as_str());
+                shared.outage.notify_one();
+            }
+            return;
+        }
         if let Some(load) = facts.load {
             fleet.record_load(now, upstream, load);
         }
@@ -249,7 +257,11 @@
         if connection.body(BODY_BYTES_MAX).await.is_ok() {
             self.release(upstream, connection);
         }
-        Step::Declined
+        if facts.misdirected {
+            Step::Misdirected
+        } else {
+            Step::Declined
+        }
     }
 
     /// Passes on a response that is not a stream.
--- a/crates/edge/src/peer/outage.rs
+++ b/crates/edge/src/peer/outage.rs
@@ -10,7 +10,7 @@
 use slog::debug;
 use slog::info;
 use snafu::ResultExt as _;
-use snipeusher::fleet::Outage;
+use snipeusher::fleet::Leaving;
 use tokio::time::timeout;
 
 use super::OUTAGE_PATH;
@@ -37,7 +37,7 @@
         };
         info!(shared.log, "upstream: outage reported";
             "zones" => names(&outage.zones), "upstreams" => names(&outage.upstreams),
-            "leaving" => leaving(&outage));
+            "leaving" => ids(&outage.leaving), "replaced" => ids(&outage.replaced));
         let report = OutageReport {
             host: shared.settings.host.clone(),
             zone: shared.settings.fleet.zone.clone(),
@@ -64,7 +64,8 @@
             "peer" => report.host.as_str(),
             "zones" => names(&report.outage.zones),
             "upstreams" => names(&report.outage.upstreams),
-            "leaving" => leaving(&report.outage));
+            "leaving" => ids(&report.outage.leaving),
+            "replaced" => ids(&report.outage.replaced));
     }
 }
 
@@ -73,8 +74,8 @@
     names.join(" ")
 }
 
-fn leaving(outage: &Outage) -> String {
-    let ids = outage.leaving.iter().map(|leaving| &leaving.upstream);
+fn ids(incarnations: &[Leaving]) -> String {
+    let ids = incarnations.iter().map(|incarnation| &incarnation.upstream);
     names(&ids.collect::<Vec<_>>())
 }
 
--- a/crates/edge/tests/common/platform.rs
+++ b/crates/edge/tests/common/platform.rs
@@ -82,6 +82,7 @@
         Response {
             id: text(headers, "t-id").map(str::to_owned),
             declined: headers.contains_key("t-not-run") || status == 421,
+            misdirected: status == 421,
             signed: headers.contains_key("t-signature"),
             load: text(headers, "t-load")
                 .and_then(|text| text.parse().ok())
--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -48,11 +48,14 @@
     }
 
     /// Whether an upstream may get the request at `now`: it runs the required version, was not
-    /// tried, has not asked for a pause, has not had what it takes from this router and, if it can
+    /// tried, still has its address, has not asked for a pause, has not had what it takes from this router and, if it can
     /// decline few requests, has room.
     pub(super) fn admits(&self, now: Time, upstream: &Upstream, needs_room: bool) -> bool {
         let is_tried = self.tried.contains(&upstream.entry.id);
-        self.suits(upstream) && !is_tried && upstream.available_at(now, needs_room).is_none()
+        self.suits(upstream)
+            && !is_tried
+            && !upstream.is_replaced(now)
+            && upstream.available_at(now, needs_room).is_none()
     }
 }
 
@@ -144,7 +147,7 @@
 ) -> Decision {
     let ready = ready.iter().map(|slot| &upstreams[*slot]);
     let ends = ready
-        .filter(|upstream| query.suits(upstream))
+        .filter(|upstream| query.suits(upstream) && !upstream.is_replaced(now))
         .map(|upstream| upstream.available_at(now, needs_room));
     // An upstream that takes requests counts as `None`, which is the least.
     match ends.min().flatten() {
@@ -224,6 +227,7 @@
             && upstream.entry.service == *service
             && upstream.health.is_available(now)
             && !upstream.is_silent(now)
+            && !upstream.is_replaced(now)
             && !is_unreachable(&upstream.entry.zone)
     });
     let first = others.max_by_key(|upstream| hash::score(session, upstream.id_hash));
--- a/crates/snipeusher/src/fleet/outage.rs
+++ b/crates/snipeusher/src/fleet/outage.rs
@@ -22,11 +22,18 @@
     pub upstreams: Vec<name::Upstream>,
     /// Upstreams that said that they shut down.
     pub leaving: Vec<Leaving>,
+    /// Upstreams at whose address another one answers. Routers of earlier builds cannot read the
+    /// field, so it is left out when empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub replaced: Vec<Leaving>,
 }
 
 impl Outage {
     /// Whether it names nothing.
     pub const fn is_empty(&self) -> bool {
-        self.zones.is_empty() && self.upstreams.is_empty() && self.leaving.is_empty()
+        self.zones.is_empty()
+            && self.upstreams.is_empty()
+            && self.leaving.is_empty()
+            && self.replaced.is_empty()
     }
 }
--- a/crates/snipeusher/src/fleet/upstream.rs
+++ b/crates/snipeusher/src/fleet/upstream.rs
@@ -16,6 +16,9 @@
 /// An upstream with requests in flight that has sent nothing for this long is avoided. An engine
 /// that processes a long prompt sends nothing for some hundred milliseconds.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(450);
+/// Time for which an upstream gets nothing after another one has answered at its address. Its entry
+/// is outdated by then, unless the answer was wrong.
+const REPLACED_FOR: Duration = Duration::from_secs(5);
 
 /// One router's view of a single upstream.
 #[derive(Clone, Debug)]
@@ -45,6 +48,8 @@
     pub(super) backoff_until: Option<Time>,
     /// Its slots that only this router uses while it can decline few requests.
     pub(super) own_slots: u32,
+    /// End of the time for which it gets nothing, since another upstream answers at its address.
+    replaced_until: Option<Time>,
     /// Until when reports of peers are ignored.
     reports_ignored_until: Time,
 }
@@ -64,6 +69,7 @@
             rate: Rate::default(),
             backoff_until: None,
             own_slots: 0,
+            replaced_until: None,
             reports_ignored_until: Time::default(),
         }
     }
@@ -79,7 +85,21 @@
         is_news
     }
 
-    /// The announcement that its present incarnation shuts down.
+    /// Records that another upstream answered at its address. Returns whether this is news.
+    pub(super) fn record_replaced(&mut self, now: Time) -> bool {
+        let is_news = !self.is_replaced(now);
+        if is_news {
+            self.replaced_until = Some(now + REPLACED_FOR);
+        }
+        is_news
+    }
+
+    /// Whether another upstream answers at its address, so that it cannot be reached there.
+    pub fn is_replaced(&self, now: Time) -> bool {
+        self.replaced_until.is_some_and(|until| now < until)
+    }
+
+    /// Its present incarnation, as named in reports to peers.
     pub(super) fn leaving(&self) -> Leaving {
         Leaving {
             upstream: self.entry.id.clone(),
@@ -126,6 +146,9 @@
             self.backoff_until = None;
             self.rate = Rate::default();
         }
+        if entry.revision != self.entry.revision {
+            self.replaced_until = None;
+        }
         self.local = entry.zone == *zone;
         self.entry = entry;
     }
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -429,6 +429,9 @@
         for leaving in &outage.leaving {
             self.leave(now, leaving);
         }
+        for replaced in &outage.replaced {
+            self.replace(now, replaced);
+        }
         for id in &outage.upstreams {
             let upstream = self.upstream_mut(id);
             if upstream.is_some_and(|upstream| upstream.record_report(now)) {
@@ -458,6 +461,28 @@
         is_news
     }
 
+    /// Records that another upstream answered at the address of an upstream, whose entry is outdated.
+    /// Returns whether this is news.
+    pub fn record_replaced(&mut self, now: Time, id: &name::Upstream) -> bool {
+        let Some(upstream) = self.upstream(id) else {
+            return false;
+        };
+        let replaced = upstream.leaving();
+        self.replace(now, &replaced)
+    }
+
+    /// Excludes an upstream whose address another one has; news is passed on to peers.
+    fn replace(&mut self, now: Time, replaced: &Leaving) -> bool {
+        let upstream = self.upstream_mut(&replaced.upstream);
+        let upstream =
+            upstream.filter(|upstream| upstream.entry.incarnation == replaced.incarnation);
+        let is_news = upstream.is_some_and(|upstream| upstream.record_replaced(now));
+        if is_news {
+            self.outage.replaced.push(replaced.clone());
+        }
+        is_news
+    }
+
     /// Whether an upstream said itself that it shuts down.
     pub fn has_announced_leaving(&self, upstream: &Upstream) -> bool {
         self.roster.is_announced(&upstream.leaving())
--- a/crates/snipeusher/tests/outage.rs
+++ b/crates/snipeusher/tests/outage.rs
@@ -203,7 +203,7 @@
         let outage = Outage {
             zones: vec![name::Zone::from("e")],
             upstreams: Vec::new(),
-            leaving: Vec::new(),
+            ..Outage::default()
         };
         assert!(
             view.merge_outage(routers.now, &outage),
@@ -222,7 +222,7 @@
     let outage = Outage {
         zones: vec![name::Zone::from("c")],
         upstreams: vec![id.clone()],
-        leaving: Vec::new(),
+        ..Outage::default()
     };
     assert!(routers.views[0].merge_outage(routers.now, &outage));
     routers.run(Duration::from_secs(2));
@@ -240,7 +240,7 @@
     let outage = Outage {
         zones: vec![name::Zone::from("nowhere")],
         upstreams: vec![name::Upstream::from("nobody")],
-        leaving: Vec::new(),
+        ..Outage::default()
     };
     assert!(!view.merge_outage(Time::from_millis(5), &outage));
     assert_eq!(view.take_outage(), None);
