--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -59,6 +59,10 @@
 
 /// Data from the headers of an upstream's response.
 #[derive(Clone, Debug, Default, PartialEq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each states an independent fact of one header or status"
+)]
 pub struct Response {
     /// Identifier of the request to which it belongs.
     pub id: Option<String>,
