--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -430,7 +430,7 @@
             self.leave(now, leaving);
         }
         for replaced in &outage.replaced {
-            self.replace(now, replaced);
+            self.exclude_replaced(now, replaced);
         }
         for id in &outage.upstreams {
             let upstream = self.upstream_mut(id);
@@ -468,11 +468,11 @@
             return false;
         };
         let replaced = upstream.leaving();
-        self.replace(now, &replaced)
+        self.exclude_replaced(now, &replaced)
     }
 
     /// Excludes an upstream whose address another one has; news is passed on to peers.
-    fn replace(&mut self, now: Time, replaced: &Leaving) -> bool {
+    fn exclude_replaced(&mut self, now: Time, replaced: &Leaving) -> bool {
         let upstream = self.upstream_mut(&replaced.upstream);
         let upstream =
             upstream.filter(|upstream| upstream.entry.incarnation == replaced.incarnation);
