Limit what all routers send to an upstream that is warming up

Cause: an upstream that has just started or lost its warm state crashes if it gets many more requests in a second than it accepts; the routers sent it as much as any other, or more, since it was idle.

Change: the bound of any second is divided into permits, these among the routers by rendezvous hashing. fleet::Entry carries the remaining time in a trailing field that is left out when zero; route::Service has a warmup; Fleet::set_warmups, start_warmup, await_peers, take_warmups, changes_since; Upstream::available_at includes the limit. The token bucket and the rank of a router are shared with rate limits.

The tests in crates/edge and platform were not run yet.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -121,6 +121,11 @@
     /// Decodes the entry of an upstream.
     fn entry(&self, entry: &kv::Entry) -> Result<fleet::Entry, Error>;
 
+    /// Values of an entry that [`Self::entry`] replaces by fallbacks, for logs.
+    fn warnings(&self, _entry: &kv::Entry) -> Vec<String> {
+        Vec::new()
+    }
+
     /// Identifier of the upstream whose entry has this key.
     fn upstream(&self, key: &str) -> Option<name::Upstream> {
         key.strip_prefix(Self::UPSTREAMS).map(name::Upstream::from)
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -85,6 +85,7 @@
     upstreams: Gauge,
     ejected: Gauge,
     unused: Family<CauseLabels, Gauge>,
+    cold: Gauge,
     store_unreachable: Gauge,
     store_era: Gauge,
 }
@@ -181,6 +182,12 @@
             "Upstreams that get no requests while others do, by cause",
             unused.clone(),
         );
+        let cold = Gauge::default();
+        registry.register(
+            "upstreams_warming_up",
+            "Upstreams whose requests are limited, since they are cold",
+            cold.clone(),
+        );
         let store_era = Gauge::default();
         registry.register(
             "store_era",
@@ -203,6 +210,7 @@
             upstreams,
             ejected,
             unused,
+            cold,
             store_unreachable,
             store_era,
         }
@@ -344,6 +352,9 @@
             let unused = metrics.unused.get_or_create(&CauseLabels { cause });
             unused.set(gauge_value(count));
         }
+        let known = status.upstreams.iter();
+        let cold = known.filter(|upstream| upstream.cold_ms.is_some()).count();
+        metrics.cold.set(gauge_value(cold));
         metrics.store_era.set(status.store.era.cast_signed());
         let fleet = self.shared.fleet.borrow();
         let upstreams = fleet.upstreams();
--- a/crates/edge/src/peer/server.rs
+++ b/crates/edge/src/peer/server.rs
@@ -123,7 +123,7 @@
         let is_behind = revision < roster.revision();
         let is_short = roster.entries().count() <= LIST_ENTRIES_MAX;
         let is_sent = is_behind && (is_short || !roster.is_before_history(revision));
-        is_sent.then(|| roster.changes_since(now, revision))
+        is_sent.then(|| fleet.changes_since(now, revision))
     }
 
     /// The complete list of upstreams.
@@ -133,7 +133,7 @@
         if fleet.roster().is_unsynced() {
             return Err(StatusCode::NOT_FOUND);
         }
-        self.encode(&fleet.roster().changes_since(now, Revision::default()))
+        self.encode(&fleet.changes_since(now, Revision::default()))
     }
 
     fn configuration(&self) -> Result<Vec<u8>, StatusCode> {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -129,10 +129,14 @@
     pub fn open(platform: P, settings: Settings, log: Logger) -> Rc<Self> {
         let mut rng = SmallRng::from_os_rng();
         let poison = poison::Tracker::new(rng.random());
+        let mut fleet = Fleet::new(settings.fleet.clone());
+        if settings.seeds.iter().any(|seed| *seed != settings.control) {
+            fleet.await_peers(Time::default());
+        }
         Rc::new(Self {
             platform,
             clock: Clock::start(),
-            fleet: RefCell::new(Fleet::new(settings.fleet.clone())),
+            fleet: RefCell::new(fleet),
             pool: RefCell::default(),
             lifecycle: Lifecycle::default(),
             metrics: Metrics::default(),
@@ -225,12 +229,26 @@
     /// Records that the configuration or the upstreams changed, so that peers are informed.
     pub fn record_change(&self) {
         self.changed.notify_one();
+        self.log_warmups();
         if self.is_loaded() && !self.ready_logged.replace(true) {
             let upstreams = self.fleet.borrow().upstreams().len();
             info!(self.log, "node: ready"; "upstreams" => upstreams, "ms" => self.now().0 / 1_000);
         }
     }
 
+    /// Logs which upstreams have become cold.
+    fn log_warmups(&self) {
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        for (id, remaining) in fleet.take_warmups(now) {
+            let upstream = fleet.upstream(&id);
+            let limit = upstream.and_then(|upstream| upstream.warmup.limit(now));
+            info!(self.log, "upstream: warming up";
+                "upstream" => id.as_str(), "ms" => remaining.as_millis() as u64,
+                "per_s" => limit);
+        }
+    }
+
     /// Whether the readiness check succeeds.
     pub fn is_ready(&self) -> bool {
         self.is_loaded() && !self.lifecycle.is_leaving()
@@ -263,6 +281,11 @@
                 info!(self.log, "configuration: in force";
                     "version" => table.version(), "revision" => revision.number,
                     "era" => revision.era.0, "routes" => table.len(), "source" => source);
+                for warning in table.warnings() {
+                    warn!(self.log, "configuration: invalid value";
+                        "version" => table.version(), "value" => warning);
+                }
+                self.set_warmups(&table);
                 *self.table.borrow_mut() = Some(Rc::new(table));
                 self.configured_at.set(self.now());
                 *self.document.borrow_mut() = Some(Document {
@@ -280,6 +303,13 @@
         }
     }
 
+    /// Applies the limits of upstreams that are warming up.
+    fn set_warmups(&self, table: &Table) {
+        let services = table.services().iter();
+        let limits = services.filter_map(|(name, service)| Some((name.clone(), service.warmup?)));
+        self.fleet.borrow_mut().set_warmups(self.now(), limits);
+    }
+
     /// When the configuration came into force.
     pub const fn configured_at(&self) -> Time {
         self.configured_at.get()
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -95,6 +95,9 @@
     /// Requests a second that it takes from all routers together, if it states a limit.
     #[serde(default)]
     pub rate_limit: Option<f64>,
+    /// Milliseconds for which it is still warming up, if it is.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_ms: Option<u64>,
     /// In-flight requests of this router.
     pub own: u32,
     /// Estimated in-flight requests of all routers.
@@ -212,6 +215,7 @@
     } else {
         State::Ready
     };
+    let remaining = known.warmup.remaining(now);
     Upstream {
         id: id.clone(),
         service: known.entry.service.clone(),
@@ -219,6 +223,7 @@
         build: Some(known.entry.build.clone()),
         state,
         rate_limit: known.rate.limit(now),
+        cold_ms: remaining.map(|remaining| remaining.as_millis() as u64),
         own: known.load.in_flight(),
         load: known.load.estimate(now),
         failures: known.health.failure_rate(),
--- a/crates/edge/tests/bulk.rs
+++ b/crates/edge/tests/bulk.rs
@@ -133,6 +133,7 @@
             draining: false,
             incarnation: name::Incarnation(1),
             revision: Revision::new(2),
+            cold_ms: 0,
         },
         zone,
         delivers,
--- a/crates/edge/tests/common/platform.rs
+++ b/crates/edge/tests/common/platform.rs
@@ -20,6 +20,7 @@
 use snipeusher::route::Service;
 use snipeusher::route::Table;
 use snipeusher::route::Tenant;
+use snipeusher::route::Warmup;
 use snipeusher_edge::dialect::Context;
 use snipeusher_edge::dialect::Dialect;
 use snipeusher_edge::dialect::Documents;
@@ -29,7 +30,7 @@
 use snipeusher_edge::dialect::Response;
 
 /// Configuration: the version, then one route per line with path prefix, kind, attempts, timeout in
-/// milliseconds and access.
+/// milliseconds and access. A line `cold PER_S SECONDS` limits upstreams that are warming up.
 pub const DEFAULT: &str = "1\n\
     /read/ idempotent 2 1000 public\n\
     /write/ once 1 1000 public\n\
@@ -124,6 +125,7 @@
         let service = Service {
             connections: 10,
             engine: false,
+            warmup: None,
         };
         draft.services = BTreeMap::from([(name::Service::from("letters"), service)]);
         let tenant = Arc::new(Tenant {
@@ -133,6 +135,11 @@
         draft.keys = Some(BTreeMap::from([(Arc::from("secret-key"), tenant)]));
         for line in lines {
             let words: Vec<&str> = line.split_whitespace().collect();
+            if let ["cold", per_s, duration_s] = words[..] {
+                let services = draft.services.values_mut();
+                services.for_each(|service| service.warmup = warmup(per_s, duration_s));
+                continue;
+            }
             let [prefix, kind, attempts, timeout, access] = words[..] else {
                 return Err(invalid("a route has five words"));
             };
@@ -153,9 +160,10 @@
             key: entry.key.clone(),
             reason: "not an entry".to_owned(),
         };
-        let [service, address, state, build] = words[..] else {
+        let [service, address, state, build, ref cold @ ..] = words[..] else {
             return Err(invalid());
         };
+        let cold_ms = cold.first().and_then(|text| text.parse().ok());
         let id = self.upstream(&entry.key).ok_or_else(invalid)?;
         // An id may name the zone.
         let zone = id.as_str().split_once('@').map_or("here", |(_, zone)| zone);
@@ -169,6 +177,7 @@
             draining: state == "draining",
             incarnation: name::Incarnation(1),
             revision: entry.modified,
+            cold_ms: cold_ms.unwrap_or_default(),
         })
     }
 }
@@ -195,6 +204,14 @@
     }
 }
 
+fn warmup(per_s: &str, duration_s: &str) -> Option<Warmup> {
+    let duration = duration_s.parse().ok()?;
+    Some(Warmup {
+        per_s: per_s.parse().ok()?,
+        duration: Duration::from_secs_f64(duration),
+    })
+}
+
 /// Parses `1,2,3` as the parts of a prompt.
 fn parts(text: &str) -> Vec<Part> {
     let ids = text.split(',').filter_map(|id| id.parse().ok());
--- a/crates/edge/tests/serialized.rs
+++ b/crates/edge/tests/serialized.rs
@@ -148,6 +148,7 @@
         draining: true,
         incarnation: Incarnation(10),
         revision: Revision::new(11),
+        cold_ms: 0,
     };
     let removal = Removal {
         id: "engine-2".into(),
--- a/crates/snipeusher/src/fleet.rs
+++ b/crates/snipeusher/src/fleet.rs
@@ -4,6 +4,7 @@
 //! ([`Load`]), their health ([`Health`]) and how many retries this router may still send
 //! ([`Budget`]). It reads no clock and holds no socket. See `docs/platform.md#placement`.
 
+mod bucket;
 mod budget;
 mod builds;
 mod choice;
@@ -16,6 +17,7 @@
 mod roster;
 mod upstream;
 mod view;
+mod warmup;
 mod zone;
 
 pub use self::budget::Budget;
@@ -41,4 +43,6 @@
 pub use self::upstream::Upstream;
 pub use self::view::Fleet;
 pub use self::view::Settings;
+pub use self::warmup::Bound;
+pub use self::warmup::Warmup;
 pub use self::zone::Zone;
--- a/crates/snipeusher/src/fleet/rate.rs
+++ b/crates/snipeusher/src/fleet/rate.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use super::Upstream;
+use super::bucket::Bucket;
 use crate::hash;
 use crate::name;
 use crate::time::Time;
@@ -57,6 +58,30 @@
         Self { own, others, count }
     }
 
+    /// Hashes of the hosts of the other routers that are known to run.
+    pub(super) fn others(&self) -> &[u64] {
+        &self.others
+    }
+
+    /// Routers that are assumed to run, at least one.
+    pub(super) fn count(&self) -> usize {
+        self.count.max(self.others.len() + 1)
+    }
+
+    /// Number of other routers that rank before a router at an upstream, given the hashes of the
+    /// upstream and of the router's host.
+    pub(super) fn rank_of(&self, router: u64, upstream: u64) -> usize {
+        let own = hash::score(upstream, router);
+        let all = self.others.iter().chain([&self.own]);
+        let before = all.filter(|other| hash::score(upstream, **other) > own);
+        before.count()
+    }
+
+    /// The rank of this router.
+    pub(super) fn rank(&self, upstream: u64) -> usize {
+        self.rank_of(self.own, upstream)
+    }
+
     /// How many of the slots of an upstream this router has for itself. All routers together have
     /// them all.
     pub(super) fn own_slots(&self, upstream: &Upstream) -> u32 {
@@ -69,23 +94,15 @@
         let Some(slots) = upstream.entry.slots else {
             return 1;
         };
-        let count = self.count.max(self.others.len() + 1).max(1) as u32;
-        let score = |router| hash::score(upstream.id_hash, router);
-        let all = self.others.iter().chain([&self.own]);
-        let before = all.filter(|other| score(**other) > score(router));
-        let has_one_more = (before.count() as u32) < slots % count;
-        slots / count + u32::from(has_one_more)
+        let rank = self.rank_of(router, upstream.id_hash);
+        divide(slots, self.count() as u32, rank as u32)
     }
 
     /// This router's share of a limit of an upstream, in requests a second.
     pub(super) fn share(&self, upstream: u64, per_s: f64) -> f64 {
         let per_s = per_s.max(RATE_MIN);
-        let count = self.count.max(self.others.len() + 1).max(1);
-        let sharers = (per_s + SHARERS).min(count as f64).floor();
-        let own = hash::score(upstream, self.own);
-        let others = self.others.iter();
-        let before = others.filter(|other| hash::score(upstream, **other) > own);
-        if (before.count() as f64) < sharers {
+        let sharers = (per_s + SHARERS).min(self.count() as f64).floor();
+        if (self.rank(upstream) as f64) < sharers {
             per_s / sharers
         } else {
             0.0
@@ -93,46 +110,41 @@
     }
 }
 
+/// The part of the router with a rank, if a number of units is divided evenly among routers.
+pub(super) fn divide(units: u32, routers: u32, rank: u32) -> u32 {
+    let routers = routers.max(1);
+    units / routers + u32::from(rank < units % routers)
+}
+
 /// What is known of the rate limit of an upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Rate {
-    bucket: Option<Bucket>,
+    held: Option<Held>,
     /// When the upstream last stated a limit or, by answering without one, that it has none.
     heard_at: Time,
     /// When it was heard that a limit has ended.
     ended_at: Option<Time>,
 }
 
+/// A limit that holds.
 #[derive(Clone, Copy, Debug)]
-struct Bucket {
+struct Held {
     /// The limit for all routers, in requests a second.
     per_s: f64,
-    /// This router's share of it.
-    share: f64,
-    /// Requests that this router might send at `filled_at`.
-    tokens: f64,
-    filled_at: Time,
+    /// What this router may send.
+    bucket: Bucket,
 }
 
-impl Bucket {
-    fn tokens(&self, now: Time) -> f64 {
-        let most = (self.share * BURST_TIME.as_secs_f64()).max(1.0);
-        let gained = self.share * now.since(self.filled_at).as_secs_f64();
-        (self.tokens + gained).min(most)
-    }
-
-    fn set_share(&mut self, now: Time, share: f64) {
-        self.tokens = self.tokens(now);
-        self.filled_at = now;
-        self.share = share;
-    }
+/// Tokens that a router with a share of a limit may save up.
+fn capacity(share: f64) -> f64 {
+    (share * BURST_TIME.as_secs_f64()).max(1.0)
 }
 
 impl Rate {
     /// The limit for all routers together, in requests a second.
     pub fn limit(&self, now: Time) -> Option<f64> {
-        let bucket = self.bucket.as_ref()?;
-        (now.since(self.heard_at) < RETENTION).then_some(bucket.per_s)
+        let held = self.held.as_ref()?;
+        (now.since(self.heard_at) < RETENTION).then_some(held.per_s)
     }
 
     /// What has to be told to peers: the limit, or `None` if it ended not long ago, and how long
@@ -145,8 +157,8 @@
 
     /// Whether this router has sent its share.
     pub fn is_exhausted(&self, now: Time) -> bool {
-        let bucket = self.bucket.as_ref();
-        self.limit(now).is_some() && bucket.is_some_and(|bucket| bucket.tokens(now) < 1.0)
+        let held = self.held.as_ref();
+        self.limit(now).is_some() && held.is_some_and(|held| held.bucket.tokens(now) < 1.0)
     }
 
     /// When a request may be sent, here or by another router; `None` if at once.
@@ -154,10 +166,8 @@
         if !self.is_exhausted(now) {
             return None;
         }
-        let bucket = self.bucket.as_ref()?;
-        let missing = 1.0 - bucket.tokens(now);
-        let wait = Duration::try_from_secs_f64(missing / bucket.share);
-        Some(now + wait.unwrap_or(OTHERS_RETRY))
+        let held = self.held.as_ref()?;
+        Some(now + held.bucket.wait(now).unwrap_or(OTHERS_RETRY))
     }
 
     /// Records what the upstream stated at a time, unless something newer is known. `share` gives
@@ -175,37 +185,35 @@
         let known = self.limit(now);
         self.heard_at = at;
         let Some(per_s) = per_s else {
-            self.bucket = None;
+            self.held = None;
             self.ended_at = known.map_or(self.ended_at, |_| Some(now));
             return known.is_some();
         };
         let share = share(per_s);
         // What was sent before the limit was known counts as well, so nothing is saved up.
-        let bucket = self.bucket.filter(|_| known.is_some());
-        let mut bucket = bucket.unwrap_or(Bucket {
+        let held = self.held.filter(|_| known.is_some());
+        let mut held = held.unwrap_or(Held {
             per_s,
-            share,
-            tokens: 0.0,
-            filled_at: now,
+            bucket: Bucket::new(now, share, capacity(share), 0.0),
         });
-        bucket.set_share(now, share);
-        bucket.per_s = per_s;
-        self.bucket = Some(bucket);
+        held.bucket.set_rate(now, share, capacity(share));
+        held.per_s = per_s;
+        self.held = Some(held);
         known != Some(per_s)
     }
 
     /// Applies a change of the routers that share the limit.
     pub(super) fn update(&mut self, now: Time, share: impl Fn(f64) -> f64) {
-        if let Some(bucket) = &mut self.bucket {
-            bucket.set_share(now, share(bucket.per_s));
+        if let Some(held) = &mut self.held {
+            let share = share(held.per_s);
+            held.bucket.set_rate(now, share, capacity(share));
         }
     }
 
     /// Counts a request that is sent to the upstream.
     pub(super) fn record_sent(&mut self, now: Time) {
-        if let Some(bucket) = &mut self.bucket {
-            bucket.tokens = bucket.tokens(now) - 1.0;
-            bucket.filled_at = now;
+        if let Some(held) = &mut self.held {
+            held.bucket.take(now);
         }
     }
 }
--- a/crates/snipeusher/src/fleet/roster.rs
+++ b/crates/snipeusher/src/fleet/roster.rs
@@ -50,6 +50,15 @@
     pub incarnation: name::Incarnation,
     /// Revision of the store at which the entry was last written.
     pub revision: Revision,
+    /// Milliseconds for which it is still warming up; zero if it is warm. Routers of earlier builds
+    /// cannot read the field, so it is left out when zero.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub cold_ms: u32,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "required by serde")]
+const fn is_zero(value: &u32) -> bool {
+    *value == 0
 }
 
 /// An upstream that the store no longer lists.
--- a/crates/snipeusher/src/fleet/upstream.rs
+++ b/crates/snipeusher/src/fleet/upstream.rs
@@ -7,6 +7,7 @@
 use super::Leaving;
 use super::Load;
 use super::Rate;
+use super::Warmup;
 use super::decline;
 use super::zone::REPORTS_IGNORED_FOR;
 use crate::hash;
@@ -40,6 +41,8 @@
     pub paused_until: Option<Time>,
     /// The rate limit that it states, if any.
     pub rate: Rate,
+    /// Whether it is warming up.
+    pub warmup: Warmup,
     /// End of the time for which this router stays away, since it can decline few requests and has
     /// declined one.
     pub(super) backoff_until: Option<Time>,
@@ -50,7 +53,9 @@
 }
 
 impl Upstream {
-    pub(super) fn new(entry: Entry, zone: &name::Zone) -> Self {
+    pub(super) fn new(now: Time, entry: Entry, zone: &name::Zone) -> Self {
+        let mut warmup = Warmup::default();
+        warmup.record_entry(now, cold(&entry));
         Self {
             id_hash: hash::bytes(entry.id.as_str().as_bytes()),
             local: entry.zone == *zone,
@@ -62,6 +67,7 @@
             is_doubtful: false,
             paused_until: None,
             rate: Rate::default(),
+            warmup,
             backoff_until: None,
             own_slots: 0,
             reports_ignored_until: Time::default(),
@@ -92,12 +98,13 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
-    /// When it takes a request again, by its pause, its rate limit and, if it can decline few
-    /// requests, this router's slots; `None` if it does now.
+    /// When it takes a request again, by its pause, its rate limit, its warm-up and, if it can
+    /// decline few requests, this router's slots; `None` if it does now.
     pub(super) fn available_at(&self, now: Time, needs_room: bool) -> Option<Time> {
         let pause = self.paused_until.filter(|_| self.is_paused(now));
         let room = needs_room.then(|| self.room_at(now)).flatten();
-        pause.max(self.rate.available_at(now)).max(room)
+        let rate = self.rate.available_at(now);
+        pause.max(rate).max(self.warmup.available_at(now)).max(room)
     }
 
     /// When it has room for a request of this router; `None` if it has now.
@@ -119,14 +126,23 @@
     }
 
     /// Applies a newer entry. The health of an earlier incarnation or address is reset.
-    pub(super) fn update(&mut self, entry: Entry, zone: &name::Zone) {
+    pub(super) fn update(&mut self, now: Time, entry: Entry, zone: &name::Zone) {
         if entry.incarnation != self.entry.incarnation || entry.address != self.entry.address {
             self.health = Health::default();
             self.paused_until = None;
             self.backoff_until = None;
             self.rate = Rate::default();
+            self.warmup.reset();
+        }
+        if entry.revision != self.entry.revision {
+            self.warmup.record_entry(now, cold(&entry));
         }
         self.local = entry.zone == *zone;
         self.entry = entry;
     }
 }
+
+/// Time for which an entry states that its upstream is warming up.
+fn cold(entry: &Entry) -> Duration {
+    Duration::from_millis(entry.cold_ms.into())
+}
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -25,10 +25,13 @@
 use super::decline;
 use super::decline::DeclineLimits;
 use super::rate::Routers;
+use super::warmup::Bound;
+use super::warmup::Warmups;
 use super::zone::Zone;
 use crate::hash;
 use crate::kv::Revision;
 use crate::name;
+use crate::route;
 use crate::time::Time;
 
 /// Requests that each router may have in flight at one upstream, however many routers share its
@@ -75,6 +78,7 @@
     routers: usize,
     sharers: Routers,
     decline_limits: DeclineLimits,
+    warmups: Warmups,
 }
 
 impl Fleet {
@@ -94,6 +98,7 @@
             routers: 1,
             sharers: Routers::default(),
             decline_limits: DeclineLimits::default(),
+            warmups: Warmups::default(),
         }
     }
 
@@ -127,7 +132,9 @@
     ) {
         let id = |host: &name::Host| hash::bytes(host.as_str().as_bytes());
         let sharers = Routers::new(id(own), others.map(id).collect(), self.routers);
-        if self.sharers == sharers {
+        let is_changed = self.sharers != sharers;
+        self.warmups.set_routers(now, &sharers, is_changed);
+        if !is_changed {
             return;
         }
         self.sharers = sharers;
@@ -136,6 +143,86 @@
             upstream.rate.update(now, share);
         }
         self.divide_slots(now);
+        self.divide_permits(now);
+    }
+
+    /// Records that there are other routers, of which none is known yet.
+    pub fn await_peers(&mut self, now: Time) {
+        self.warmups.await_peers();
+        self.divide_permits(now);
+    }
+
+    /// Sets what upstreams may get in any second while they are warming up.
+    pub fn set_warmup_bound(&mut self, now: Time, bound: Bound) {
+        self.warmups.set_bound(bound);
+        self.divide_permits(now);
+    }
+
+    /// Sets the limits of upstreams that are warming up, by service. Other services have none.
+    pub fn set_warmups(
+        &mut self,
+        now: Time,
+        services: impl Iterator<Item = (name::Service, route::Warmup)>,
+    ) {
+        let had_none = self.warmups.is_empty();
+        self.warmups.set_services(services);
+        if !had_none || !self.warmups.is_empty() {
+            self.update_permits(now);
+        }
+    }
+
+    /// Marks all upstreams of a zone as cold for the time that their service's limit states, since
+    /// they have got no requests. Returns their number.
+    pub fn start_warmup(&mut self, now: Time, zone: &name::Zone) -> usize {
+        let mut count = 0;
+        for upstream in &mut self.upstreams {
+            let limit = self.warmups.get(&upstream.entry.service);
+            if let Some(limit) = limit.filter(|_| upstream.entry.zone == *zone) {
+                upstream.warmup.assume(now, limit.duration);
+                count += 1;
+            }
+        }
+        self.divide_permits(now);
+        count
+    }
+
+    /// Upstreams that have become cold since the last call, and for how long.
+    pub fn take_warmups(&mut self, now: Time) -> Vec<(name::Upstream, Duration)> {
+        if self.warmups.is_empty() {
+            return Vec::new();
+        }
+        let upstreams = self.upstreams.iter_mut();
+        let news = upstreams.filter_map(|upstream| {
+            let remaining = upstream.warmup.take_news(now)?;
+            Some((upstream.entry.id.clone(), remaining))
+        });
+        news.collect()
+    }
+
+    /// Changes of the store's entries after a revision, for a peer. Upstreams that are warming up
+    /// are listed with the time that remains.
+    pub fn changes_since(&self, now: Time, revision: Revision) -> Delta {
+        let mut delta = self.roster.changes_since(now, revision);
+        let cold = delta.entries.iter_mut().filter(|entry| entry.cold_ms > 0);
+        for entry in cold {
+            let upstream = self.upstream(&entry.id);
+            let remaining = upstream.map(|upstream| upstream.warmup.stated(now));
+            entry.cold_ms = remaining.unwrap_or_default().as_millis() as u32;
+        }
+        delta
+    }
+
+    /// Determines this router's part of the limits of upstreams that are warming up.
+    fn divide_permits(&mut self, now: Time) {
+        if !self.warmups.is_empty() {
+            self.update_permits(now);
+        }
+    }
+
+    fn update_permits(&mut self, now: Time) {
+        for upstream in &mut self.upstreams {
+            self.warmups.update(now, upstream, &self.sharers);
+        }
     }
 
     /// Determines this router's slots at the upstreams that can decline few requests.
@@ -301,13 +388,26 @@
     pub fn needs_relay(&self, now: Time, service: &name::Service) -> bool {
         let is_free = |upstream: &Upstream| upstream.available_at(now, true).is_none();
         let is_full = self.needs_room(now, service) && !self.ready_upstreams(service).any(is_free);
-        is_full || self.is_unreachable(service)
+        is_full || self.is_withheld(now, service) || self.is_unreachable(service)
     }
 
-    /// Whether a router has slots at upstreams of a service that can decline few requests. At other
-    /// services each router has.
+    /// Whether all upstreams of a service are warming up and get requests of other routers only.
+    fn is_withheld(&self, now: Time, service: &name::Service) -> bool {
+        let mut upstreams = self.ready_upstreams(service).peekable();
+        upstreams.peek().is_some() && upstreams.all(|upstream| upstream.warmup.is_withheld(now))
+    }
+
+    /// Whether a router has slots at upstreams of a service that can decline few requests, or may
+    /// send to one if all are warming up. At other services each router has.
     pub fn has_slots(&self, now: Time, service: &name::Service, host: &name::Host) -> bool {
         let router = hash::bytes(host.as_str().as_bytes());
+        let may_send = |upstream: &Upstream| {
+            let rank = self.sharers.rank_of(router, upstream.id_hash);
+            upstream.warmup.has_permits(rank as u32)
+        };
+        if self.is_withheld(now, service) && !self.ready_upstreams(service).any(may_send) {
+            return false;
+        }
         let mut upstreams = self.ready_upstreams(service);
         !self.needs_room(now, service)
             || upstreams.any(|upstream| self.sharers.slots_of(router, upstream) > 0)
@@ -648,6 +748,7 @@
         if let Some(upstream) = self.upstream_mut(id) {
             upstream.load.record_sent();
             upstream.rate.record_sent(now);
+            upstream.warmup.record_sent(now);
             upstream.health.record_sent();
             upstream.silent_since.get_or_insert(now);
         }
@@ -738,10 +839,10 @@
             .collect();
         for entry in roster.entries() {
             if let Some(slot) = self.slots.get(&entry.id) {
-                self.upstreams[*slot].update(entry.clone(), &self.settings.zone);
+                self.upstreams[*slot].update(now, entry.clone(), &self.settings.zone);
             } else {
                 self.slots.insert(entry.id.clone(), self.upstreams.len());
-                let upstream = Upstream::new(entry.clone(), &self.settings.zone);
+                let upstream = Upstream::new(now, entry.clone(), &self.settings.zone);
                 self.upstreams.push(upstream);
             }
         }
@@ -752,5 +853,6 @@
             slots.extend(self.slots.get(&entry.id));
         }
         self.divide_slots(now);
+        self.divide_permits(now);
     }
 }
--- a/crates/snipeusher/src/route.rs
+++ b/crates/snipeusher/src/route.rs
@@ -103,13 +103,24 @@
     pub priority: Option<u8>,
 }
 
+/// What the upstreams of a service accept while they are warming up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Warmup {
+    /// Requests a second that one upstream accepts from all routers together; above zero.
+    pub per_s: f64,
+    /// Time for which an upstream that has lost its warm state is cold.
+    pub duration: Duration,
+}
+
 /// Configured properties of a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Connections that one upstream accepts from all routers together.
     pub connections: u32,
     /// Whether its upstreams are model engines, which batch requests and cache prompts.
     pub engine: bool,
+    /// Limit of its upstreams while they are warming up, if any.
+    pub warmup: Option<Warmup>,
 }
 
 /// Limits on callers' requests and connections.
--- a/crates/snipeusher/src/route/table.rs
+++ b/crates/snipeusher/src/route/table.rs
@@ -63,6 +63,8 @@
     pub services: BTreeMap<name::Service, Service>,
     /// Tenants by API key; `None` if no keys are required.
     pub keys: Option<BTreeMap<Arc<str>, Arc<Tenant>>>,
+    /// Values that were replaced by fallbacks, for logs.
+    pub warnings: Vec<String>,
     hosts: BTreeMap<Arc<str>, Prefixes>,
 }
 
@@ -143,6 +145,11 @@
         &self.0.services
     }
 
+    /// Values that were replaced by fallbacks.
+    pub fn warnings(&self) -> &[String] {
+        &self.0.warnings
+    }
+
     /// The number of routes.
     pub fn len(&self) -> usize {
         self.0.hosts.values().map(BTreeMap::len).sum()
--- a/crates/snipeusher/tests/decline.rs
+++ b/crates/snipeusher/tests/decline.rs
@@ -59,6 +59,7 @@
         draining: false,
         incarnation: name::Incarnation(incarnation),
         revision: Revision::new(revision),
+        cold_ms: 0,
     }
 }
 
--- a/crates/snipeusher/tests/departure.rs
+++ b/crates/snipeusher/tests/departure.rs
@@ -39,6 +39,7 @@
         draining: false,
         incarnation: name::Incarnation(incarnation),
         revision,
+        cold_ms: 0,
     }
 }
 
--- a/crates/snipeusher/tests/fleet_view.rs
+++ b/crates/snipeusher/tests/fleet_view.rs
@@ -42,6 +42,7 @@
         draining: false,
         incarnation: name::Incarnation(1),
         revision: Revision::new(revision),
+        cold_ms: 0,
     }
 }
 
--- a/crates/snipeusher/tests/outage.rs
+++ b/crates/snipeusher/tests/outage.rs
@@ -46,6 +46,7 @@
         draining: false,
         incarnation: name::Incarnation(1),
         revision: Revision::new(1),
+        cold_ms: 0,
     }
 }
 
--- a/crates/snipeusher/tests/rate_limits.rs
+++ b/crates/snipeusher/tests/rate_limits.rs
@@ -49,6 +49,7 @@
         draining: false,
         incarnation: name::Incarnation(1),
         revision: Revision::new(1),
+        cold_ms: 0,
     };
     fleet.replace_all(Time::default(), Revision::new(1), vec![entry]);
     fleet.set_routers(hosts.len());
--- a/crates/snipeusher/tests/restore.rs
+++ b/crates/snipeusher/tests/restore.rs
@@ -80,6 +80,7 @@
             draining,
             incarnation: name::Incarnation(self.incarnations),
             revision: Revision::default(),
+            cold_ms: 0,
         };
         self.writes.push((upstream, Some(entry)));
     }
--- a/crates/snipeusher/tests/stream.rs
+++ b/crates/snipeusher/tests/stream.rs
@@ -48,6 +48,7 @@
         draining: false,
         incarnation: name::Incarnation(1),
         revision: Revision::new(1),
+        cold_ms: 0,
     }
 }
 
