--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -100,6 +100,12 @@
     counter
 }
 
+fn gauge(registry: &mut Registry, name: &str, help: &str) -> Gauge {
+    let gauge = Gauge::default();
+    registry.register(name, help, gauge.clone());
+    gauge
+}
+
 fn outcomes(registry: &mut Registry, name: &str, help: &str) -> Family<OutcomeLabels, Counter> {
     let outcomes = Family::default();
     registry.register(name, help, outcomes.clone());
@@ -164,11 +170,7 @@
                 "1 while the store does not answer this router",
             ),
         ];
-        let gauges = gauges.map(|(name, help)| {
-            let gauge = Gauge::<i64>::default();
-            registry.register(name, help, gauge.clone());
-            gauge
-        });
+        let gauges = gauges.map(|(name, help)| gauge(&mut registry, name, help));
         let [
             in_flight,
             configuration,
@@ -182,17 +184,15 @@
             "Upstreams that get no requests while others do, by cause",
             unused.clone(),
         );
-        let cold = Gauge::default();
-        registry.register(
+        let cold = gauge(
+            &mut registry,
             "upstreams_warming_up",
             "Upstreams whose requests are limited, since they are cold",
-            cold.clone(),
         );
-        let store_era = Gauge::default();
-        registry.register(
+        let store_era = gauge(
+            &mut registry,
             "store_era",
             "Number of times that the store was restored from a copy",
-            store_era.clone(),
         );
         Self {
             registry,
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -63,6 +63,8 @@
     pub grace: Duration,
     /// Settings of the view of the fleet.
     pub fleet: fleet::Settings,
+    /// What upstreams may get in any second while they are warming up.
+    pub warmup: fleet::Bound,
 }
 
 /// The configuration as stored, to serve to peers that cannot reach the store.
@@ -130,6 +132,7 @@
         let mut rng = SmallRng::from_os_rng();
         let poison = poison::Tracker::new(rng.random());
         let mut fleet = Fleet::new(settings.fleet.clone());
+        fleet.set_warmup_bound(Time::default(), settings.warmup);
         if settings.seeds.iter().any(|seed| *seed != settings.control) {
             fleet.await_peers(Time::default());
         }
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -48,6 +48,7 @@
             drain: Duration::from_secs(2),
             pause_max: Duration::from_mins(1),
         },
+        warmup: fleet::Bound::default(),
     };
     let (front, ready, control) = (settings.front, settings.ready, settings.control);
     let log = Logger::root(slog::Discard, o!());
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -151,6 +151,11 @@
         self.take(key, EXPECTED, number)
     }
 
+    /// Reads an optional, non-negative number, which may be written as an integer.
+    pub fn optional_number(&mut self, key: &'static str) -> Option<f64> {
+        self.take(key, "a number that is not negative", number)
+    }
+
     /// Reads a required duration in seconds; one too long for [`Duration`] is a mistake.
     pub fn required_seconds(&mut self, key: &'static str) -> Option<Duration> {
         const EXPECTED: &str = "a number that is not negative, as a time in seconds";
--- a/crates/snipeusher/src/fleet/warmup.rs
+++ b/crates/snipeusher/src/fleet/warmup.rs
@@ -40,8 +40,9 @@
 const SETTLING: Duration = Duration::from_secs(5);
 /// Routers that may be missing from a list that is nearly complete, if it is short.
 const NEW_MAX: usize = 2;
-/// The same as a fraction of a long list: one in this many.
-const NEW_FRACTION: usize = 8;
+/// The same as a fraction of a long list: one in this many. Routers of a large fleet that start
+/// together would otherwise use permits while each knows only some of the others.
+const NEW_FRACTION: usize = 16;
 /// Time after which the number of permits doubles while the limit ends.
 const RAMP_STEP: Duration = Duration::from_millis(250);
 /// Such steps before the limit has ended.
--- a/crates/snipeusher/tests/warmup.rs
+++ b/crates/snipeusher/tests/warmup.rs
@@ -309,7 +309,7 @@
         }
         trial.run(Duration::from_millis(300));
     }
-    trial.run(Duration::from_secs(60));
+    trial.run(Duration::from_mins(1));
     let separated = trial.worst();
     for index in order {
         trial.list(index, |_| true);
@@ -381,6 +381,59 @@
     assert!(count <= 27, "{count}");
 }
 
+/// Guards against routers that all start together and use permits while each knows some of the
+/// others only.
+#[rstest]
+fn a_fleet_that_starts_keeps_to_the_bound(
+    #[values(9, 64, 370)] routers: usize,
+    #[values(9.3, 13.0)] per_s: f64,
+    #[values(9, 18)] heard_per_s: usize,
+) {
+    let mut trial = Trial::new(routers, per_s);
+    for index in 0..routers {
+        trial.routers[index] = router(per_s);
+        trial.routers[index].await_peers(at(trial.now_ms));
+    }
+    trial.announce();
+    // Each second, a router hears of some members of the fleet, known ones among them.
+    let mut known = vec![vec![false; routers]; routers];
+    for _ in 0..60 {
+        for (index, known) in known.iter_mut().enumerate() {
+            for _ in 0..heard_per_s {
+                known[trial.random(routers as u64) as usize] = true;
+            }
+            trial.list(index, |other| known[other]);
+        }
+        trial.run(WINDOW);
+    }
+    let worst = trial.worst();
+    println!("{routers} routers, {per_s}/s, {heard_per_s} heard of: worst {worst}");
+    assert!(worst <= allowed(per_s), "{worst}");
+}
+
+/// Guards against routers that restart one after the other, each with nothing but its seeds.
+#[rstest]
+fn routers_that_restart_in_turn_keep_to_the_bound(
+    #[values(9, 13, 64)] routers: usize,
+    #[values(9.3, 13.0)] per_s: f64,
+) {
+    let mut trial = Trial::new(routers, per_s);
+    trial.announce();
+    for index in 0..routers {
+        trial.routers[index] = router(per_s);
+        trial.routers[index].await_peers(at(trial.now_ms));
+        trial.announce();
+        trial.run(Duration::from_millis(700));
+        for step in 1..=4 {
+            trial.list(index, |other| other * 4 < routers * step);
+            trial.run(Duration::from_millis(300));
+        }
+    }
+    let worst = trial.worst();
+    println!("{routers} routers, {per_s}/s: worst {worst}");
+    assert!(worst <= allowed(per_s), "{worst}");
+}
+
 /// Guards against a router alone that waits for others.
 #[test]
 fn a_router_without_others_uses_the_limit() {
