--- a/crates/snipeusher/tests/warmup.rs
+++ b/crates/snipeusher/tests/warmup.rs
@@ -240,6 +240,24 @@
     assert!(first <= 4, "{first} requests within 0.2 s");
 }
 
+/// Guards against routers that save requests while they have none to send, for a burst of all of
+/// them.
+#[rstest]
+fn requests_after_a_pause_keep_to_the_bound(
+    #[values(1, 9, 12, 13, 64, 370)] routers: usize,
+    #[values(9.3, 13.0)] per_s: f64,
+) {
+    let mut trial = Trial::new(routers, per_s);
+    for _ in 0..4 {
+        trial.announce();
+        trial.now_ms += 5_000;
+        trial.run(Duration::from_millis(2_500));
+    }
+    let worst = trial.worst();
+    println!("{routers} routers, {per_s}/s: worst {worst}");
+    assert!(worst <= allowed(per_s), "{worst}");
+}
+
 /// Guards against routers with permits of their own that one by one replace others with theirs.
 #[rstest]
 fn routers_that_join_or_end_keep_to_the_bound(
