--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -85,6 +85,7 @@
     upstreams: Gauge,
     ejected: Gauge,
     unused: Family<CauseLabels, Gauge>,
+    cold: Gauge,
     store_unreachable: Gauge,
     store_era: Gauge,
 }
@@ -99,6 +100,12 @@
     counter
 }
 
+fn gauge(registry: &mut Registry, name: &str, help: &str) -> Gauge {
+    let gauge = Gauge::default();
+    registry.register(name, help, gauge.clone());
+    gauge
+}
+
 fn outcomes(registry: &mut Registry, name: &str, help: &str) -> Family<OutcomeLabels, Counter> {
     let outcomes = Family::default();
     registry.register(name, help, outcomes.clone());
@@ -163,11 +170,7 @@
                 "1 while the store does not answer this router",
             ),
         ];
-        let gauges = gauges.map(|(name, help)| {
-            let gauge = Gauge::<i64>::default();
-            registry.register(name, help, gauge.clone());
-            gauge
-        });
+        let gauges = gauges.map(|(name, help)| gauge(&mut registry, name, help));
         let [
             in_flight,
             configuration,
@@ -181,11 +184,15 @@
             "Upstreams that get no requests while others do, by cause",
             unused.clone(),
         );
-        let store_era = Gauge::default();
-        registry.register(
+        let cold = gauge(
+            &mut registry,
+            "upstreams_warming_up",
+            "Upstreams whose requests are limited, since they are cold",
+        );
+        let store_era = gauge(
+            &mut registry,
             "store_era",
             "Number of times that the store was restored from a copy",
-            store_era.clone(),
         );
         Self {
             registry,
@@ -203,6 +210,7 @@
             upstreams,
             ejected,
             unused,
+            cold,
             store_unreachable,
             store_era,
         }
@@ -344,6 +352,9 @@
             let unused = metrics.unused.get_or_create(&CauseLabels { cause });
             unused.set(gauge_value(count));
         }
+        let known = status.upstreams.iter();
+        let cold = known.filter(|upstream| upstream.cold_ms.is_some()).count();
+        metrics.cold.set(gauge_value(cold));
         metrics.store_era.set(status.store.era.cast_signed());
         let fleet = self.shared.fleet.borrow();
         let upstreams = fleet.upstreams();
