Keep requests in the home regions of their route and tenant

Cause: routers knew zones, not regions, so a request could be placed, retried, resumed, copied from or relayed anywhere.

Change: `homeRegions` of routes and tenants are intersected at admission (`route::Homes`). The settings `[zones]` and `region` give the region of each zone (`fleet::Regions`), which is resolved when an entry is applied. `Query::admits`, `likely_holder` and the decision to relay check it; a relayed request goes only to peers in a home region, in the region of this router or in its zone, and states its home regions in the header `Relay-Homes`, so that a peer with an older configuration keeps to them. Requests that nothing at home can serve are refused at once as `no_home` or `no_upstream_at_home`. Home regions without `[zones]` are logged once.

Existing tests only get the new fields `homes` and `regions`, both empty, in their literals.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -67,7 +67,7 @@
         sender: Sender,
         responder: &mut Responder<'_>,
     ) -> io::Result<()> {
-        match admit::admit(&*self.shared, request) {
+        match admit::admit(&*self.shared, request, sender) {
             Ok(admitted) => {
                 let mut exchange = Exchange::new(self, sender, admitted);
                 exchange.run(responder).await
@@ -213,6 +213,9 @@
 
     /// Makes attempts until an upstream responds or no further attempt is allowed.
     async fn attempts(&mut self, responder: &mut Responder<'_>) -> (io::Result<()>, &'static str) {
+        if let Some(refusal) = self.refuse_at_home() {
+            return (self.refuse(refusal, responder).await, refusal.reason());
+        }
         if let Err(refusal) = self.restrict_to_origin().await {
             return (self.refuse(refusal, responder).await, refusal.reason());
         }
@@ -302,16 +305,35 @@
                 })
             }
             Decision::Refuse { cause, retry_after } => {
-                let cause = match (cause, &self.origin) {
-                    (Cause::Paused, _) => "paused",
-                    (Cause::NoUpstream, Some(_)) => "no_upstream_of_build",
-                    (Cause::NoUpstream, None) => "no_upstream",
-                };
-                Err(self.not_run(cause, retry_after))
+                Err(self.not_run(self.cause(cause), retry_after))
             }
         }
     }
 
+    /// The refusal of a request that no upstream may get because of its home regions.
+    fn refuse_at_home(&self) -> Option<Refusal> {
+        let admitted = &self.admitted;
+        let now = self.shared.now();
+        let mut fleet = self.shared.fleet.borrow_mut();
+        match fleet.refuse_at_home(now, &admitted.target.service, &admitted.homes)? {
+            Decision::Refuse { cause, retry_after } => {
+                Some(self.not_run(self.cause(cause), retry_after))
+            }
+            Decision::Send { .. } => None,
+        }
+    }
+
+    /// Name of the cause of a refusal.
+    const fn cause(&self, cause: Cause) -> &'static str {
+        match (cause, &self.origin) {
+            (Cause::Paused, _) => "paused",
+            (Cause::NoHome, _) => "no_home",
+            (Cause::NoUpstreamAtHome, _) => "no_upstream_at_home",
+            (Cause::NoUpstream, Some(_)) => "no_upstream_of_build",
+            (Cause::NoUpstream, None) => "no_upstream",
+        }
+    }
+
     /// Time for which the request or prompts like its own are kept from upstreams, since they crash
     /// them.
     fn blocked_for(&self) -> Option<Duration> {
@@ -340,6 +362,7 @@
             max_connections: self.admitted.target.connections,
             build: self.origin.as_ref().map(|origin| &origin.build),
             tried: &self.tried,
+            homes: &self.admitted.homes,
             tie_breaker,
         }
     }
--- a/crates/edge/src/exchange/admit.rs
+++ b/crates/edge/src/exchange/admit.rs
@@ -14,6 +14,7 @@
 use snipeusher::hash;
 use snipeusher::kv::Revision;
 use snipeusher::name;
+use snipeusher::route::Homes;
 use snipeusher::route::Kind;
 use snipeusher::route::Route;
 use snipeusher::route::Table;
@@ -25,6 +26,7 @@
 use crate::headers;
 use crate::refusal::Refusal;
 use crate::server;
+use crate::server::Sender;
 use crate::shared::Shared;
 
 /// `Retry-After` of a request rejected during shutdown; the retry reaches another router.
@@ -46,6 +48,8 @@
     pub(super) target: Target,
     pub(super) workspace: Option<name::Workspace>,
     pub(super) priority: u8,
+    /// Regions in which it may be handled.
+    pub(super) homes: Homes,
     /// Revision of the configuration it was admitted under.
     pub(super) revision: Revision,
     /// The configuration it was admitted under.
@@ -135,6 +139,7 @@
 pub(super) fn admit<P: Platform>(
     shared: &Shared<P>,
     inbound: server::Request,
+    sender: Sender,
 ) -> Result<Admitted, Rejection> {
     let head = inbound.head.head();
     let request = shared.platform.request(&head.headers);
@@ -178,7 +183,11 @@
     let target = Target::new(&admission.table, service, &request);
     let tenant = admission.tenant;
     let (method, uri) = (head.method.clone(), head.uri.clone());
-    let headers = headers::to_upstream(&shared.platform, &head.headers);
+    let homes = homes(&route, tenant.as_deref(), &head.headers, sender);
+    let mut headers = headers::to_upstream(&shared.platform, &head.headers);
+    if sender == Sender::Peer {
+        headers.remove(headers::RELAY_HOMES);
+    }
     Ok(Admitted {
         method,
         uri,
@@ -191,6 +200,7 @@
             .as_ref()
             .and_then(|tenant| tenant.priority)
             .unwrap_or(route.priority),
+        homes,
         workspace: tenant.map(|tenant| tenant.workspace.clone()),
         target,
         route,
@@ -235,6 +245,19 @@
     }
 }
 
+/// The home regions of the route and the tenant. A peer that relays states its own, since its
+/// configuration may be a later one.
+fn homes(route: &Route, tenant: Option<&Tenant>, headers: &HeaderMap, sender: Sender) -> Homes {
+    let own = tenant.map_or_else(
+        || route.homes.clone(),
+        |tenant| route.homes.intersect(&tenant.homes),
+    );
+    match sender {
+        Sender::Caller => own,
+        Sender::Peer => own.intersect(&headers::homes(headers)),
+    }
+}
+
 /// Hash of the prompt prefix that later requests can share: all parts but the last, which belongs
 /// to this request alone. A single part counts as shared.
 fn prefix_hash(parts: &[Part]) -> Option<u64> {
--- a/crates/edge/src/exchange/relay.rs
+++ b/crates/edge/src/exchange/relay.rs
@@ -61,11 +61,14 @@
     pub(super) fn relay_target(&self, responder: &Responder<'_>) -> Option<SocketAddr> {
         let service = &self.admitted.target.service;
         let now = self.shared.now();
-        let needs_relay = self.shared.fleet.borrow().needs_relay(now, service);
+        let fleet = self.shared.fleet.borrow();
+        let needs_relay = fleet.needs_relay_within(now, service, &self.admitted.homes);
+        drop(fleet);
         needs_relay.then(|| self.reaching_peer(responder)).flatten()
     }
 
-    /// A peer that reaches the service and may get the request, if it may be relayed.
+    /// A peer that reaches the service and may get the request, if it may be relayed. A peer outside
+    /// the home regions and the region of this router may not.
     pub(super) fn reaching_peer(&self, responder: &Responder<'_>) -> Option<SocketAddr> {
         let may_relay = self.sender == Sender::Caller
             && self.runs == 0
@@ -76,11 +79,18 @@
         }
         let service = &self.admitted.target.service;
         let now = self.shared.now();
+        let homes = &self.admitted.homes;
         let fleet = self.shared.fleet.borrow();
         let peers = self.peers.borrow();
         let reaching = peers.reaching(now, service, self.shared.random());
         let mut suitable = reaching.into_iter().filter(|(host, peer)| {
-            !self.relays.contains(peer) && fleet.has_slots(now, service, host)
+            let may_handle = peers.zone(host).is_some_and(|zone| {
+                let regions = &self.shared.settings.fleet.regions;
+                regions.may_handle(zone, homes)
+            });
+            may_handle
+                && !self.relays.contains(peer)
+                && fleet.has_slots_within(now, service, host, homes)
         });
         suitable.next().map(|(_, peer)| peer)
     }
@@ -95,6 +105,10 @@
         let Some(uri) = peer::relay_uri(&self.admitted.uri) else {
             return Relayed::NotRun;
         };
+        let headers = match self.relay_headers() {
+            Ok(headers) => headers,
+            Err(error) => return self.not_relayed(peer, &error.to_string()),
+        };
         let opened = Connection::open(peer, CONNECT_TIMEOUT, &self.shared.http).await;
         let mut connection = match opened {
             Ok(connection) => connection,
@@ -102,7 +116,7 @@
         };
         self.sends += 1;
         self.runs += 1;
-        let request = connection::request(self.admitted.method.clone(), uri, self.relay_headers());
+        let request = connection::request(self.admitted.method.clone(), uri, headers);
         let sent = connection.send(request, &self.admitted.body);
         let head = match sent {
             Ok(()) => connection.head().await,
@@ -122,12 +136,13 @@
         self.relay_body(peer, connection, head, responder).await
     }
 
-    /// Headers of the caller, with what remains of the deadline.
-    fn relay_headers(&self) -> HeaderMap {
+    /// Headers of the caller, with what remains of the deadline and with the home regions.
+    fn relay_headers(&self) -> Result<HeaderMap, headers::Unstatable> {
         let mut headers = headers::end_to_end(&self.admitted.head.head().headers);
         let left = remaining(self.admitted.deadline);
         self.shared.platform.set_deadline(left, &mut headers);
-        headers
+        headers::set_homes(&self.admitted.homes, &mut headers)?;
+        Ok(headers)
     }
 
     async fn relay_body(
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -3,6 +3,10 @@
 use actix_http::header;
 use actix_http::header::HeaderMap;
 use actix_http::header::HeaderName;
+use actix_http::header::HeaderValue;
+use snafu::Snafu;
+use snipeusher::name;
+use snipeusher::route::Homes;
 
 use crate::dialect::Dialect;
 
@@ -12,6 +16,8 @@
 pub(crate) const RELAY_REFUSAL: HeaderName = HeaderName::from_static("relay-refusal");
 /// States, in a response to a relayed request, the software version of the upstream.
 pub(crate) const RELAY_BUILD: HeaderName = HeaderName::from_static("relay-build");
+/// States, in a relayed request, a home region; there is one for each.
+pub(crate) const RELAY_HOMES: HeaderName = HeaderName::from_static("relay-homes");
 /// Headers that apply to a single connection, or that the codec writes itself.
 const HOP_BY_HOP: [HeaderName; 9] = [
     header::CONNECTION,
@@ -59,6 +65,33 @@
     forwarded
 }
 
+/// A home region that cannot be stated in a header.
+#[derive(Debug, Snafu)]
+#[snafu(display("home region \"{region}\" cannot be stated"))]
+pub(crate) struct Unstatable {
+    region: name::Region,
+}
+
+/// States the home regions of a relayed request. What the caller stated is dropped.
+pub(crate) fn set_homes(homes: &Homes, headers: &mut HeaderMap) -> Result<(), Unstatable> {
+    headers.remove(RELAY_HOMES);
+    for region in homes.regions() {
+        let value = HeaderValue::from_bytes(region.as_str().as_bytes());
+        let value = value.map_err(|_error| Unstatable {
+            region: region.clone(),
+        })?;
+        headers.append(RELAY_HOMES, value);
+    }
+    Ok(())
+}
+
+/// The home regions of a relayed request. One that is not text matches no region.
+pub(crate) fn homes(headers: &HeaderMap) -> Homes {
+    let values = headers.get_all(RELAY_HOMES);
+    let texts = values.map(|value| String::from_utf8_lossy(value.as_bytes()));
+    texts.map(|text| name::Region::from(&*text)).collect()
+}
+
 fn is_forwarded(name: &HeaderName, options: &[String]) -> bool {
     let is_listed = options.iter().any(|option| option == name.as_str());
     !is_listed && !HOP_BY_HOP.contains(name) && name.as_str() != PROXY_CONNECTION
--- a/crates/edge/src/peer/peers.rs
+++ b/crates/edge/src/peer/peers.rs
@@ -154,6 +154,11 @@
         peers.map(|(host, known)| (host, known.address)).collect()
     }
 
+    /// The availability zone of a known peer.
+    pub fn zone(&self, host: &name::Host) -> Option<&name::Zone> {
+        self.known.get(host).map(|known| &known.zone)
+    }
+
     /// Records the sender of a digest and the members listed in it.
     pub fn record(&mut self, now: Time, digest: &Digest) {
         self.update(&digest.host, &digest.zone, digest.address, now);
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -117,6 +117,8 @@
     document: RefCell<Option<Document>>,
     /// When the configuration came into force.
     configured_at: Cell<Time>,
+    /// Whether it was logged that home regions have no effect without regions of zones.
+    homes_warned: Cell<bool>,
     /// Whether it was logged that the configuration and the upstreams are known.
     ready_logged: Cell<bool>,
     /// Time of the first failed call if the store is unreachable.
@@ -129,7 +131,7 @@
     pub fn open(platform: P, settings: Settings, log: Logger) -> Rc<Self> {
         let mut rng = SmallRng::from_os_rng();
         let poison = poison::Tracker::new(rng.random());
-        Rc::new(Self {
+        let shared = Rc::new(Self {
             platform,
             clock: Clock::start(),
             fleet: RefCell::new(Fleet::new(settings.fleet.clone())),
@@ -152,12 +154,15 @@
             table: RefCell::default(),
             document: RefCell::default(),
             configured_at: Cell::default(),
+            homes_warned: Cell::default(),
             ready_logged: Cell::default(),
             store_unreachable: Cell::new(None),
             rng: RefCell::new(rng),
             settings,
             log,
-        })
+        });
+        shared.check_regions();
+        shared
     }
 
     /// The current time.
@@ -263,6 +268,7 @@
                 info!(self.log, "configuration: in force";
                     "version" => table.version(), "revision" => revision.number,
                     "era" => revision.era.0, "routes" => table.len(), "source" => source);
+                self.check_homes(&table);
                 *self.table.borrow_mut() = Some(Rc::new(table));
                 self.configured_at.set(self.now());
                 *self.document.borrow_mut() = Some(Document {
@@ -280,6 +286,29 @@
         }
     }
 
+    /// Logs that the router's region differs from that of its zone.
+    fn check_regions(&self) {
+        let settings = &self.settings.fleet;
+        if settings.regions.is_contradictory() {
+            let region = settings.regions.of(&settings.zone);
+            warn!(self.log, "settings: region differs from that of the zone and is ignored";
+                "zone" => settings.zone.as_str(),
+                "region_of_zone" => region.map(name::Region::as_str));
+        }
+    }
+
+    /// Logs once that no upstream is in a home region, since the settings name no regions.
+    fn check_homes(&self, table: &Table) {
+        let is_wrong = table.has_homes() && self.settings.fleet.regions.is_empty();
+        if is_wrong && !self.homes_warned.replace(true) {
+            warn!(
+                self.log,
+                "settings: no regions of zones, but the configuration has home regions; \
+                requests with home regions are refused"
+            );
+        }
+    }
+
     /// When the configuration came into force.
     pub const fn configured_at(&self) -> Time {
         self.configured_at.get()
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -22,6 +22,9 @@
     pub host: name::Host,
     /// Availability zone of the host.
     pub zone: name::Zone,
+    /// Region of the host, if its settings state it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub region: Option<name::Region>,
     /// Whether the readiness check succeeds.
     pub ready: bool,
     /// Whether it is shutting down.
@@ -87,6 +90,9 @@
     pub service: name::Service,
     /// Availability zone of the upstream.
     pub zone: name::Zone,
+    /// Region of that zone, if the settings of the router name it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub region: Option<name::Region>,
     /// Version of the software of the upstream.
     #[serde(default)]
     pub build: Option<name::Build>,
@@ -167,6 +173,7 @@
     Status {
         host: shared.settings.host.clone(),
         zone: shared.settings.fleet.zone.clone(),
+        region: shared.settings.fleet.regions.own().cloned(),
         ready,
         leaving: shared.lifecycle.is_leaving(),
         open_requests: shared.lifecycle.in_flight(),
@@ -216,6 +223,7 @@
         id: id.clone(),
         service: known.entry.service.clone(),
         zone: known.entry.zone.clone(),
+        region: known.region.clone(),
         build: Some(known.entry.build.clone()),
         state,
         rate_limit: known.rate.limit(now),
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -33,6 +33,17 @@
 
 /// Starts a router.
 pub async fn start(name: &str, store: &Store, seeds: Vec<SocketAddr>) -> Node {
+    start_in(name, store, seeds, "here", fleet::Regions::default()).await
+}
+
+/// Starts a router in a zone, which knows the regions of zones.
+pub async fn start_in(
+    name: &str,
+    store: &Store,
+    seeds: Vec<SocketAddr>,
+    zone: &str,
+    regions: fleet::Regions,
+) -> Node {
     let settings = Settings {
         host: name::Host::from(name),
         front: free_address(),
@@ -43,7 +54,8 @@
         connect_timeout: Duration::from_millis(300),
         grace: Duration::from_secs(8),
         fleet: fleet::Settings {
-            zone: name::Zone::from("here"),
+            zone: name::Zone::from(zone),
+            regions,
             retries: fleet::Limits::default(),
             drain: Duration::from_secs(2),
             pause_max: Duration::from_mins(1),
--- a/crates/edge/tests/common/platform.rs
+++ b/crates/edge/tests/common/platform.rs
@@ -14,6 +14,7 @@
 use snipeusher::name;
 use snipeusher::route::Backend;
 use snipeusher::route::Builder;
+use snipeusher::route::Homes;
 use snipeusher::route::Kind;
 use snipeusher::route::Limits;
 use snipeusher::route::Route;
@@ -29,7 +30,7 @@
 use snipeusher_edge::dialect::Response;
 
 /// Configuration: the version, then one route per line with path prefix, kind, attempts, timeout in
-/// milliseconds and access.
+/// milliseconds, access and, if any, home regions. A line `tenant` gives the tenant home regions.
 pub const DEFAULT: &str = "1\n\
     /read/ idempotent 2 1000 public\n\
     /write/ once 1 1000 public\n\
@@ -126,23 +127,31 @@
             engine: false,
         };
         draft.services = BTreeMap::from([(name::Service::from("letters"), service)]);
-        let tenant = Arc::new(Tenant {
+        let mut tenant = Tenant {
             workspace: name::Workspace::from("reading-circle"),
             priority: None,
-        });
-        draft.keys = Some(BTreeMap::from([(Arc::from("secret-key"), tenant)]));
+            homes: Homes::default(),
+        };
         for line in lines {
             let words: Vec<&str> = line.split_whitespace().collect();
-            let [prefix, kind, attempts, timeout, access] = words[..] else {
+            if let ["tenant", regions] = words[..] {
+                tenant.homes = homes(&[regions]);
+                continue;
+            }
+            let [prefix, kind, attempts, timeout, access, ref rest @ ..] = words[..] else {
                 return Err(invalid("a route has five words"));
             };
-            let added = draft.route(
-                "test.example",
-                prefix,
-                route(prefix, kind, attempts, timeout, access),
-            );
+            let route = Route {
+                homes: homes(rest),
+                ..route(prefix, kind, attempts, timeout, access)
+            };
+            let added = draft.route("test.example", prefix, route);
             added.map_err(|error| invalid(&error.to_string()))?;
         }
+        draft.keys = Some(BTreeMap::from([(
+            Arc::from("secret-key"),
+            Arc::new(tenant),
+        )]));
         Ok(draft.compile())
     }
 
@@ -192,9 +201,16 @@
         }],
         attempts: attempts.parse().expect("a number"),
         public: access == "public",
+        homes: Homes::default(),
     }
 }
 
+/// Parses a word such as `north,south`, if there is one.
+fn homes(words: &[&str]) -> Homes {
+    let regions = words.iter().flat_map(|word| word.split(','));
+    regions.map(name::Region::from).collect()
+}
+
 /// Parses `1,2,3` as the parts of a prompt.
 fn parts(text: &str) -> Vec<Part> {
     let ids = text.split(',').filter_map(|id| id.parse().ok());
--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -11,6 +11,7 @@
 use super::Upstream;
 use crate::hash;
 use crate::name;
+use crate::route::Homes;
 use crate::time::Time;
 
 /// Limit of the load of one upstream, as a multiple of the mean over the candidates.
@@ -19,6 +20,9 @@
 const LOAD_SLACK: f64 = 3.0;
 /// `Retry-After` of a refusal for lack of an upstream.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// `Retry-After` of a refusal for lack of a common home region. Only another configuration helps,
+/// which comes into force within this time.
+const NO_HOME_RETRY_AFTER: Duration = Duration::from_secs(3);
 /// Upper bound of the jitter added to the time when an upstream takes requests again, so that
 /// callers do not return together.
 const PAUSE_JITTER_MS: u64 = 250;
@@ -36,19 +40,23 @@
     pub build: Option<&'a name::Build>,
     /// Upstreams that earlier attempts of the request were sent to.
     pub tried: &'a [name::Upstream],
+    /// Regions in which the request may be handled.
+    pub homes: &'a Homes,
     /// A random number that decides among equally loaded upstreams.
     pub tie_breaker: u64,
 }
 
 impl Query<'_> {
-    /// Whether an upstream runs the required software version.
+    /// Whether an upstream runs the required software version and is in a home region.
     fn suits(&self, upstream: &Upstream) -> bool {
-        self.build
-            .is_none_or(|build| upstream.entry.build == *build)
+        let is_of_build = self
+            .build
+            .is_none_or(|build| upstream.entry.build == *build);
+        is_of_build && self.homes.admits(upstream.region.as_ref())
     }
 
-    /// Whether an upstream may get the request at `now`: it runs the required version, was not
-    /// tried, has not asked for a pause, has not had what it takes from this router and, if it can
+    /// Whether an upstream may get the request at `now`: it runs the required version, is in a home
+    /// region, was not tried, has not asked for a pause, has not had what it takes from this router and, if it can
     /// decline few requests, has room.
     pub(super) fn admits(&self, now: Time, upstream: &Upstream, needs_room: bool) -> bool {
         let is_tried = self.tried.contains(&upstream.entry.id);
@@ -86,6 +94,10 @@
     NoUpstream,
     /// All have asked for a pause, have had what they take from this router or have no room.
     Paused,
+    /// The route and the tenant have no home region in common.
+    NoHome,
+    /// None is in the home regions of the request.
+    NoUpstreamAtHome,
 }
 
 /// Chooses among the ready upstreams of a service.
@@ -109,7 +121,7 @@
     });
     let source = |chosen: &Upstream| {
         let session = query.session?;
-        likely_holder(now, upstreams, query.service, session, chosen)
+        likely_holder(now, upstreams, query, session, chosen)
     };
     let chosen = match query.session {
         Some(session) => by_session(now, &candidates, session),
@@ -136,6 +148,9 @@
     query: &Query<'_>,
 ) -> Decision {
     let ready = ready.iter().map(|slot| &upstreams[*slot]);
+    if let Some(refusal) = refuse_at_home(ready.clone(), query.homes) {
+        return refusal;
+    }
     let ends = ready
         .filter(|upstream| query.suits(upstream))
         .map(|upstream| upstream.available_at(now, needs_room));
@@ -153,6 +168,23 @@
     }
 }
 
+/// The refusal of a request of whose home regions no upstream in `ready` is, if so.
+pub(super) fn refuse_at_home<'a>(
+    mut ready: impl Iterator<Item = &'a Upstream>,
+    homes: &Homes,
+) -> Option<Decision> {
+    let (cause, retry_after) = if homes.is_anywhere() {
+        return None;
+    } else if homes.is_empty() {
+        (Cause::NoHome, NO_HOME_RETRY_AFTER)
+    } else if ready.any(|upstream| homes.admits(upstream.region.as_ref())) {
+        return None;
+    } else {
+        (Cause::NoUpstreamAtHome, NO_UPSTREAM_RETRY_AFTER)
+    };
+    Some(Decision::Refuse { cause, retry_after })
+}
+
 /// The upstreams that meet a condition, or all if none does: sending the request to a doubtful
 /// upstream is better than refusing it.
 fn prefer<'a>(
@@ -200,11 +232,12 @@
 }
 
 /// The upstream that most likely caches the session's prompt if the chosen one does not: the
-/// highest-ranked of the others of the same software version, draining ones included.
+/// highest-ranked of the others of the same software version in the home regions, draining ones
+/// included. One outside would get data of the prompt.
 fn likely_holder(
     now: Time,
     upstreams: &[Upstream],
-    service: &name::Service,
+    query: &Query<'_>,
     session: u64,
     chosen: &Upstream,
 ) -> Option<SocketAddr> {
@@ -213,7 +246,8 @@
         let is_compatible = upstream.entry.build == chosen.entry.build;
         is_other
             && is_compatible
-            && upstream.entry.service == *service
+            && upstream.entry.service == *query.service
+            && query.homes.admits(upstream.region.as_ref())
             && upstream.health.is_available(now)
     });
     let first = others.max_by_key(|upstream| hash::score(session, upstream.id_hash));
--- a/crates/snipeusher/src/fleet/upstream.rs
+++ b/crates/snipeusher/src/fleet/upstream.rs
@@ -7,6 +7,7 @@
 use super::Leaving;
 use super::Load;
 use super::Rate;
+use super::Regions;
 use super::decline;
 use super::zone::REPORTS_IGNORED_FOR;
 use crate::hash;
@@ -26,6 +27,8 @@
     pub id_hash: u64,
     /// Whether it is in this router's availability zone.
     pub local: bool,
+    /// The region of its availability zone, if the settings name it.
+    pub region: Option<name::Region>,
     /// Its load.
     pub load: Load,
     /// Its health.
@@ -50,10 +53,11 @@
 }
 
 impl Upstream {
-    pub(super) fn new(entry: Entry, zone: &name::Zone) -> Self {
+    pub(super) fn new(entry: Entry, zone: &name::Zone, regions: &Regions) -> Self {
         Self {
             id_hash: hash::bytes(entry.id.as_str().as_bytes()),
             local: entry.zone == *zone,
+            region: regions.of(&entry.zone).cloned(),
             entry,
             load: Load::default(),
             health: Health::default(),
@@ -119,13 +123,16 @@
     }
 
     /// Applies a newer entry. The health of an earlier incarnation or address is reset.
-    pub(super) fn update(&mut self, entry: Entry, zone: &name::Zone) {
+    pub(super) fn update(&mut self, entry: Entry, zone: &name::Zone, regions: &Regions) {
         if entry.incarnation != self.entry.incarnation || entry.address != self.entry.address {
             self.health = Health::default();
             self.paused_until = None;
             self.backoff_until = None;
             self.rate = Rate::default();
         }
+        if entry.zone != self.entry.zone {
+            self.region = regions.of(&entry.zone).cloned();
+        }
         self.local = entry.zone == *zone;
         self.entry = entry;
     }
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -16,6 +16,7 @@
 use super::Outcome;
 use super::Query;
 use super::RateLimit;
+use super::Regions;
 use super::Report;
 use super::Roster;
 use super::Update;
@@ -29,6 +30,7 @@
 use crate::hash;
 use crate::kv::Revision;
 use crate::name;
+use crate::route::Homes;
 use crate::time::Time;
 
 /// Requests that each router may have in flight at one upstream, however many routers share its
@@ -49,6 +51,8 @@
 pub struct Settings {
     /// This router's availability zone.
     pub zone: name::Zone,
+    /// Regions of the availability zones.
+    pub regions: Regions,
     /// Limits of the retries to one service.
     pub retries: Limits,
     /// Time for which an upstream that leaves still serves requests.
@@ -299,16 +303,37 @@
     /// Whether requests for a service are better relayed to a peer: this router reaches no upstream
     /// of it, or has no free slot at those that can decline few requests.
     pub fn needs_relay(&self, now: Time, service: &name::Service) -> bool {
+        self.needs_relay_within(now, service, &Homes::default())
+    }
+
+    /// The same for requests with home regions, which other upstreams cannot serve. No peer can
+    /// serve them either if none is ready there.
+    pub fn needs_relay_within(&self, now: Time, service: &name::Service, homes: &Homes) -> bool {
         let is_free = |upstream: &Upstream| upstream.available_at(now, true).is_none();
-        let is_full = self.needs_room(now, service) && !self.ready_upstreams(service).any(is_free);
-        is_full || self.is_unreachable(service)
+        let mut upstreams = self.ready_at_home(service, homes).peekable();
+        if !homes.is_anywhere() && upstreams.peek().is_none() {
+            return false;
+        }
+        let is_full = self.needs_room(now, service) && !upstreams.any(is_free);
+        is_full || self.is_unreachable_within(service, homes)
     }
 
     /// Whether a router has slots at upstreams of a service that can decline few requests. At other
     /// services each router has.
     pub fn has_slots(&self, now: Time, service: &name::Service, host: &name::Host) -> bool {
+        self.has_slots_within(now, service, host, &Homes::default())
+    }
+
+    /// The same for requests with home regions, which other upstreams cannot serve.
+    pub fn has_slots_within(
+        &self,
+        now: Time,
+        service: &name::Service,
+        host: &name::Host,
+        homes: &Homes,
+    ) -> bool {
         let router = hash::bytes(host.as_str().as_bytes());
-        let mut upstreams = self.ready_upstreams(service);
+        let mut upstreams = self.ready_at_home(service, homes);
         !self.needs_room(now, service)
             || upstreams.any(|upstream| self.sharers.slots_of(router, upstream) > 0)
     }
@@ -318,6 +343,28 @@
         ready.iter().map(|slot| &self.upstreams[*slot])
     }
 
+    fn ready_at_home(
+        &self,
+        service: &name::Service,
+        homes: &Homes,
+    ) -> impl Iterator<Item = &Upstream> {
+        let ready = self.ready_upstreams(service);
+        ready.filter(|upstream| homes.admits(upstream.region.as_ref()))
+    }
+
+    /// The refusal of a request which no upstream may get because of its home regions, if so.
+    pub fn refuse_at_home(
+        &mut self,
+        now: Time,
+        service: &name::Service,
+        homes: &Homes,
+    ) -> Option<Decision> {
+        if self.refresh_at.is_some_and(|at| at <= now) {
+            self.refresh(now);
+        }
+        choice::refuse_at_home(self.ready_upstreams(service), homes)
+    }
+
     /// This router's share of the connections that one upstream accepts from all routers; zero if
     /// there are more routers than connections.
     ///
@@ -340,7 +387,12 @@
 
     /// Whether a service has ready upstreams of which this router can reach none.
     pub fn is_unreachable(&self, service: &name::Service) -> bool {
-        let mut upstreams = self.ready_upstreams(service).peekable();
+        self.is_unreachable_within(service, &Homes::default())
+    }
+
+    /// Whether a service has ready upstreams in home regions of which this router can reach none.
+    fn is_unreachable_within(&self, service: &name::Service, homes: &Homes) -> bool {
+        let mut upstreams = self.ready_at_home(service, homes).peekable();
         let is_unreachable = |upstream: &Upstream| {
             let zone = self.zones.get(&upstream.entry.zone);
             upstream.health.is_unreachable() || zone.is_some_and(Zone::is_unreachable)
@@ -738,10 +790,12 @@
             .collect();
         for entry in roster.entries() {
             if let Some(slot) = self.slots.get(&entry.id) {
-                self.upstreams[*slot].update(entry.clone(), &self.settings.zone);
+                let Settings { zone, regions, .. } = &self.settings;
+                self.upstreams[*slot].update(entry.clone(), zone, regions);
             } else {
                 self.slots.insert(entry.id.clone(), self.upstreams.len());
-                let upstream = Upstream::new(entry.clone(), &self.settings.zone);
+                let Settings { zone, regions, .. } = &self.settings;
+                let upstream = Upstream::new(entry.clone(), zone, regions);
                 self.upstreams.push(upstream);
             }
         }
--- a/crates/snipeusher/src/route.rs
+++ b/crates/snipeusher/src/route.rs
@@ -4,6 +4,7 @@
 //! that a request is handled under one revision from start to end. See
 //! `docs/platform.md#configuration`.
 
+mod homes;
 mod table;
 
 use std::sync::Arc;
@@ -11,6 +12,7 @@
 
 use crate::name;
 
+pub use self::homes::Homes;
 pub use self::table::Builder;
 pub use self::table::Error;
 pub use self::table::Position;
@@ -72,6 +74,8 @@
     pub attempts: u32,
     /// Whether requests need no API key.
     pub public: bool,
+    /// Regions in which its requests may be handled.
+    pub homes: Homes,
 }
 
 impl Route {
@@ -101,6 +105,8 @@
     pub workspace: name::Workspace,
     /// Priority of its requests, which overrides that of the route.
     pub priority: Option<u8>,
+    /// Regions in which its requests may be handled, on top of those of the route.
+    pub homes: Homes,
 }
 
 /// Configured properties of a service.
--- a/crates/snipeusher/src/route/table.rs
+++ b/crates/snipeusher/src/route/table.rs
@@ -143,6 +143,14 @@
         &self.0.services
     }
 
+    /// Whether requests of a route or a tenant must stay in some regions.
+    pub fn has_homes(&self) -> bool {
+        let mut routes = self.0.hosts.values().flat_map(BTreeMap::values);
+        let mut tenants = self.0.keys.iter().flat_map(BTreeMap::values);
+        routes.any(|route| !route.homes.is_anywhere())
+            || tenants.any(|tenant| !tenant.homes.is_anywhere())
+    }
+
     /// The number of routes.
     pub fn len(&self) -> usize {
         self.0.hosts.values().map(BTreeMap::len).sum()
--- a/crates/snipeusher/tests/decline.rs
+++ b/crates/snipeusher/tests/decline.rs
@@ -16,10 +16,12 @@
 use snipeusher::fleet::Limits;
 use snipeusher::fleet::Outcome;
 use snipeusher::fleet::Query;
+use snipeusher::fleet::Regions;
 use snipeusher::fleet::Report;
 use snipeusher::fleet::Settings;
 use snipeusher::kv::Revision;
 use snipeusher::name;
+use snipeusher::route::Homes;
 use snipeusher::time::Time;
 
 const STEP_MS: u64 = 2;
@@ -135,6 +137,7 @@
         let router = |own: usize| {
             let mut fleet = Fleet::new(Settings {
                 zone: name::Zone::from("here"),
+                regions: Regions::default(),
                 retries: Limits::default(),
                 drain: Duration::from_secs(2),
                 pause_max: Duration::from_mins(1),
@@ -266,6 +269,7 @@
             max_connections: 0,
             build: None,
             tried: &[],
+            homes: &Homes::default(),
             tie_breaker: self.rng.random(),
         };
         let router = &mut self.routers[request.router];
--- a/crates/snipeusher/tests/departure.rs
+++ b/crates/snipeusher/tests/departure.rs
@@ -11,10 +11,12 @@
 use snipeusher::fleet::Limits;
 use snipeusher::fleet::Outage;
 use snipeusher::fleet::Query;
+use snipeusher::fleet::Regions;
 use snipeusher::fleet::Settings;
 use snipeusher::kv::Era;
 use snipeusher::kv::Revision;
 use snipeusher::name;
+use snipeusher::route::Homes;
 use snipeusher::time::Time;
 
 fn at(ms: u64) -> Time {
@@ -53,6 +55,7 @@
 fn fleet() -> Fleet {
     let mut fleet = Fleet::new(Settings {
         zone: name::Zone::from("here"),
+        regions: Regions::default(),
         retries: Limits::default(),
         drain: Duration::from_secs(2),
         pause_max: Duration::from_secs(10),
@@ -69,6 +72,7 @@
         max_connections: 0,
         build: None,
         tried: &[],
+        homes: &Homes::default(),
         tie_breaker: 100,
     };
     fleet.choose(at(ms), &query)
--- a/crates/snipeusher/tests/fleet_view.rs
+++ b/crates/snipeusher/tests/fleet_view.rs
@@ -14,11 +14,13 @@
 use snipeusher::fleet::Observation;
 use snipeusher::fleet::Outcome;
 use snipeusher::fleet::Query;
+use snipeusher::fleet::Regions;
 use snipeusher::fleet::Roster;
 use snipeusher::fleet::Settings;
 use snipeusher::fleet::Update;
 use snipeusher::kv::Revision;
 use snipeusher::name;
+use snipeusher::route::Homes;
 use snipeusher::time::Time;
 
 const SERVICE: &str = "letters";
@@ -48,6 +50,7 @@
 fn fleet(count: u16) -> Fleet {
     let mut fleet = Fleet::new(Settings {
         zone: name::Zone::from("even"),
+        regions: Regions::default(),
         retries: Limits::default(),
         drain: Duration::from_secs(2),
         pause_max: Duration::from_mins(1),
@@ -80,6 +83,7 @@
         max_connections: connections,
         build: None,
         tried,
+        homes: &Homes::default(),
         tie_breaker: 5,
     };
     fleet.choose(now, &query)
--- a/crates/snipeusher/tests/outage.rs
+++ b/crates/snipeusher/tests/outage.rs
@@ -17,6 +17,7 @@
 use snipeusher::fleet::Query;
 use snipeusher::kv::Revision;
 use snipeusher::name;
+use snipeusher::route::Homes;
 use snipeusher::time::Time;
 
 /// Duration of a step of the simulation.
@@ -52,6 +53,7 @@
 fn fleet_view() -> Fleet {
     let settings = fleet::Settings {
         zone: name::Zone::from("a"),
+        regions: fleet::Regions::default(),
         retries: fleet::Limits::default(),
         drain: Duration::from_secs(2),
         pause_max: Duration::from_mins(1),
@@ -132,6 +134,7 @@
             max_connections: 0,
             build: None,
             tried: &[],
+            homes: &Homes::default(),
             tie_breaker: 0,
         };
         let Decision::Send { upstream, .. } = self.views[router].choose(self.now, &query) else {
--- a/crates/snipeusher/tests/rate_limits.rs
+++ b/crates/snipeusher/tests/rate_limits.rs
@@ -9,9 +9,11 @@
 use snipeusher::fleet::Fleet;
 use snipeusher::fleet::Limits;
 use snipeusher::fleet::Query;
+use snipeusher::fleet::Regions;
 use snipeusher::fleet::Settings;
 use snipeusher::kv::Revision;
 use snipeusher::name;
+use snipeusher::route::Homes;
 use snipeusher::time::Time;
 
 /// Length of the windows in which the requests of all routers are counted.
@@ -35,6 +37,7 @@
 fn router(own: usize, hosts: &[name::Host]) -> Fleet {
     let mut fleet = Fleet::new(Settings {
         zone: name::Zone::from("here"),
+        regions: Regions::default(),
         retries: Limits::default(),
         drain: Duration::from_secs(2),
         pause_max: Duration::from_mins(1),
@@ -71,6 +74,7 @@
             max_connections: 0,
             build: None,
             tried: &[],
+            homes: &Homes::default(),
             tie_breaker: 7,
         },
     )
--- a/crates/snipeusher/tests/route.rs
+++ b/crates/snipeusher/tests/route.rs
@@ -10,6 +10,7 @@
 use snipeusher::route::Backend;
 use snipeusher::route::Builder;
 use snipeusher::route::Error;
+use snipeusher::route::Homes;
 use snipeusher::route::Kind;
 use snipeusher::route::Route;
 use snipeusher::route::Table;
@@ -30,6 +31,7 @@
         backends: backends.collect(),
         attempts: 1,
         public: false,
+        homes: Homes::default(),
     }
 }
 
@@ -47,6 +49,7 @@
     let tenant = Arc::new(Tenant {
         workspace: name::Workspace::from("reading-circle"),
         priority: Some(2),
+        homes: Homes::default(),
     });
     builder.keys = Some(BTreeMap::from([(Arc::from("k1"), tenant)]));
     builder.compile()
--- a/crates/snipeusher/tests/stream.rs
+++ b/crates/snipeusher/tests/stream.rs
@@ -10,9 +10,11 @@
 use snipeusher::fleet::Fleet;
 use snipeusher::fleet::Limits;
 use snipeusher::fleet::Query;
+use snipeusher::fleet::Regions;
 use snipeusher::fleet::Settings;
 use snipeusher::kv::Revision;
 use snipeusher::name;
+use snipeusher::route::Homes;
 use snipeusher::stream::Id;
 use snipeusher::stream::Origin;
 use snipeusher::stream::Origins;
@@ -54,6 +56,7 @@
 fn fleet(builds: &[&str]) -> Fleet {
     let mut fleet = Fleet::new(Settings {
         zone: name::Zone::from("here"),
+        regions: Regions::default(),
         retries: Limits::default(),
         drain: Duration::from_secs(2),
         pause_max: Duration::from_mins(1),
@@ -174,6 +177,7 @@
             max_connections: 0,
             build: Some(&build),
             tried: &tried,
+            homes: &Homes::default(),
             tie_breaker: session,
         };
         assert_eq!(fleet.has_alternative(at(1), &query), is_sent);
