--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -119,6 +119,8 @@
     document: RefCell<Option<Document>>,
     /// When the configuration came into force.
     configured_at: Cell<Time>,
+    /// Whether it was logged that home regions have no effect without regions of zones.
+    homes_warned: Cell<bool>,
     /// Whether it was logged that the configuration and the upstreams are known.
     ready_logged: Cell<bool>,
     /// Time of the first failed call if the store is unreachable.
@@ -136,7 +138,7 @@
         if settings.seeds.iter().any(|seed| *seed != settings.control) {
             fleet.await_peers(Time::default());
         }
-        Rc::new(Self {
+        let shared = Rc::new(Self {
             platform,
             clock: Clock::start(),
             fleet: RefCell::new(fleet),
@@ -159,12 +161,15 @@
             table: RefCell::default(),
             document: RefCell::default(),
             configured_at: Cell::default(),
+            homes_warned: Cell::default(),
             ready_logged: Cell::default(),
             store_unreachable: Cell::new(None),
             rng: RefCell::new(rng),
             settings,
             log,
-        })
+        });
+        shared.check_regions();
+        shared
     }
 
     /// The current time.
@@ -289,6 +294,7 @@
                         "version" => table.version(), "value" => warning);
                 }
                 self.set_warmups(&table);
+                self.check_homes(&table);
                 *self.table.borrow_mut() = Some(Rc::new(table));
                 self.configured_at.set(self.now());
                 *self.document.borrow_mut() = Some(Document {
@@ -313,6 +319,29 @@
         self.fleet.borrow_mut().set_warmups(self.now(), limits);
     }
 
+    /// Logs that the router's region differs from that of its zone.
+    fn check_regions(&self) {
+        let settings = &self.settings.fleet;
+        if settings.regions.is_contradictory() {
+            let region = settings.regions.of(&settings.zone);
+            warn!(self.log, "settings: region differs from that of the zone and is ignored";
+                "zone" => settings.zone.as_str(),
+                "region_of_zone" => region.map(name::Region::as_str));
+        }
+    }
+
+    /// Logs once that no upstream is in a home region, since the settings name no regions.
+    fn check_homes(&self, table: &Table) {
+        let is_wrong = table.has_homes() && self.settings.fleet.regions.is_empty();
+        if is_wrong && !self.homes_warned.replace(true) {
+            warn!(
+                self.log,
+                "settings: no regions of zones, but the configuration has home regions; \
+                requests with home regions are refused"
+            );
+        }
+    }
+
     /// When the configuration came into force.
     pub const fn configured_at(&self) -> Time {
         self.configured_at.get()
--- a/crates/snipeusher/src/fleet/upstream.rs
+++ b/crates/snipeusher/src/fleet/upstream.rs
@@ -7,6 +7,7 @@
 use super::Leaving;
 use super::Load;
 use super::Rate;
+use super::Regions;
 use super::Warmup;
 use super::decline;
 use super::zone::REPORTS_IGNORED_FOR;
@@ -30,6 +31,8 @@
     pub id_hash: u64,
     /// Whether it is in this router's availability zone.
     pub local: bool,
+    /// The region of its availability zone, if the settings name it.
+    pub region: Option<name::Region>,
     /// Its load.
     pub load: Load,
     /// Its health.
@@ -58,12 +61,13 @@
 }
 
 impl Upstream {
-    pub(super) fn new(now: Time, entry: Entry, zone: &name::Zone) -> Self {
+    pub(super) fn new(now: Time, entry: Entry, zone: &name::Zone, regions: &Regions) -> Self {
         let mut warmup = Warmup::default();
         warmup.record_entry(now, cold(&entry));
         Self {
             id_hash: hash::bytes(entry.id.as_str().as_bytes()),
             local: entry.zone == *zone,
+            region: regions.of(&entry.zone).cloned(),
             entry,
             load: Load::default(),
             health: Health::default(),
@@ -146,7 +150,7 @@
     }
 
     /// Applies a newer entry. The health of an earlier incarnation or address is reset.
-    pub(super) fn update(&mut self, now: Time, entry: Entry, zone: &name::Zone) {
+    pub(super) fn update(&mut self, now: Time, entry: Entry, zone: &name::Zone, regions: &Regions) {
         if entry.incarnation != self.entry.incarnation || entry.address != self.entry.address {
             self.health = Health::default();
             self.paused_until = None;
@@ -160,6 +164,9 @@
         if entry.revision != self.entry.revision {
             self.replaced_until = None;
         }
+        if entry.zone != self.entry.zone {
+            self.region = regions.of(&entry.zone).cloned();
+        }
         self.local = entry.zone == *zone;
         self.entry = entry;
     }
