Evacuate availability zones by keys of the operators

Cause: operators need to take an availability zone out of use before maintenance or a failure, at all routers and until they say otherwise. Change: the roster holds evacuations, ordered by (era, revision); deltas carry them in a last field that is not written when empty; the list of the store reads the prefix of the operators' keys together with the upstreams; the fleet leaves evacuated upstreams out of the ready ones and refuses with the cause 'evacuated' if none is left; log lines, metrics and status show progress.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -114,6 +114,8 @@
     const CONFIGURATION: &'static str;
     /// Key prefix of the entries of upstreams.
     const UPSTREAMS: &'static str;
+    /// Key prefix of what the operators write, the configuration included.
+    const OPERATORS: &'static str = Self::CONFIGURATION;
 
     /// Decodes a configuration.
     fn table(&self, revision: Revision, value: &[u8]) -> Result<Table, Error>;
@@ -125,6 +127,12 @@
     fn upstream(&self, key: &str) -> Option<name::Upstream> {
         key.strip_prefix(Self::UPSTREAMS).map(name::Upstream::from)
     }
+
+    /// The availability zone that is evacuated while this key exists; `None` if the key is of
+    /// another kind, an error if it names no zone.
+    fn evacuated(&self, _key: &str) -> Option<Result<name::Zone, Error>> {
+        None
+    }
 }
 
 /// Everything that differs between platforms.
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -304,6 +304,7 @@
             Decision::Refuse { cause, retry_after } => {
                 let cause = match (cause, &self.origin) {
                     (Cause::Paused, _) => "paused",
+                    (Cause::Evacuated, _) => "evacuated",
                     (Cause::NoUpstream, Some(_)) => "no_upstream_of_build",
                     (Cause::NoUpstream, None) => "no_upstream",
                 };
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod connection;
 mod crash;
 pub mod dialect;
+mod evacuation;
 mod events;
 mod exchange;
 mod headers;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -86,6 +86,8 @@
     ejected: Gauge,
     unused: Family<CauseLabels, Gauge>,
     store_unreachable: Gauge,
+    evacuated: Gauge,
+    evacuated_in_flight: Gauge,
     store_era: Gauge,
 }
 
@@ -99,6 +101,27 @@
     counter
 }
 
+fn gauge(registry: &mut Registry, name: &str, help: &str) -> Gauge {
+    let gauge = Gauge::default();
+    registry.register(name, help, gauge.clone());
+    gauge
+}
+
+/// Evacuated zones, and requests in flight there.
+fn evacuation_gauges(registry: &mut Registry) -> (Gauge, Gauge) {
+    let zones = gauge(
+        registry,
+        "evacuated_zones",
+        "Availability zones that are evacuated",
+    );
+    let in_flight = gauge(
+        registry,
+        "evacuated_open_requests",
+        "Requests in progress at upstreams of evacuated zones",
+    );
+    (zones, in_flight)
+}
+
 fn outcomes(registry: &mut Registry, name: &str, help: &str) -> Family<OutcomeLabels, Counter> {
     let outcomes = Family::default();
     registry.register(name, help, outcomes.clone());
@@ -163,11 +186,7 @@
                 "1 while the store does not answer this router",
             ),
         ];
-        let gauges = gauges.map(|(name, help)| {
-            let gauge = Gauge::<i64>::default();
-            registry.register(name, help, gauge.clone());
-            gauge
-        });
+        let gauges = gauges.map(|(name, help)| gauge(&mut registry, name, help));
         let [
             in_flight,
             configuration,
@@ -181,12 +200,12 @@
             "Upstreams that get no requests while others do, by cause",
             unused.clone(),
         );
-        let store_era = Gauge::default();
-        registry.register(
+        let store_era = gauge(
+            &mut registry,
             "store_era",
             "Number of times that the store was restored from a copy",
-            store_era.clone(),
         );
+        let (evacuated, evacuated_in_flight) = evacuation_gauges(&mut registry);
         Self {
             registry,
             requests,
@@ -204,6 +223,8 @@
             ejected,
             unused,
             store_unreachable,
+            evacuated,
+            evacuated_in_flight,
             store_era,
         }
     }
@@ -344,6 +365,10 @@
             let unused = metrics.unused.get_or_create(&CauseLabels { cause });
             unused.set(gauge_value(count));
         }
+        metrics.evacuated.set(gauge_value(status.evacuated.len()));
+        let in_flight = status.evacuated.iter().map(|zone| zone.open_requests);
+        let in_flight: u32 = in_flight.sum();
+        metrics.evacuated_in_flight.set(i64::from(in_flight));
         metrics.store_era.set(status.store.era.cast_signed());
         let fleet = self.shared.fleet.borrow();
         let upstreams = fleet.upstreams();
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -15,6 +15,7 @@
 
 use crate::connection::Connection;
 use crate::dialect::Platform;
+use crate::evacuation;
 use crate::peer::Peers;
 use crate::shared::Shared;
 
@@ -31,6 +32,7 @@
         log_unreachable(&shared, &peers.borrow(), &mut unreachable);
         let now = shared.now();
         let due = shared.fleet.borrow_mut().due_probes(now);
+        evacuation::log(&shared);
         let checks = due.into_iter().take(CONCURRENT_MAX);
         join_all(checks.map(|(id, address)| check(&shared, id, address))).await;
         shared.outage.notify_one();
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -31,6 +31,7 @@
 use crate::clock::Clock;
 use crate::crash;
 use crate::dialect::Platform;
+use crate::evacuation;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
 use crate::peer::Announcement;
@@ -225,6 +226,7 @@
     /// Records that the configuration or the upstreams changed, so that peers are informed.
     pub fn record_change(&self) {
         self.changed.notify_one();
+        evacuation::log(self);
         if self.is_loaded() && !self.ready_logged.replace(true) {
             let upstreams = self.fleet.borrow().upstreams().len();
             info!(self.log, "node: ready"; "upstreams" => upstreams, "ms" => self.now().0 / 1_000);
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -37,6 +37,9 @@
     /// Retries that the budget allows now, by service.
     #[serde(rename = "repeats_left")]
     pub retries_left: Vec<Retries>,
+    /// Evacuated availability zones, sorted by name.
+    #[serde(default)]
+    pub evacuated: Vec<Evacuation>,
     /// The upstreams, sorted by identifier.
     pub upstreams: Vec<Upstream>,
 }
@@ -78,6 +81,19 @@
     pub remaining: u32,
 }
 
+/// An evacuated availability zone as seen by the router.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Evacuation {
+    /// The zone.
+    pub zone: name::Zone,
+    /// Revision of the store that evacuated it.
+    pub revision: u64,
+    /// Time since the router learned of it, in milliseconds.
+    pub age_ms: u64,
+    /// In-flight requests of this router at upstreams of the zone.
+    pub open_requests: u32,
+}
+
 /// State of an upstream as seen by the router.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Upstream {
@@ -111,6 +127,8 @@
     Leaving,
     /// It said itself that it shuts down.
     Announced,
+    /// Its availability zone is evacuated.
+    Evacuated,
     /// It asked this router for a pause.
     Paused,
     /// No connection could be opened.
@@ -126,9 +144,10 @@
 
 impl State {
     /// All states in which an upstream receives no requests, or only if no other is left.
-    pub(crate) const UNUSED: [Self; 6] = [
+    pub(crate) const UNUSED: [Self; 7] = [
         Self::Leaving,
         Self::Announced,
+        Self::Evacuated,
         Self::Paused,
         Self::Unreachable,
         Self::Ejected,
@@ -140,6 +159,7 @@
         match self {
             Self::Leaving => "leaving",
             Self::Announced => "announced",
+            Self::Evacuated => "evacuated",
             Self::Paused => "paused",
             Self::Unreachable => "unreachable",
             Self::Ejected => "set_aside",
@@ -181,6 +201,7 @@
         },
         routers: fleet.routers(),
         retries_left,
+        evacuated: evacuated(&fleet, now),
         upstreams,
     }
 }
@@ -195,12 +216,25 @@
     })
 }
 
+fn evacuated(fleet: &Fleet, now: Time) -> Vec<Evacuation> {
+    let drains = fleet.drains();
+    let evacuated = drains.map(|(zone, drain, in_flight)| Evacuation {
+        zone: zone.clone(),
+        revision: drain.revision.number,
+        age_ms: millis(now, drain.since),
+        open_requests: in_flight,
+    });
+    evacuated.collect()
+}
+
 fn upstream(fleet: &Fleet, known: &fleet::Upstream, now: Time) -> Upstream {
     let id = &known.entry.id;
     let state = if fleet.has_announced_leaving(known) {
         State::Announced
     } else if !fleet.is_ready(now, id) {
         State::Leaving
+    } else if fleet.roster().is_evacuated(now, &known.entry.zone) {
+        State::Evacuated
     } else if known.is_paused(now) {
         State::Paused
     } else if known.health.is_unreachable() {
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -9,7 +9,7 @@
 use futures_util::StreamExt as _;
 use slog::info;
 use slog::warn;
-use snipeusher::fleet::Entry;
+use snipeusher::fleet::List;
 use snipeusher::fleet::Update;
 use snipeusher::kv;
 use snipeusher::kv::Call;
@@ -23,6 +23,7 @@
 use tokio::time::sleep;
 
 use crate::dialect::Platform;
+use crate::evacuation;
 use crate::shared::Shared;
 
 /// Prefix of all keys. One watch covers them, since each pending watch counts as a call.
@@ -137,20 +138,30 @@
     }
     info!(shared.log, "upstreams: listed";
         "count" => upstreams.len(), "revision" => revision.number, "era" => revision.era.0);
-    replace_upstreams(shared, revision, upstreams);
-    // Read after the upstreams, since the watch continues from their revision and repeats a change
-    // made in between.
-    configuration(shared, store).await.map_err(Error::List)?;
+    // Upstreams are not known without the evacuations. The watch continues from the earlier revision
+    // and repeats a change made in between.
+    let (latest, operators) = range(store, P::OPERATORS).await.map_err(Error::List)?;
+    if latest.era != revision.era {
+        return Err(Error::Watch(Fault::Restored));
+    }
+    let list = List {
+        revision: revision.min(latest),
+        entries: upstreams,
+        evacuations: evacuation::listed(shared, &operators),
+    };
+    replace_upstreams(shared, list);
+    configure(shared, &operators);
     shared.record_change();
     Ok(())
 }
 
 /// Applies a list of upstreams, and tells what is left of them if the store was restored.
-fn replace_upstreams<P: Platform>(shared: &Shared<P>, revision: Revision, entries: Vec<Entry>) {
+fn replace_upstreams<P: Platform>(shared: &Shared<P>, list: List) {
+    let revision = list.revision;
     let now = shared.now();
     let before = shared.revisions().1;
     let mut fleet = shared.fleet.borrow_mut();
-    fleet.replace_all(now, revision, entries);
+    fleet.replace(now, list);
     if revision.era > before.era {
         let roster = fleet.roster();
         info!(shared.log, "store: restored";
@@ -166,10 +177,15 @@
     store: &S,
 ) -> Result<(), Fault> {
     let (_revision, entries) = range(store, P::CONFIGURATION).await?;
+    configure(shared, &entries);
+    Ok(())
+}
+
+/// Applies the configuration among listed entries.
+fn configure<P: Platform>(shared: &Shared<P>, entries: &[kv::Entry]) {
     for entry in entries.iter().filter(|entry| entry.key == P::CONFIGURATION) {
         shared.configure(entry.modified, &entry.value, "store");
     }
-    Ok(())
 }
 
 async fn range<S: Store>(store: &S, prefix: &str) -> Result<(Revision, Vec<kv::Entry>), Fault> {
@@ -230,11 +246,15 @@
                 shared.configure(entry.modified, &entry.value, "store");
             } else if let Some(id) = shared.platform.upstream(&entry.key) {
                 updates.push(written(shared, id, entry));
+            } else {
+                updates.extend(evacuation::written(shared, entry));
             }
         }
-        let removed = change.deleted.iter();
-        let removed = removed.filter_map(|key| shared.platform.upstream(key));
-        updates.extend(removed.map(|id| removed_at(shared, id, change.revision)));
+        for key in &change.deleted {
+            let upstream = shared.platform.upstream(key);
+            let removed = upstream.map(|id| removed_at(shared, id, change.revision));
+            updates.extend(removed.or_else(|| evacuation::removed(shared, key, change.revision)));
+        }
     }
     let mut fleet = shared.fleet.borrow_mut();
     if !updates.is_empty() {
--- a/crates/edge/tests/bulk.rs
+++ b/crates/edge/tests/bulk.rs
@@ -74,6 +74,7 @@
                 complete: true,
                 entries: vec![self.entry.clone()],
                 removed: Vec::new(),
+                evacuations: Vec::new(),
             }),
         }
     }
--- a/crates/edge/tests/common/platform.rs
+++ b/crates/edge/tests/common/platform.rs
@@ -146,6 +146,16 @@
         Ok(draft.compile())
     }
 
+    fn evacuated(&self, key: &str) -> Option<Result<name::Zone, Error>> {
+        let zone = key.strip_prefix("conf/evacuated/")?;
+        let invalid = || Error {
+            key: key.to_owned(),
+            reason: "no zone".to_owned(),
+        };
+        let zone = (!zone.is_empty()).then(|| name::Zone::from(zone));
+        Some(zone.ok_or_else(invalid))
+    }
+
     fn entry(&self, entry: &kv::Entry) -> Result<fleet::Entry, Error> {
         let text = String::from_utf8_lossy(&entry.value).into_owned();
         let words: Vec<&str> = text.split_whitespace().collect();
--- a/crates/edge/tests/serialized.rs
+++ b/crates/edge/tests/serialized.rs
@@ -159,6 +159,7 @@
         complete: true,
         entries: vec![entry],
         removed: vec![removal],
+        evacuations: Vec::new(),
     };
     let response = Response {
         digest: digest(),
--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -19,6 +19,9 @@
 const LOAD_SLACK: f64 = 3.0;
 /// `Retry-After` of a refusal for lack of an upstream.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Earliest `Retry-After` while all upstreams of a service are evacuated. Operators decide when this
+/// ends; a caller that returns each second costs little.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Upper bound of the jitter added to the time when an upstream takes requests again, so that
 /// callers do not return together.
 const PAUSE_JITTER_MS: u64 = 250;
@@ -86,6 +89,8 @@
     NoUpstream,
     /// All have asked for a pause, have had what they take from this router or have no room.
     Paused,
+    /// All are in evacuated zones.
+    Evacuated,
 }
 
 /// Chooses among the ready upstreams of a service.
@@ -153,6 +158,15 @@
     }
 }
 
+/// Refuses a request to a service whose upstreams are all in evacuated zones.
+pub(super) const fn refuse_evacuated(query: &Query<'_>) -> Decision {
+    let jitter = Duration::from_millis(query.tie_breaker % PAUSE_JITTER_MS);
+    Decision::Refuse {
+        cause: Cause::Evacuated,
+        retry_after: EVACUATED_RETRY_AFTER.saturating_add(jitter),
+    }
+}
+
 /// The upstreams that meet a condition, or all if none does: sending the request to a doubtful
 /// upstream is better than refusing it.
 fn prefer<'a>(
--- a/crates/snipeusher/src/fleet/roster.rs
+++ b/crates/snipeusher/src/fleet/roster.rs
@@ -13,6 +13,8 @@
 use super::departure::Evidence;
 use super::departure::Leaving;
 use super::departure::Verdict;
+use super::evacuation::Evacuation;
+use super::evacuation::Evacuations;
 use crate::kv::Revision;
 use crate::name;
 use crate::time::Time;
@@ -71,6 +73,21 @@
     Written(Entry),
     /// An entry was removed at a revision.
     Removed(name::Upstream, Revision),
+    /// A zone was evacuated at a revision.
+    Evacuated(name::Zone, Revision),
+    /// The evacuation of a zone was ended at a revision.
+    EvacuationEnded(name::Zone, Revision),
+}
+
+/// All that the store lists at a revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct List {
+    /// The revision.
+    pub revision: Revision,
+    /// The registered upstreams.
+    pub entries: Vec<Entry>,
+    /// The evacuated zones, each with the revision that evacuated it.
+    pub evacuations: BTreeMap<name::Zone, Revision>,
 }
 
 /// Changes between two revisions, sent from router to router.
@@ -85,6 +102,9 @@
     pub entries: Vec<Entry>,
     /// Upstreams that were removed.
     pub removed: Vec<Removal>,
+    /// Evacuations of zones that began or ended, or those in force if `complete`.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub evacuations: Vec<Evacuation>,
 }
 
 #[derive(Clone, Debug)]
@@ -112,6 +132,7 @@
     /// All removals after this revision are in `removed`.
     history_start: Revision,
     departures: Departures,
+    evacuations: Evacuations,
     /// Revision of the first list of the store's present era.
     era_start: Revision,
     store_disconnected: bool,
@@ -135,6 +156,7 @@
             removed: VecDeque::new(),
             history_start: Revision::default(),
             departures: Departures::default(),
+            evacuations: Evacuations::default(),
             era_start: Revision::default(),
             store_disconnected: false,
             store_back_at: None,
@@ -172,12 +194,20 @@
         self.rows.get(id).is_some_and(|row| row.is_ready(now))
     }
 
-    /// When the next retained entry expires.
+    /// Whether a zone is evacuated at `now`.
+    pub fn is_evacuated(&self, now: Time, zone: &name::Zone) -> bool {
+        self.evacuations.has(now, zone)
+    }
+
+    /// Evacuated zones, each with the revision that evacuated it.
+    pub fn evacuated(&self, now: Time) -> impl Iterator<Item = (&name::Zone, Revision)> {
+        self.evacuations.in_force(now)
+    }
+
+    /// When the next retained entry or evacuation expires.
     pub fn next_expiry(&self) -> Option<Time> {
-        self.rows
-            .values()
-            .filter_map(|row| row.retained_until)
-            .min()
+        let entries = self.rows.values().filter_map(|row| row.retained_until);
+        entries.chain(self.evacuations.next_expiry()).min()
     }
 
     /// Records that the store is unreachable: leases may expire although their upstreams run.
@@ -252,17 +282,49 @@
         }
     }
 
+    /// Applies the evacuation of a zone, unless a newer statement about it is known.
+    pub fn evacuate(&mut self, zone: name::Zone, revision: Revision) {
+        self.revision = self.revision.max(revision);
+        self.evacuations.begin(zone, revision);
+        self.update_history();
+    }
+
+    /// Applies the end of the evacuation of a zone, unless a newer statement about it is known.
+    pub fn end_evacuation(&mut self, zone: name::Zone, revision: Revision) {
+        self.revision = self.revision.max(revision);
+        self.evacuations.end(zone, revision);
+        self.update_history();
+    }
+
     /// Records that all changes up to a revision have been applied.
     pub fn advance_to(&mut self, revision: Revision) {
         self.revision = self.revision.max(revision);
     }
 
-    /// Applies a complete list read from the store, unless it is older than the known revision.
+    /// Applies a complete list of a store without evacuations; see [`Self::replace`].
     pub fn replace_all(&mut self, now: Time, revision: Revision, entries: Vec<Entry>) {
+        let list = List {
+            revision,
+            entries,
+            ..List::default()
+        };
+        self.replace(now, list);
+    }
+
+    /// Applies a complete list read from the store, unless it is older than the known revision.
+    pub fn replace(&mut self, now: Time, list: List) {
+        let List {
+            revision,
+            entries,
+            evacuations,
+        } = list;
         if revision < self.revision {
             return;
         }
-        self.enter_era(now, revision);
+        let is_new_era = self.enter_era(now, revision);
+        let retained_until = is_new_era.then_some(now + OUTAGE_RETENTION);
+        self.evacuations
+            .replace(revision, &evacuations, retained_until);
         for id in self.unlisted(revision, &entries) {
             let until = self.retention_deadline(now, &id);
             self.remove_row(id, revision, until);
@@ -281,6 +343,10 @@
             return;
         }
         let is_new_era = self.enter_era(now, delta.revision);
+        let complete = delta.complete.then_some(delta.revision);
+        let retained_until = is_new_era.then_some(now + OUTAGE_RETENTION);
+        self.evacuations
+            .merge(now, complete, delta.evacuations, retained_until);
         if delta.complete {
             let kept = delta.removed.iter().filter(|removal| removal.keep_ms > 0);
             let kept: BTreeSet<name::Upstream> = kept.map(|removal| removal.id.clone()).collect();
@@ -306,6 +372,7 @@
             self.upsert(entry);
         }
         self.revision = delta.revision;
+        self.update_history();
     }
 
     /// Changes after a revision, for a peer that has not seen them.
@@ -323,6 +390,9 @@
             complete,
             entries: newer.map(|row| row.entry.clone()).collect(),
             removed: removed.map(|removed| removed.to_removal(now)).collect(),
+            evacuations: self
+                .evacuations
+                .changes_since(now, (!complete).then_some(revision)),
         }
     }
 
@@ -331,8 +401,11 @@
         revision < self.history_start || revision == Revision::default()
     }
 
-    /// Drops retained entries whose upstreams did not register again in time.
+    /// Drops retained entries whose upstreams did not register again in time, and retained
+    /// evacuations that were not written again.
     pub fn expire(&mut self, now: Time) {
+        self.evacuations.expire(now);
+        self.update_history();
         let rows = self.rows.iter();
         let expired = rows.filter(|(_, row)| row.retained_until.is_some_and(|until| until <= now));
         let expired: Vec<name::Upstream> = expired.map(|(id, _)| id.clone()).collect();
@@ -352,6 +425,11 @@
         is_new
     }
 
+    /// Has peers that missed an end of an evacuation that is no longer kept get the complete list.
+    fn update_history(&mut self) {
+        self.history_start = self.history_start.max(self.evacuations.forgotten());
+    }
+
     /// Known upstreams that are missing from a complete list at a revision.
     fn unlisted(&self, revision: Revision, entries: &[Entry]) -> Vec<name::Upstream> {
         let listed: BTreeSet<&name::Upstream> = entries.iter().map(|entry| &entry.id).collect();
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -1,6 +1,7 @@
 //! One router's view of all upstreams.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use super::Entry;
 use super::Leaving;
 use super::Limits;
+use super::List;
 use super::Observation;
 use super::Outage;
 use super::Outcome;
@@ -18,12 +20,14 @@
 use super::RateLimit;
 use super::Report;
 use super::Roster;
+use super::Source;
 use super::Update;
 use super::Upstream;
 use super::builds::Builds;
 use super::choice;
 use super::decline;
 use super::decline::DeclineLimits;
+use super::drain::Drains;
 use super::rate::Routers;
 use super::zone::Zone;
 use crate::hash;
@@ -65,6 +69,9 @@
     upstreams: Vec<Upstream>,
     slots: BTreeMap<name::Upstream, usize>,
     ready: BTreeMap<name::Service, Vec<usize>>,
+    /// Services with ready upstreams in evacuated zones.
+    evacuated: BTreeSet<name::Service>,
+    pub(super) drains: Drains,
     builds: Builds,
     /// When the next retained entry of the roster expires.
     refresh_at: Option<Time>,
@@ -86,6 +93,8 @@
             upstreams: Vec::new(),
             slots: BTreeMap::new(),
             ready: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
+            drains: Drains::default(),
             builds: Builds::default(),
             refresh_at: None,
             budgets: BTreeMap::new(),
@@ -177,9 +186,14 @@
             match update {
                 Update::Written(entry) => self.roster.upsert(entry),
                 Update::Removed(id, revision) => self.roster.remove(now, &id, revision),
+                Update::Evacuated(zone, revision) => self.roster.evacuate(zone, revision),
+                Update::EvacuationEnded(zone, revision) => {
+                    self.roster.end_evacuation(zone, revision);
+                }
             }
         }
         self.refresh(now);
+        self.record_evacuations(now, Source::Store);
     }
 
     /// Records that all changes of the store up to a revision have been applied.
@@ -187,16 +201,28 @@
         self.roster.advance_to(revision);
     }
 
-    /// Applies a complete list of the store's entries.
+    /// Applies a complete list of a store without evacuations; see [`Self::replace`].
     pub fn replace_all(&mut self, now: Time, revision: Revision, entries: Vec<Entry>) {
-        self.roster.replace_all(now, revision, entries);
+        let list = List {
+            revision,
+            entries,
+            ..List::default()
+        };
+        self.replace(now, list);
+    }
+
+    /// Applies a complete list of the store.
+    pub fn replace(&mut self, now: Time, list: List) {
+        self.roster.replace(now, list);
         self.refresh(now);
+        self.record_evacuations(now, Source::Store);
     }
 
     /// Applies a peer's delta of the store's entries.
     pub fn merge(&mut self, now: Time, delta: Delta) {
         self.roster.merge(now, delta);
         self.refresh(now);
+        self.record_evacuations(now, Source::Peer);
     }
 
     /// Merges load observations of a peer.
@@ -270,11 +296,12 @@
 
     /// Chooses an upstream for a request.
     pub fn choose(&mut self, now: Time, query: &Query<'_>) -> Decision {
-        if self.refresh_at.is_some_and(|at| at <= now) {
-            self.refresh(now);
-        }
+        self.expire(now);
         self.record_silent_upstreams(now);
         let ready = self.ready.get(query.service).map_or(&[][..], Vec::as_slice);
+        if ready.is_empty() && self.evacuated.contains(query.service) {
+            return choice::refuse_evacuated(query);
+        }
         let is_unreachable =
             |zone: &name::Zone| self.zones.get(zone).is_some_and(Zone::is_unreachable);
         let connection_share = self
@@ -670,7 +697,8 @@
             return false;
         };
         upstream.load.record_end();
-        if upstream.load.in_flight() == 0 {
+        let is_idle = upstream.load.in_flight() == 0;
+        if is_idle {
             upstream.silent_since = None;
         }
         if let Some(backoff) = backoff.filter(|_| outcome == Outcome::Declined) {
@@ -685,6 +713,9 @@
         if is_news {
             self.outage.upstreams.push(id.clone());
         }
+        if is_idle {
+            self.record_drained(id);
+        }
         ejected
     }
 
@@ -723,6 +754,14 @@
         Some(&mut self.upstreams[slot])
     }
 
+    /// Drops what the roster retained until `now`.
+    pub fn expire(&mut self, now: Time) {
+        if self.refresh_at.is_some_and(|at| at <= now) {
+            self.refresh(now);
+            self.record_evacuations(now, Source::Store);
+        }
+    }
+
     /// Updates the upstreams and their indexes from the roster.
     fn refresh(&mut self, now: Time) {
         self.roster.expire(now);
@@ -747,7 +786,12 @@
         }
         self.builds.update(now, roster.entries());
         self.ready.clear();
+        self.evacuated.clear();
         for entry in roster.ready(now) {
+            if roster.is_evacuated(now, &entry.zone) {
+                self.evacuated.insert(entry.service.clone());
+                continue;
+            }
             let slots = self.ready.entry(entry.service.clone()).or_default();
             slots.extend(self.slots.get(&entry.id));
         }
--- /dev/null
+++ b/crates/snipeusher/tests/evacuation.rs
@@ -0,0 +1,528 @@
+//! Evacuated zones in the roster and in the choice of an upstream: order of statements, deltas,
+//! complete lists, copies from peers and restores of the store.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rstest::rstest;
+use snipeusher::fleet::Cause;
+use snipeusher::fleet::Decision;
+use snipeusher::fleet::Delta;
+use snipeusher::fleet::Entry;
+use snipeusher::fleet::Fleet;
+use snipeusher::fleet::Limits;
+use snipeusher::fleet::List;
+use snipeusher::fleet::Milestone;
+use snipeusher::fleet::Outcome;
+use snipeusher::fleet::Query;
+use snipeusher::fleet::Roster;
+use snipeusher::fleet::Settings;
+use snipeusher::fleet::Source;
+use snipeusher::fleet::Stage;
+use snipeusher::fleet::Update;
+use snipeusher::kv::Era;
+use snipeusher::kv::Revision;
+use snipeusher::name;
+use snipeusher::time::Time;
+
+const NOW: Time = Time::from_millis(1_000);
+/// Time for which an evacuation that a restored store lacks is kept.
+const RETENTION: Duration = Duration::from_millis(2_300);
+/// More ends of evacuations than a router remembers.
+const MANY: u64 = 80;
+
+fn revision(era: u64, number: u64) -> Revision {
+    Revision {
+        era: Era(era),
+        number,
+    }
+}
+
+fn zone(name: &str) -> name::Zone {
+    name::Zone::from(name)
+}
+
+fn entry(id: &str, zone: &str, number: u64) -> Entry {
+    Entry {
+        id: name::Upstream::from(id),
+        service: name::Service::from("letters"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
+        zone: name::Zone::from(zone),
+        build: name::Build::from("v1"),
+        slots: None,
+        draining: false,
+        incarnation: name::Incarnation(1),
+        revision: Revision::new(number),
+    }
+}
+
+fn list(revision: Revision, zones: &[(&str, Revision)]) -> List {
+    let entries = [entry("a1", "a", 1), entry("b1", "b", 2)];
+    let entries = entries.map(|entry| Entry {
+        revision: Revision {
+            era: revision.era,
+            ..entry.revision
+        },
+        ..entry
+    });
+    let zones = zones.iter().map(|(name, at)| (zone(name), *at));
+    List {
+        revision,
+        entries: entries.to_vec(),
+        evacuations: zones.collect::<BTreeMap<_, _>>(),
+    }
+}
+
+fn roster(revision: Revision, zones: &[(&str, Revision)]) -> Roster {
+    let mut roster = Roster::default();
+    roster.replace(NOW, list(revision, zones));
+    roster
+}
+
+fn evacuated(roster: &Roster, now: Time) -> Vec<String> {
+    let zones = roster.evacuated(now);
+    zones.map(|(zone, _)| zone.to_string()).collect()
+}
+
+/// A fleet view of two zones with two upstreams each.
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new(Settings {
+        zone: zone("a"),
+        retries: Limits::default(),
+        drain: Duration::from_secs(2),
+        pause_max: Duration::from_mins(1),
+    });
+    let entries = [("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b")];
+    let entries = (1..).zip(entries);
+    let entries = entries.map(|(number, (id, zone))| entry(id, zone, number));
+    fleet.replace_all(NOW, Revision::new(10), entries.collect());
+    fleet
+}
+
+fn evacuate(fleet: &mut Fleet, name: &str, number: u64) {
+    let update = Update::Evacuated(zone(name), Revision::new(number));
+    fleet.apply(NOW, [update]);
+}
+
+fn end(fleet: &mut Fleet, name: &str, number: u64) {
+    let update = Update::EvacuationEnded(zone(name), Revision::new(number));
+    fleet.apply(NOW, [update]);
+}
+
+fn choose(fleet: &mut Fleet, now: Time, tie_breaker: u64, session: Option<u64>) -> Decision {
+    let service = name::Service::from("letters");
+    let query = Query {
+        service: &service,
+        session,
+        max_connections: 0,
+        build: None,
+        tried: &[],
+        tie_breaker,
+    };
+    fleet.choose(now, &query)
+}
+
+/// Upstreams chosen for 200 requests, half of them with a session.
+fn chosen(fleet: &mut Fleet, now: Time) -> Vec<String> {
+    let mut chosen: Vec<String> = (0..200_u64)
+        .filter_map(|number| {
+            let session = (number % 2 == 0).then_some(number);
+            match choose(fleet, now, number, session) {
+                Decision::Send { upstream, .. } => Some(upstream.to_string()),
+                Decision::Refuse { .. } => None,
+            }
+        })
+        .collect();
+    chosen.sort();
+    chosen.dedup();
+    chosen
+}
+
+/// Guards against a removal or a write that arrives late and reverts a newer statement.
+#[rstest]
+#[case::write_then_removal(&[(true, 11), (false, 12)], false)]
+#[case::removal_then_late_write(&[(false, 12), (true, 11)], false)]
+#[case::write_again(&[(true, 11), (false, 12), (true, 13)], true)]
+#[case::late_removal(&[(true, 11), (true, 13), (false, 12)], true)]
+#[case::repeated_write(&[(true, 11), (true, 11)], true)]
+fn the_newest_statement_counts(#[case] statements: &[(bool, u64)], #[case] expected: bool) {
+    let mut roster = roster(Revision::new(10), &[]);
+    for (is_written, number) in statements {
+        let at = Revision::new(*number);
+        if *is_written {
+            roster.evacuate(zone("a"), at);
+        } else {
+            roster.end_evacuation(zone("a"), at);
+        }
+    }
+    assert_eq!(roster.is_evacuated(NOW, &zone("a")), expected);
+    assert_eq!(
+        roster.revision(),
+        Revision::new(statements.iter().map(|s| s.1).max().unwrap())
+    );
+}
+
+/// Guards against an era that is compared by its revision numbers, which a restored store gives out
+/// again.
+#[rstest]
+fn a_later_era_counts_although_its_number_is_lower() {
+    let mut roster = roster(Revision::new(90), &[]);
+    roster.evacuate(zone("a"), Revision::new(91));
+    roster.end_evacuation(zone("a"), revision(1, 40));
+    assert!(!roster.is_evacuated(NOW, &zone("a")));
+    roster.evacuate(zone("a"), Revision::new(95));
+    assert!(!roster.is_evacuated(NOW, &zone("a")));
+}
+
+/// Guards against a peer that misses the beginning or the end of an evacuation in a delta.
+#[rstest]
+fn deltas_hold_beginnings_and_ends() {
+    let mut first = roster(Revision::new(10), &[]);
+    let mut second = first.clone();
+    first.evacuate(zone("a"), Revision::new(11));
+    second.merge(NOW, first.changes_since(NOW, second.revision()));
+    assert_eq!(evacuated(&second, NOW), ["a"]);
+    first.end_evacuation(zone("a"), Revision::new(12));
+    first.evacuate(zone("b"), Revision::new(13));
+    let delta = first.changes_since(NOW, second.revision());
+    assert!(!delta.complete);
+    second.merge(NOW, delta);
+    assert_eq!(evacuated(&second, NOW), ["b"]);
+}
+
+/// Guards against messages that grow, or that the build before cannot decode, although there is no
+/// evacuation or none any more.
+#[rstest]
+fn without_an_evacuation_the_field_is_not_written() {
+    let mut roster = roster(Revision::new(10), &[]);
+    let fields = |delta: &Delta| rmp_serde::to_vec(delta).expect("it can be written")[0];
+    let none = roster.changes_since(NOW, Revision::default());
+    assert_eq!(fields(&none), 0x94, "an array of four");
+    roster.evacuate(zone("a"), Revision::new(11));
+    let one = roster.changes_since(NOW, Revision::default());
+    assert_eq!(fields(&one), 0x95, "an array of five");
+    let bytes = rmp_serde::to_vec(&one).expect("it can be written");
+    let read: Delta = rmp_serde::from_slice(&bytes).expect("it can be read");
+    assert_eq!(read, one);
+    roster.end_evacuation(zone("a"), Revision::new(12));
+    let ended = roster.changes_since(NOW, Revision::default());
+    assert_eq!(fields(&ended), 0x94);
+}
+
+/// Guards against an evacuation that stays for ever at a router that missed its end while the store
+/// was unreachable for it.
+#[rstest]
+fn a_complete_list_replaces_what_was_known() {
+    let mut roster = roster(Revision::new(10), &[("a", Revision::new(5))]);
+    let next = list(Revision::new(20), &[("b", Revision::new(15))]);
+    roster.replace(NOW, next);
+    assert_eq!(evacuated(&roster, NOW), ["b"]);
+    let stale = list(Revision::new(12), &[("a", Revision::new(5))]);
+    roster.replace(NOW, stale);
+    assert_eq!(evacuated(&roster, NOW), ["b"], "an older list is ignored");
+}
+
+/// Guards against a list that was read while a change was made, which the watch then repeats.
+#[rstest]
+fn a_list_and_the_watch_that_repeats_its_changes_agree() {
+    // The zones were listed at 14, the upstreams at 10, where the watch begins.
+    let mut roster = roster(Revision::new(10), &[("a", Revision::new(13))]);
+    assert_eq!(evacuated(&roster, NOW), ["a"]);
+    assert_eq!(roster.revision(), Revision::new(10));
+    roster.evacuate(zone("b"), Revision::new(11));
+    roster.end_evacuation(zone("b"), Revision::new(12));
+    roster.evacuate(zone("a"), Revision::new(13));
+    assert_eq!(evacuated(&roster, NOW), ["a"]);
+}
+
+/// Guards against an end that is learned from a list and is then not passed on to a peer which
+/// learned of the beginning.
+#[rstest]
+fn an_end_learned_from_a_list_reaches_peers() {
+    let mut first = roster(Revision::new(10), &[("a", Revision::new(5))]);
+    let mut second = first.clone();
+    first.replace(NOW, list(Revision::new(20), &[]));
+    second.merge(NOW, first.changes_since(NOW, second.revision()));
+    assert_eq!(evacuated(&second, NOW), Vec::<String>::new());
+}
+
+/// Guards against a router that starts, copies its list from a peer and sends to an evacuated zone.
+#[rstest]
+fn a_list_copied_from_a_peer_holds_the_evacuations() {
+    let mut first = roster(Revision::new(10), &[]);
+    first.evacuate(zone("a"), Revision::new(11));
+    first.evacuate(zone("odd / \u{1f600}"), Revision::new(12));
+    let copy = first.changes_since(NOW, Revision::default());
+    assert!(copy.complete);
+    let mut second = Roster::default();
+    second.merge(NOW, copy);
+    assert_eq!(evacuated(&second, NOW), ["a", "odd / \u{1f600}"]);
+    assert_eq!(second.entries().count(), 2);
+}
+
+/// Guards against routers whose state depends on which of two peers they heard first.
+#[rstest]
+fn deltas_of_two_routers_merge_in_either_order() {
+    let base = roster(Revision::new(10), &[("b", Revision::new(4))]);
+    let (mut first, mut second) = (base.clone(), base.clone());
+    first.evacuate(zone("a"), Revision::new(11));
+    second.evacuate(zone("a"), Revision::new(11));
+    second.end_evacuation(zone("b"), Revision::new(12));
+    second.end_evacuation(zone("a"), Revision::new(13));
+    second.evacuate(zone("c"), Revision::new(14));
+    let deltas = [&first, &second].map(|roster| roster.changes_since(NOW, base.revision()));
+    for order in [[0, 1], [1, 0], [1, 1]] {
+        let mut third = base.clone();
+        for index in order {
+            third.merge(NOW, deltas[index].clone());
+        }
+        assert_eq!(evacuated(&third, NOW), ["c"], "{order:?}");
+        assert_eq!(third.revision(), Revision::new(14));
+    }
+}
+
+/// Guards against a zone that gets requests at once when the store is restored from a copy without
+/// its evacuation, and against one that stays evacuated for ever.
+#[rstest]
+#[case::not_written_again(None, false)]
+#[case::written_again(Some(8), true)]
+fn an_evacuation_lost_with_a_restore_is_retained(
+    #[case] written_again: Option<u64>,
+    #[case] expected: bool,
+) {
+    let mut roster = roster(Revision::new(10), &[]);
+    roster.evacuate(zone("a"), Revision::new(11));
+    roster.replace(NOW, list(revision(1, 7), &[]));
+    assert_eq!(evacuated(&roster, NOW), ["a"]);
+    // A further list of the same era does not end it.
+    roster.replace(NOW, list(revision(1, 7), &[]));
+    assert_eq!(evacuated(&roster, NOW), ["a"]);
+    assert_eq!(roster.next_expiry(), Some(NOW + RETENTION));
+    if let Some(number) = written_again {
+        roster.evacuate(zone("a"), revision(1, number));
+    }
+    let later = NOW + RETENTION;
+    roster.expire(later);
+    assert_eq!(roster.is_evacuated(later, &zone("a")), expected);
+    assert_eq!(roster.next_expiry(), None);
+}
+
+/// Guards against an evacuation that is ended by the operators in the new era and retained all the
+/// same, and one of the copy that is ignored since its number is lower.
+#[rstest]
+fn the_restored_store_counts() {
+    let mut roster = roster(Revision::new(90), &[("a", Revision::new(85))]);
+    roster.end_evacuation(zone("a"), Revision::new(91));
+    roster.replace(NOW, list(revision(1, 88), &[("a", revision(1, 85))]));
+    assert_eq!(evacuated(&roster, NOW), ["a"], "the copy has it");
+    roster.end_evacuation(zone("a"), revision(1, 89));
+    assert_eq!(evacuated(&roster, NOW), Vec::<String>::new());
+}
+
+/// Guards against a peer that learns of the restore from another router and drops the evacuation,
+/// and against routers that prolong the retention by telling each other.
+#[rstest]
+fn a_retained_evacuation_is_passed_on_with_the_time_left() {
+    let mut first = roster(Revision::new(10), &[("a", Revision::new(5))]);
+    let mut second = first.clone();
+    let mut new = Roster::default();
+    first.replace(NOW, list(revision(1, 7), &[]));
+    let later = NOW + Duration::from_secs(1);
+    for peer in [&mut second, &mut new] {
+        peer.merge(later, first.changes_since(later, peer.revision()));
+        assert_eq!(evacuated(peer, later), ["a"]);
+    }
+    let end = NOW + RETENTION;
+    for peer in [&mut second, &mut new] {
+        peer.expire(end);
+        assert_eq!(evacuated(peer, end), Vec::<String>::new());
+    }
+}
+
+/// Guards against a peer with the list of a restored store that never knew the evacuation and has
+/// others drop it at once.
+#[rstest]
+fn a_peer_that_never_knew_it_does_not_end_a_lost_evacuation() {
+    let mut first = roster(Revision::new(10), &[("a", Revision::new(5))]);
+    let new = roster(revision(1, 7), &[]);
+    first.merge(NOW, new.changes_since(NOW, first.revision()));
+    assert_eq!(evacuated(&first, NOW), ["a"]);
+    first.expire(NOW + RETENTION);
+    assert_eq!(evacuated(&first, NOW + RETENTION), Vec::<String>::new());
+}
+
+/// Guards against an end that was forgotten and is not in a delta, so that a peer stays evacuated
+/// for ever.
+#[rstest]
+fn a_peer_that_missed_many_ends_gets_the_complete_list() {
+    let mut first = roster(Revision::new(10), &[]);
+    first.evacuate(zone("a"), Revision::new(11));
+    let mut second = first.clone();
+    first.end_evacuation(zone("a"), Revision::new(12));
+    for number in 0..MANY {
+        let other = zone(&format!("other-{number}"));
+        first.evacuate(other.clone(), Revision::new(20 + 2 * number));
+        first.end_evacuation(other, Revision::new(21 + 2 * number));
+    }
+    let delta = first.changes_since(NOW, second.revision());
+    assert!(delta.complete);
+    second.merge(NOW, delta);
+    assert_eq!(evacuated(&second, NOW), Vec::<String>::new());
+}
+
+/// Guards against a request, with or without a session, or a retry, that reaches an evacuated zone;
+/// and against a zone that stays unused after its evacuation.
+#[rstest]
+fn no_request_is_sent_to_an_evacuated_zone() {
+    let mut fleet = fleet();
+    assert_eq!(chosen(&mut fleet, NOW).len(), 4);
+    evacuate(&mut fleet, "a", 11);
+    assert_eq!(chosen(&mut fleet, NOW), ["b1", "b2"]);
+    let service = name::Service::from("letters");
+    let tried = [name::Upstream::from("b1"), name::Upstream::from("b2")];
+    let query = Query {
+        service: &service,
+        session: None,
+        max_connections: 0,
+        build: None,
+        tried: &tried,
+        tie_breaker: 0,
+    };
+    assert!(!fleet.has_alternative(NOW, &query));
+    assert!(matches!(
+        fleet.choose(NOW, &query),
+        Decision::Refuse {
+            cause: Cause::NoUpstream,
+            ..
+        }
+    ));
+    end(&mut fleet, "a", 12);
+    assert_eq!(chosen(&mut fleet, NOW).len(), 4);
+}
+
+/// Guards against an upstream that registers in an evacuated zone and gets requests.
+#[rstest]
+fn an_upstream_that_registers_in_an_evacuated_zone_gets_nothing() {
+    let mut fleet = fleet();
+    evacuate(&mut fleet, "a", 11);
+    fleet.upsert(NOW, entry("a3", "a", 12));
+    assert_eq!(chosen(&mut fleet, NOW), ["b1", "b2"]);
+}
+
+/// Guards against requests that are sent, wait or get a wrong cause while all upstreams of their
+/// service are evacuated.
+#[rstest]
+fn requests_are_refused_at_once_while_all_zones_are_evacuated() {
+    let mut fleet = fleet();
+    evacuate(&mut fleet, "a", 11);
+    evacuate(&mut fleet, "b", 12);
+    for tie_breaker in 0..300 {
+        let decision = choose(&mut fleet, NOW, tie_breaker, None);
+        let Decision::Refuse { cause, retry_after } = decision else {
+            panic!("{decision:?}");
+        };
+        assert_eq!(cause, Cause::Evacuated);
+        assert!((1_000..1_250).contains(&retry_after.as_millis()));
+    }
+    assert!(!fleet.needs_relay(NOW, &name::Service::from("letters")));
+    end(&mut fleet, "b", 13);
+    assert_eq!(chosen(&mut fleet, NOW), ["b1", "b2"]);
+}
+
+/// Guards against an evacuation of a zone without upstreams that has an effect.
+#[rstest]
+#[case("nowhere")]
+#[case("A")]
+#[case("a/")]
+#[case("a ")]
+fn an_unknown_zone_changes_nothing(#[case] name: &str) {
+    let mut fleet = fleet();
+    evacuate(&mut fleet, name, 11);
+    assert_eq!(chosen(&mut fleet, NOW).len(), 4);
+    let milestones = fleet.take_milestones();
+    assert_eq!(milestones.len(), 1);
+    assert_eq!(milestones[0].upstreams, 0);
+}
+
+/// Guards against a prompt that is processed again although an upstream of the evacuated zone has
+/// it in its cache.
+#[rstest]
+fn an_evacuated_upstream_is_still_a_source_of_copied_prompts() {
+    let mut fleet = fleet();
+    let session = Some(7);
+    let Decision::Send {
+        address, upstream, ..
+    } = choose(&mut fleet, NOW, 0, session)
+    else {
+        panic!("it is sent");
+    };
+    let zone = fleet
+        .upstream(&upstream)
+        .expect("it is known")
+        .entry
+        .zone
+        .clone();
+    evacuate(&mut fleet, zone.as_str(), 11);
+    let Decision::Send {
+        source,
+        upstream: other,
+        ..
+    } = choose(&mut fleet, NOW, 0, session)
+    else {
+        panic!("it is sent");
+    };
+    assert_ne!(other, upstream);
+    assert_eq!(source, Some(address));
+}
+
+/// Guards against a retention that ends without a request or a change, and a refresh that never
+/// happens.
+#[rstest]
+fn a_retained_evacuation_ends_in_time() {
+    let mut fleet = fleet();
+    evacuate(&mut fleet, "a", 11);
+    fleet.replace(NOW, list(revision(1, 7), &[]));
+    // The upstreams that the copy lacks are retained as well.
+    assert_eq!(chosen(&mut fleet, NOW), ["b1", "b2"]);
+    let end = NOW + RETENTION;
+    fleet.expire(end);
+    let stages: Vec<Stage> = stages(&fleet.take_milestones());
+    assert_eq!(stages, [Stage::Evacuated, Stage::Ended]);
+    assert_eq!(chosen(&mut fleet, end), ["a1", "b1"]);
+}
+
+fn stages(milestones: &[Milestone]) -> Vec<Stage> {
+    milestones.iter().map(|milestone| milestone.stage).collect()
+}
+
+/// Guards against requests in flight that are not told apart from new ones, and against log lines
+/// that are missing, repeated or wrong.
+#[rstest]
+fn milestones_tell_the_progress() {
+    let mut fleet = fleet();
+    let upstream = name::Upstream::from("a1");
+    fleet.record_sent(NOW, &upstream);
+    fleet.record_sent(NOW, &upstream);
+    evacuate(&mut fleet, "a", 11);
+    evacuate(&mut fleet, "a", 12);
+    let expected = Milestone {
+        zone: zone("a"),
+        stage: Stage::Evacuated,
+        revision: Revision::new(11),
+        source: Source::Store,
+        upstreams: 2,
+        in_flight: 2,
+    };
+    assert_eq!(fleet.take_milestones(), [expected]);
+    fleet.record_outcome(NOW, &upstream, Outcome::Served);
+    assert_eq!(fleet.take_milestones(), []);
+    let in_flight: Vec<u32> = fleet.drains().map(|(_, _, in_flight)| in_flight).collect();
+    assert_eq!(in_flight, [1]);
+    fleet.record_outcome(NOW, &upstream, Outcome::Served);
+    assert_eq!(stages(&fleet.take_milestones()), [Stage::Drained]);
+    end(&mut fleet, "a", 13);
+    end(&mut fleet, "a", 14);
+    assert_eq!(stages(&fleet.take_milestones()), [Stage::Ended]);
+    assert_eq!(fleet.drains().count(), 0);
+}
--- a/crates/snipeusher/tests/fleet_view.rs
+++ b/crates/snipeusher/tests/fleet_view.rs
@@ -254,6 +254,7 @@
         complete: true,
         entries: vec![entry(0, 3)],
         removed: Vec::new(),
+        evacuations: Vec::new(),
     };
     roster.merge(at(2), stale);
     assert_eq!(roster.ready(at(2)).count(), 0);
