--- a/crates/cli/src/nodes.rs
+++ b/crates/cli/src/nodes.rs
@@ -97,6 +97,14 @@
         let (service, left) = (&retries.service, retries.remaining);
         lines.push(format!("  {service}: {left} repeats left"));
     }
+    for evacuation in &status.evacuated {
+        lines.push(format!(
+            "  zone {} evacuated for {} s, {} open requests there",
+            evacuation.zone,
+            evacuation.age_ms / 1_000,
+            evacuation.open_requests
+        ));
+    }
     let ready = status.upstreams.iter();
     let ready = ready.filter(|upstream| upstream.state == State::Ready);
     lines.push(format!(
@@ -109,6 +117,7 @@
             State::Ready => continue,
             State::Leaving => "leaving or no longer listed",
             State::Announced => "leaving, as it said itself",
+            State::Evacuated => "in an evacuated zone",
             State::Paused => "asked for a pause",
             State::Unreachable => "cannot be connected to",
             State::Ejected => "set aside, it failed too often",
--- a/crates/edge/src/evacuation.rs
+++ b/crates/edge/src/evacuation.rs
@@ -57,9 +57,14 @@
     }
 }
 
-/// Logs the evacuations that began, ended or have no more requests in flight.
+/// Logs the evacuations that began, ended or have no more requests in flight. Those that were
+/// retained until now end, also if no request arrives.
 pub(crate) fn log<P: Platform>(shared: &Shared<P>) {
-    let milestones = shared.fleet.borrow_mut().take_milestones();
+    let now = shared.now();
+    let mut fleet = shared.fleet.borrow_mut();
+    fleet.expire(now);
+    let milestones = fleet.take_milestones();
+    drop(fleet);
     for milestone in milestones {
         log_milestone(shared, &milestone);
     }
