--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -338,6 +338,7 @@
     const fn cause(&self, cause: Cause) -> &'static str {
         match (cause, &self.origin) {
             (Cause::Paused, _) => "paused",
+            (Cause::Evacuated, _) => "evacuated",
             (Cause::NoHome, _) => "no_home",
             (Cause::NoUpstreamAtHome, _) => "no_upstream_at_home",
             (Cause::NoUpstream, Some(_)) => "no_upstream_of_build",
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -87,6 +87,8 @@
     unused: Family<CauseLabels, Gauge>,
     cold: Gauge,
     store_unreachable: Gauge,
+    evacuated: Gauge,
+    evacuated_in_flight: Gauge,
     store_era: Gauge,
 }
 
@@ -106,6 +108,29 @@
     gauge
 }
 
+fn cold_gauge(registry: &mut Registry) -> Gauge {
+    gauge(
+        registry,
+        "upstreams_warming_up",
+        "Upstreams whose requests are limited, since they are cold",
+    )
+}
+
+/// Evacuated zones, and requests in flight there.
+fn evacuation_gauges(registry: &mut Registry) -> (Gauge, Gauge) {
+    let zones = gauge(
+        registry,
+        "evacuated_zones",
+        "Availability zones that are evacuated",
+    );
+    let in_flight = gauge(
+        registry,
+        "evacuated_open_requests",
+        "Requests in progress at upstreams of evacuated zones",
+    );
+    (zones, in_flight)
+}
+
 fn outcomes(registry: &mut Registry, name: &str, help: &str) -> Family<OutcomeLabels, Counter> {
     let outcomes = Family::default();
     registry.register(name, help, outcomes.clone());
@@ -184,16 +209,13 @@
             "Upstreams that get no requests while others do, by cause",
             unused.clone(),
         );
-        let cold = gauge(
-            &mut registry,
-            "upstreams_warming_up",
-            "Upstreams whose requests are limited, since they are cold",
-        );
+        let cold = cold_gauge(&mut registry);
         let store_era = gauge(
             &mut registry,
             "store_era",
             "Number of times that the store was restored from a copy",
         );
+        let (evacuated, evacuated_in_flight) = evacuation_gauges(&mut registry);
         Self {
             registry,
             requests,
@@ -212,6 +234,8 @@
             unused,
             cold,
             store_unreachable,
+            evacuated,
+            evacuated_in_flight,
             store_era,
         }
     }
@@ -355,6 +379,10 @@
         let known = status.upstreams.iter();
         let cold = known.filter(|upstream| upstream.cold_ms.is_some()).count();
         metrics.cold.set(gauge_value(cold));
+        metrics.evacuated.set(gauge_value(status.evacuated.len()));
+        let in_flight = status.evacuated.iter().map(|zone| zone.open_requests);
+        let in_flight: u32 = in_flight.sum();
+        metrics.evacuated_in_flight.set(i64::from(in_flight));
         metrics.store_era.set(status.store.era.cast_signed());
         let fleet = self.shared.fleet.borrow();
         let upstreams = fleet.upstreams();
--- a/crates/edge/tests/homes.rs
+++ b/crates/edge/tests/homes.rs
@@ -388,6 +388,7 @@
         seeds: Vec::new(),
         connect_timeout: Duration::from_millis(300),
         grace: Duration::from_secs(8),
+        warmup: fleet::Bound::default(),
         fleet: fleet::Settings {
             zone: name::Zone::from("here"),
             regions,
--- a/crates/edge/tests/serialized.rs
+++ b/crates/edge/tests/serialized.rs
@@ -160,6 +160,7 @@
         complete: true,
         entries: vec![entry],
         removed: vec![removal],
+        evacuations: Vec::new(),
     };
     let response = Response {
         digest: digest(),
--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -23,6 +23,9 @@
 /// `Retry-After` of a refusal for lack of a common home region. Only another configuration helps,
 /// which comes into force within this time.
 const NO_HOME_RETRY_AFTER: Duration = Duration::from_secs(3);
+/// Earliest `Retry-After` while all upstreams of a service are evacuated. Operators decide when this
+/// ends; a caller that returns each second costs little.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Upper bound of the jitter added to the time when an upstream takes requests again, so that
 /// callers do not return together.
 const PAUSE_JITTER_MS: u64 = 250;
@@ -101,6 +104,8 @@
     NoHome,
     /// None is in the home regions of the request.
     NoUpstreamAtHome,
+    /// All are in evacuated zones.
+    Evacuated,
 }
 
 /// Chooses among the ready upstreams of a service.
@@ -188,6 +193,15 @@
     Some(Decision::Refuse { cause, retry_after })
 }
 
+/// Refuses a request to a service whose upstreams are all in evacuated zones.
+pub(super) const fn refuse_evacuated(query: &Query<'_>) -> Decision {
+    let jitter = Duration::from_millis(query.tie_breaker % PAUSE_JITTER_MS);
+    Decision::Refuse {
+        cause: Cause::Evacuated,
+        retry_after: EVACUATED_RETRY_AFTER.saturating_add(jitter),
+    }
+}
+
 /// The upstreams that meet a condition, or all if none does: sending the request to a doubtful
 /// upstream is better than refusing it.
 fn prefer<'a>(
--- a/crates/snipeusher/tests/warmup.rs
+++ b/crates/snipeusher/tests/warmup.rs
@@ -11,9 +11,11 @@
 use snipeusher::fleet::Limits;
 use snipeusher::fleet::Outcome;
 use snipeusher::fleet::Query;
+use snipeusher::fleet::Regions;
 use snipeusher::fleet::Settings;
 use snipeusher::kv::Revision;
 use snipeusher::name;
+use snipeusher::route::Homes;
 use snipeusher::route::Warmup;
 use snipeusher::time::Time;
 
@@ -63,6 +65,7 @@
         retries: Limits::default(),
         drain: Duration::from_secs(2),
         pause_max: Duration::from_mins(1),
+        regions: Regions::default(),
     });
     let warmup = Warmup {
         per_s,
@@ -86,6 +89,7 @@
             max_connections: 0,
             build: None,
             tried: &[],
+            homes: &Homes::default(),
             tie_breaker: 7,
         },
     )
