Measure the stall time of a stream from its last event

Cause: the timer restarted with every byte, so an upstream that sent a byte or a comment now and then kept a stalled stream until its deadline. A stream could also be moved after three times the route's longest pause, while its caller still waited.

Change: exchange/stall.rs measures the gap since the last complete event with data. A resumable stream goes on elsewhere after half of the gap at which callers give up; a stream that has begun and cannot go on is ended at that gap. Time in which the caller does not read does not count.

--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -9,6 +9,10 @@
 
 /// Separator of events.
 const END: &[u8] = b"\n\n";
+/// Start of a line with data.
+const DATA: &[u8] = b"data:";
+/// The same after another line.
+const DATA_LINE: &[u8] = b"\ndata:";
 /// Largest event, and largest sequence of events without an identifier.
 const EVENT_BYTES_MAX: usize = 1 << 20;
 
@@ -106,6 +110,11 @@
     }
 }
 
+/// Whether complete events hold data. Blocks without it, such as comments, are no events to callers.
+pub(crate) fn has_data(events: &[u8]) -> bool {
+    events.starts_with(DATA) || memmem::find(events, DATA_LINE).is_some()
+}
+
 fn event_id(event: &[u8]) -> Option<&str> {
     let mut lines = event.split(|byte| *byte == b'\n');
     let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod relay;
 mod resume;
+mod stall;
 mod stream;
 
 use std::cell::RefCell;
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -9,27 +9,23 @@
 use slog::info;
 use snipeusher::fleet::Outcome;
 use snipeusher::name;
-use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use super::Exchange;
 use super::Step;
 use super::attempt::Reply;
 use super::attempt::is_acceptable;
 use super::broken;
+use super::stall;
 use crate::connection;
 use crate::connection::Connection;
 use crate::dialect::Platform;
+use crate::events;
 use crate::headers;
 use crate::in_flight::Guard;
 use crate::responder::Responder;
 use crate::server::Sender;
 
-/// Multiple of the route's maximum event gap after which a resumable stream continues at another
-/// upstream.
-const STALL_FACTOR: u32 = 3;
-/// Lower bound of that time.
-const STALL_MIN: Duration = Duration::from_secs(1);
-
 /// Time after its first event from which a stream shows that its prompt does not crash the
 /// upstream.
 const PROVEN_AFTER: Duration = Duration::from_millis(300);
@@ -39,7 +35,10 @@
     Bytes(bytes::Bytes),
     End,
     Broken(connection::Error),
+    /// No event for so long that another upstream should go on.
     Silent,
+    /// No event for so long that the caller has given up.
+    Over,
 }
 
 impl<P: Platform> Exchange<'_, P> {
@@ -69,8 +68,9 @@
         }
         let mut began: Option<Instant> = None;
         let mut is_proven = false;
+        let mut timer = stall::Timer::start(&self.admitted.route);
         loop {
-            let bytes = match self.next(&mut connection).await {
+            let bytes = match self.next(&mut connection, &mut timer).await {
                 Next::Bytes(bytes) => {
                     guard.record_activity();
                     bytes
@@ -100,6 +100,11 @@
                     self.lose(guard, upstream, "silent", "no event within the stall time");
                     return self.interrupt(responder);
                 }
+                Next::Over => {
+                    let error = "no event until the caller gives up";
+                    self.lose(guard, upstream, "stalled", error);
+                    return Step::Answered(broken());
+                }
             };
             let Ok(events) = self.events.push(&bytes) else {
                 self.lose(guard, upstream, "lost", "the events are out of order");
@@ -117,9 +122,13 @@
             if let Err(error) = self.start(&reply, responder) {
                 return Step::Answered(Err(error));
             }
+            let has_event = events::has_data(&events);
             if let Err(error) = responder.send_chunk(events).await {
                 return Step::Answered(Err(error));
             }
+            if has_event {
+                timer.record_event();
+            }
         }
     }
 
@@ -156,14 +165,13 @@
         }
     }
 
-    async fn next(&self, connection: &mut Connection) -> Next {
-        let max_gap = self.admitted.route.max_event_gap.unwrap_or_default();
-        let stall = (max_gap * STALL_FACTOR).max(STALL_MIN);
+    async fn next(&self, connection: &mut Connection, timer: &mut stall::Timer) -> Next {
         let read = loop {
-            match timeout(stall, connection.chunk()).await {
+            match timeout_at(timer.check_at(), connection.chunk()).await {
                 Ok(read) => break read,
                 Err(_elapsed) if self.has_alternative() => return Next::Silent,
-                Err(_elapsed) => {}
+                Err(_elapsed) if timer.is_over() => return Next::Over,
+                Err(_elapsed) => timer.record_check(),
             }
         };
         match read {
--- a/crates/edge/tests/common/platform.rs
+++ b/crates/edge/tests/common/platform.rs
@@ -37,6 +37,9 @@
     /review/ stream 1 4000 public\n\
     /closed/ idempotent 1 1000 keyed\n";
 
+/// Path prefix of routes with long pauses between events.
+pub const SLOW: &str = "/slow/";
+
 /// The platform of the tests.
 pub struct TestPlatform;
 
@@ -184,7 +187,11 @@
         },
         timeout: Duration::from_millis(timeout.parse().expect("a number")),
         objective: Duration::from_millis(100),
-        max_event_gap: Some(Duration::from_millis(100)),
+        max_event_gap: Some(Duration::from_millis(if prefix == SLOW {
+            400
+        } else {
+            100
+        })),
         priority: 0,
         backends: vec![Backend {
             service: name::Service::from("letters"),
