Keep late duplicates of refusals from the next request

Cause: a statement that a request was not executed counts without an identifier, and a repeated identifier matches any earlier response to it. A late duplicate of either on a reused connection told the next caller that its request had not run, although the upstream ran it.

Change: a connection is not reused after a refusal without an identifier, nor for a request with the identifier of the one that it carried last.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -133,6 +133,7 @@
     idle_since: Instant,
     idle_limit: Option<Duration>,
     idle_before: Option<Duration>,
+    tag: Option<u64>,
 }
 
 impl std::fmt::Debug for Connection {
@@ -174,9 +175,20 @@
             idle_since: Instant::now(),
             idle_limit: None,
             idle_before: None,
+            tag: None,
         })
     }
 
+    /// Identifies the last request, whose response may arrive a second time.
+    pub const fn tag(&self) -> Option<u64> {
+        self.tag
+    }
+
+    /// Sets what identifies the last request.
+    pub const fn set_tag(&mut self, tag: u64) {
+        self.tag = Some(tag);
+    }
+
     /// Time since the last response.
     pub fn idle_for(&self) -> Duration {
         self.idle_since.elapsed()
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -10,6 +10,7 @@
 use actix_http::header;
 use slog::info;
 use snipeusher::fleet::Outcome;
+use snipeusher::hash;
 use snipeusher::name;
 use tokio::time::timeout;
 
@@ -130,16 +131,32 @@
         Connection::open(placement.address, limit, &self.shared.http).await
     }
 
+    /// An idle connection. One that carried a request with the same identifier is closed, since a
+    /// late duplicate of that response could not be told from the response to this request.
     fn pooled(&self, placement: &Placement) -> Option<Connection> {
         let now = self.shared.now();
+        let tag = self.tag();
+        let service = &self.admitted.target.service;
         let mut pool = self.shared.pool.borrow_mut();
-        pool.take(now, &placement.upstream, &self.admitted.target.service)
+        loop {
+            let connection = pool.take(now, &placement.upstream, service)?;
+            if connection.tag() != Some(tag) {
+                return Some(connection);
+            }
+        }
+    }
+
+    /// Identifies the request on a connection.
+    fn tag(&self) -> u64 {
+        let id = self.admitted.request.id.as_deref();
+        hash::bytes(id.unwrap_or_default().as_bytes())
     }
 
     /// Returns a connection to the pool. Idle connections take at most half of this router's share
     /// of the upstream's connections, so that the other half is free for new ones. With a share
     /// below two none is kept.
-    pub(super) fn release(&self, upstream: &name::Upstream, connection: Connection) {
+    pub(super) fn release(&self, upstream: &name::Upstream, mut connection: Connection) {
+        connection.set_tag(self.tag());
         let share = self
             .shared
             .fleet
@@ -246,7 +263,8 @@
         });
         info!(self.shared.log, "request: declined";
             "id" => self.admitted.request.id.as_deref(), "upstream" => upstream.as_str());
-        if connection.body(BODY_BYTES_MAX).await.is_ok() {
+        // A late duplicate without an identifier would say of the next request that it did not run.
+        if connection.body(BODY_BYTES_MAX).await.is_ok() && facts.id.is_some() {
             self.release(upstream, connection);
         }
         Step::Declined
