Reject a relayed body that ends with its connection

Cause: a body without a length ends when the connection is closed, so a response that a peer broke off after such a head was passed on as complete.

Change: routers state the length of each body, so a relayed body that ends with its connection counts as lost.

Result: tests/truncated.rs fails in 2 of 11 cases before and passes in 11 after.

--- a/crates/edge/src/exchange/relay.rs
+++ b/crates/edge/src/exchange/relay.rs
@@ -141,6 +141,10 @@
             Ok(body) => body,
             Err(error) => return self.lost_at(peer, &error),
         };
+        // Peers state the length of a body, so one that ends with its connection is truncated.
+        if connection.ended_by_close() {
+            return self.lost_at(peer, &connection::Error::Ended);
+        }
         self.status = Some(head.status);
         self.first_byte = Some(Instant::now());
         let headers = headers::to_caller(&head.headers);
