Answer requests that arrive or run in the last moments of a shutdown

Cause: after the balancer's removal a new connection was closed unless its first bytes had already been received; the process exited while a head or body was being read, which did not count as in flight; and requests that outlasted the shutdown were closed without a response.

Change: a new connection gets 0.3 s for its first request. The exit waits until no connection is open, at two checks in a row. Requests in flight get their final response 0.1 s before the exit.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -203,10 +203,15 @@
             fleet.record_request(now, &self.admitted.target.service);
         }
         let deadline = tokio::time::Instant::from_std(self.admitted.deadline);
-        let ended = timeout_at(deadline, self.attempts(responder)).await;
+        let shared = self.shared;
+        let ended = tokio::select! {
+            biased;
+            ended = timeout_at(deadline, self.attempts(responder)) => ended.or(Err("timed_out")),
+            () = shared.exit_imminent() => Err("shutdown"),
+        };
         let (result, outcome) = match ended {
             Ok(ended) => ended,
-            Err(_elapsed) => (self.time_out(responder).await, "timed_out"),
+            Err(outcome) => (self.time_out(responder).await, outcome),
         };
         self.settle(outcome);
         result
--- a/crates/edge/src/lifecycle.rs
+++ b/crates/edge/src/lifecycle.rs
@@ -15,6 +15,7 @@
 pub struct Lifecycle {
     leaving_since: Cell<Option<Instant>>,
     in_flight: Cell<usize>,
+    connections: Cell<usize>,
     changed: Notify,
 }
 
@@ -45,10 +46,15 @@
 
     /// Waits until the balancer no longer sends new connections.
     pub async fn deregistered(&self) {
+        self.left_for(DEREGISTRATION).await;
+    }
+
+    /// Waits until a time has passed since the shutdown started.
+    pub async fn left_for(&self, time: Duration) {
         loop {
             let changed = self.changed.notified();
             if let Some(since) = self.leaving_since.get() {
-                return tokio::time::sleep_until((since + DEREGISTRATION).into()).await;
+                return tokio::time::sleep_until((since + time).into()).await;
             }
             changed.await;
         }
@@ -61,17 +67,33 @@
 
     /// Counts a request as in-flight until the guard is dropped.
     pub fn track(&self) -> Guard<'_> {
-        self.in_flight.set(self.in_flight.get() + 1);
-        Guard(self)
+        Guard::start(&self.in_flight)
+    }
+
+    /// Counts a connection as open until the guard is dropped.
+    pub fn track_connection(&self) -> Guard<'_> {
+        Guard::start(&self.connections)
+    }
+
+    /// Whether no request is in flight and no connection is open, on which one may be arriving.
+    pub const fn is_idle(&self) -> bool {
+        self.in_flight.get() == 0 && self.connections.get() == 0
     }
 }
 
-/// An in-flight request.
+/// An in-flight request or an open connection.
 #[derive(Debug)]
-pub struct Guard<'a>(&'a Lifecycle);
+pub struct Guard<'a>(&'a Cell<usize>);
+
+impl<'a> Guard<'a> {
+    fn start(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
 
 impl Drop for Guard<'_> {
     fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        self.0.set(self.0.get() - 1);
     }
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -120,19 +120,22 @@
 }
 
 /// Shuts down gracefully: fails the readiness check, so that the balancer sends no new connections,
-/// and returns when no request is in flight or the grace period ends.
+/// and returns when no request is in flight or arriving, or the grace period ends.
 pub async fn stop<P: Platform>(shared: &Shared<P>) {
     let lifecycle = &shared.lifecycle;
     lifecycle.leave();
     info!(shared.log, "node: leaving"; "open" => lifecycle.in_flight());
     let limit = shared.shutdown_limit();
+    // Connections that wait to be accepted at the first check are counted at the second.
+    let mut was_done = false;
     loop {
         sleep(POLL_INTERVAL).await;
         let elapsed = lifecycle.leaving_for().unwrap_or_default();
-        let is_done = lifecycle.is_deregistered() && lifecycle.in_flight() == 0;
-        if is_done || elapsed >= limit {
+        let is_done = lifecycle.is_deregistered() && lifecycle.is_idle();
+        if is_done && was_done || elapsed >= limit {
             break;
         }
+        was_done = is_done;
     }
     if lifecycle.in_flight() > 0 {
         warn!(shared.log, "node: requests did not end in time"; "open" => lifecycle.in_flight());
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -19,6 +19,7 @@
 use bytes::BytesMut;
 use snipeusher::route::Limits;
 use tokio::net::TcpListener;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 use tokio_util::codec::Decoder as _;
 
@@ -32,6 +33,9 @@
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 /// Delay after a failed accept, for example when no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time for which a new connection waits for its first request, whatever the state of the shutdown:
+/// a round trip of the caller and what a busy host needs.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
 /// Time limit between two reads of a body.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -101,6 +105,7 @@
         let config = config.clone();
         actix_rt::spawn(async move {
             if let Ok(socket) = Socket::wrap(stream) {
+                let _guard = handler.lifecycle().track_connection();
                 let mut connection = Connection::new(&socket, config);
                 // A failed connection affects no other one.
                 let _result = connection.serve(&*handler).await;
@@ -113,6 +118,7 @@
     socket: &'a Socket,
     codec: Codec,
     read: BytesMut,
+    accepted: Instant,
 }
 
 impl<'a> Connection<'a> {
@@ -121,6 +127,7 @@
             socket,
             codec: Codec::new(config),
             read: BytesMut::new(),
+            accepted: Instant::now(),
         }
     }
 
@@ -181,11 +188,13 @@
     /// Waits for the first byte of a request, at most for the idle timeout.
     ///
     /// During shutdown, idle connections stay open until the balancer sends no new ones. Then they
-    /// are closed, so that callers connect to another router before the process exits.
+    /// are closed, so that callers connect to another router before the process exits. A connection
+    /// that was accepted just before still gets time for its first request.
     async fn first_byte(&mut self, lifecycle: &Lifecycle, limits: &Limits) -> Result<(), Error> {
         if !self.read.is_empty() {
             return Ok(());
         }
+        let unwanted = unwanted(lifecycle, self.accepted);
         let idle = timeout(limits.idle_timeout, self.socket.read(&mut self.read));
         tokio::select! {
             biased;
@@ -193,7 +202,7 @@
                 Ok(Ok(count)) if count > 0 => Ok(()),
                 _ => Err(Error::Closed),
             },
-            () = lifecycle.deregistered() => Err(Error::Closed),
+            () = unwanted => Err(Error::Closed),
         }
     }
 
@@ -269,6 +278,12 @@
     }
 }
 
+/// Returns when an idle connection is to be closed for the shutdown.
+async fn unwanted(lifecycle: &Lifecycle, accepted: Instant) {
+    lifecycle.deregistered().await;
+    sleep_until((accepted + FIRST_REQUEST_TIME).into()).await;
+}
+
 /// Returns when the caller has closed the connection. Pipelined bytes are buffered.
 async fn disconnected(socket: &Socket, read: &mut BytesMut) {
     loop {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -42,6 +42,9 @@
 /// it, and callers still reach this host if the balancer has no other.
 const LAST_ACCEPTED: Duration = Duration::from_secs(1);
 
+/// Time before that exit at which requests in flight get their final response.
+const LAST_RESPONSE: Duration = Duration::from_millis(100);
+
 /// Settings of the process and its host.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -216,6 +219,12 @@
         self.settings.grace.saturating_sub(GRACE_MARGIN)
     }
 
+    /// Waits until requests in flight have to end, since the process exits whether they did or not.
+    pub(crate) async fn exit_imminent(&self) {
+        let limit = self.shutdown_limit().saturating_sub(LAST_RESPONSE);
+        self.lifecycle.left_for(limit).await;
+    }
+
     /// Whether the process may exit before a request that arrives now is answered.
     pub fn is_about_to_exit(&self) -> bool {
         let leaving_for = self.lifecycle.leaving_for();
