Survive unexpected errors and extreme numbers

Cause: a panic in a long-running task ended it without notice, so that the process went on with data that was never updated. A stated length reserved its memory at once: with a large limit one request head ended the process. The identifier after the last event number overflowed, as did the count of a block that a peer had sent.

Change: long-running tasks are supervised: a panic is logged and the task started again, since an exit would end all requests in flight. At most 64 KiB are reserved for a body before it arrives. The additions are checked.

The block's count has no test of its own.

--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -100,7 +100,7 @@
                 .as_deref()
                 .and_then(|last| last.parse::<u64>().ok());
             if let (Some(number), Some(before)) = (number, before)
-                && number != before + 1
+                && before.checked_add(1) != Some(number)
             {
                 return Err(Malformed);
             }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod shared;
 mod socket;
 pub mod status;
+mod task;
 pub mod watch;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -32,6 +32,7 @@
 use crate::server::Handler;
 use crate::server::Request;
 use crate::shared::Shared;
+use crate::task::supervise;
 use crate::watch;
 
 /// How often shutdown checks for in-flight requests.
@@ -104,21 +105,60 @@
         listen(shared, address, Rc::new(exposition)).await?;
     }
     let store = Rc::new(store);
-    actix_rt::spawn(watch::run(Rc::clone(shared), Rc::clone(&store)));
-    actix_rt::spawn(peer::fetch_configurations(
-        Rc::clone(shared),
-        Rc::clone(&store),
-    ));
-    actix_rt::spawn(peer::fetch_rosters(Rc::clone(shared), store));
-    actix_rt::spawn(streams.copy(Rc::clone(shared)));
-    actix_rt::spawn(peer::report_outages(Rc::clone(shared), Rc::clone(&peers)));
-    actix_rt::spawn(probe::run(Rc::clone(shared), Rc::clone(&peers)));
-    actix_rt::spawn(peer::run(Rc::clone(shared), peers));
-    actix_rt::spawn(sweep(Rc::clone(shared)));
+    supervise_store(shared, &store);
+    supervise_peers(shared, &peers, &streams);
     info!(shared.log, "node: started"; "front" => %settings.front);
     Ok(())
 }
 
+/// Runs the tasks that read the store.
+fn supervise_store<P, S>(shared: &Rc<Shared<P>>, store: &Rc<S>)
+where
+    P: Platform,
+    S: Store + 'static,
+{
+    let context = (Rc::clone(shared), Rc::clone(store));
+    let (state, source) = context.clone();
+    supervise(&shared.log, "watch", move || {
+        watch::run(Rc::clone(&state), Rc::clone(&source))
+    });
+    let (state, source) = context.clone();
+    supervise(&shared.log, "configurations", move || {
+        peer::fetch_configurations(Rc::clone(&state), Rc::clone(&source))
+    });
+    let (state, source) = context;
+    supervise(&shared.log, "rosters", move || {
+        peer::fetch_rosters(Rc::clone(&state), Rc::clone(&source))
+    });
+}
+
+/// Runs the tasks that exchange data with peers or check what can be reached.
+fn supervise_peers<P: Platform>(
+    shared: &Rc<Shared<P>>,
+    peers: &Rc<RefCell<Peers>>,
+    streams: &Rc<Streams>,
+) {
+    let context = (Rc::clone(shared), Rc::clone(peers));
+    let (state, origins) = (Rc::clone(shared), Rc::clone(streams));
+    supervise(&shared.log, "streams", move || {
+        Rc::clone(&origins).copy(Rc::clone(&state))
+    });
+    let (state, others) = context.clone();
+    supervise(&shared.log, "outages", move || {
+        peer::report_outages(Rc::clone(&state), Rc::clone(&others))
+    });
+    let (state, others) = context.clone();
+    supervise(&shared.log, "probes", move || {
+        probe::run(Rc::clone(&state), Rc::clone(&others))
+    });
+    let (state, others) = context;
+    supervise(&shared.log, "peers", move || {
+        peer::run(Rc::clone(&state), Rc::clone(&others))
+    });
+    let state = Rc::clone(shared);
+    supervise(&shared.log, "sweep", move || sweep(Rc::clone(&state)));
+}
+
 /// Shuts down gracefully: fails the readiness check, so that the balancer sends no new connections,
 /// and returns when no request is in flight or arriving, or the grace period ends.
 pub async fn stop<P: Platform>(shared: &Shared<P>) {
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -36,6 +36,8 @@
 /// Time for which a new connection waits for its first request, whatever the state of the shutdown:
 /// a round trip of the caller and what a busy host needs.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
+/// Memory reserved for a body by its stated length; more is reserved as it arrives.
+const BODY_BYTES_RESERVED: usize = 64 << 10;
 /// Time limit between two reads of a body.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -250,7 +252,7 @@
             return Err(Error::Rejected(StatusCode::PAYLOAD_TOO_LARGE));
         }
         let mut expects_continue = head.head().expect();
-        let mut body = BytesMut::with_capacity(length.unwrap_or_default());
+        let mut body = BytesMut::with_capacity(length.unwrap_or_default().min(BODY_BYTES_RESERVED));
         loop {
             match self.codec.decode(&mut self.read) {
                 Ok(Some(Message::Chunk(Some(bytes)))) => {
--- a/crates/snipeusher/src/poison.rs
+++ b/crates/snipeusher/src/poison.rs
@@ -257,7 +257,8 @@
         self.expire(now);
         let mut blocked = Vec::new();
         while let Some(cause) = self.find_cause(now) {
-            let count = self.blocked.get(&cause).map_or(0, |block| block.count) + 1;
+            let count = self.blocked.get(&cause).map_or(0, |block| block.count);
+            let count = count.saturating_add(1);
             if !self.block(now, cause.clone(), count) {
                 break;
             }
