Do not blame an upstream for a caller that does not read

Cause: while a caller does not read, the router does not read from the upstream, which then looked silent to all requests after 450 ms. If it aborted the unread response, this counted as a loss and could eject it.

Change: requests whose caller does not read do not count for the silence of an upstream. A break of a response that its caller left unread for 0.5 s counts as abandoned.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod attempt;
+mod backlog;
 mod relay;
 mod resume;
 mod stall;
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -2,6 +2,7 @@
 //! resumable stream continues at another one.
 
 use std::io;
+use std::pin::pin;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -15,6 +16,7 @@
 use super::Step;
 use super::attempt::Reply;
 use super::attempt::is_acceptable;
+use super::backlog::Backlog;
 use super::broken;
 use super::stall;
 use crate::connection;
@@ -69,8 +71,12 @@
         let mut began: Option<Instant> = None;
         let mut is_proven = false;
         let mut timer = stall::Timer::start(&self.admitted.route);
+        let mut backlog = Backlog::default();
         loop {
-            let bytes = match self.next(&mut connection, &mut timer).await {
+            let asked = Instant::now();
+            let next = self.next(&mut connection, &mut timer).await;
+            backlog.record_wait(asked.elapsed());
+            let bytes = match next {
                 Next::Bytes(bytes) => {
                     guard.record_activity();
                     bytes
@@ -91,6 +97,11 @@
                     self.lose(guard, upstream, "lost", "the stream ended too early");
                     return self.interrupt(responder);
                 }
+                Next::Broken(error) if backlog.explains_abort() => {
+                    self.log_failure(upstream, "unread", &error);
+                    guard.finish(Outcome::Abandoned);
+                    return self.interrupt(responder);
+                }
                 Next::Broken(error) => {
                     self.suspect_crash_of(upstream, began, &error);
                     self.lose(guard, upstream, "lost", &error);
@@ -123,7 +134,9 @@
                 return Step::Answered(Err(error));
             }
             let has_event = events::has_data(&events);
-            if let Err(error) = responder.send_chunk(events).await {
+            let (sent, unread) = send(events, responder, &guard).await;
+            backlog.record_unread(unread);
+            if let Err(error) = sent {
                 return Step::Answered(Err(error));
             }
             if has_event {
@@ -190,3 +203,24 @@
         Step::Lost
     }
 }
+
+/// Passes events on. Returns also for how long the caller did not read, in which nothing is read
+/// from the upstream.
+async fn send<P: Platform>(
+    events: bytes::Bytes,
+    responder: &mut Responder<'_>,
+    guard: &Guard<'_, P>,
+) -> (io::Result<()>, Duration) {
+    let mut sending = pin!(responder.send_chunk(events));
+    let sent = tokio::select! {
+        biased;
+        sent = &mut sending => Some(sent),
+        () = std::future::ready(()) => None,
+    };
+    if let Some(sent) = sent {
+        return (sent, Duration::ZERO);
+    }
+    let began = Instant::now();
+    let _unread = guard.pause_reading();
+    (sending.await, began.elapsed())
+}
--- a/crates/edge/src/in_flight.rs
+++ b/crates/edge/src/in_flight.rs
@@ -36,11 +36,36 @@
             .record_activity(now, &self.upstream);
     }
 
+    /// Records that the response is not read until the returned guard is dropped, since the caller
+    /// does not read.
+    pub(crate) fn pause_reading(&self) -> Unread<'_, P> {
+        let mut fleet = self.shared.fleet.borrow_mut();
+        fleet.record_unread(&self.upstream);
+        Unread {
+            shared: self.shared,
+            upstream: &self.upstream,
+        }
+    }
+
     pub(crate) fn finish(mut self, outcome: Outcome) {
         self.outcome = outcome;
     }
 }
 
+/// A response that is not read, so that the silence of its upstream shows nothing.
+pub(crate) struct Unread<'a, P: Platform> {
+    shared: &'a Shared<P>,
+    upstream: &'a name::Upstream,
+}
+
+impl<P: Platform> Drop for Unread<'_, P> {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        let mut fleet = self.shared.fleet.borrow_mut();
+        fleet.record_read(now, self.upstream);
+    }
+}
+
 impl<P: Platform> Drop for Guard<'_, P> {
     fn drop(&mut self) {
         let now = self.shared.now();
--- a/crates/snipeusher/src/fleet/upstream.rs
+++ b/crates/snipeusher/src/fleet/upstream.rs
@@ -32,6 +32,8 @@
     pub health: Health,
     /// Since when it has had requests in flight without sending anything.
     pub silent_since: Option<Time>,
+    /// Requests whose responses this router does not read, since their callers do not read.
+    unread: u32,
     /// Whether this silence has been counted as a loss of its availability zone.
     pub silence_counted: bool,
     /// Whether a connection attempt has to show if it is reachable.
@@ -58,6 +60,7 @@
             load: Load::default(),
             health: Health::default(),
             silent_since: None,
+            unread: 0,
             silence_counted: false,
             is_doubtful: false,
             paused_until: None,
@@ -114,10 +117,36 @@
 
     /// Restarts the silence timer, since the upstream sent something.
     pub(super) fn record_activity(&mut self, now: Time) {
-        self.silent_since = (self.load.in_flight() > 0).then_some(now);
+        self.silent_since = self.is_read().then_some(now);
         self.silence_counted = false;
     }
 
+    /// Whether this router waits for a response.
+    fn is_read(&self) -> bool {
+        self.load.in_flight() > self.unread
+    }
+
+    /// Stops the silence timer if this router waits for no response.
+    pub(super) fn stop_unless_read(&mut self) {
+        if !self.is_read() {
+            self.silent_since = None;
+        }
+    }
+
+    /// Records that this router stops reading a response.
+    pub(super) fn record_unread(&mut self) {
+        self.unread += 1;
+        self.stop_unless_read();
+    }
+
+    /// Records that this router reads a response again.
+    pub(super) fn record_read(&mut self, now: Time) {
+        self.unread = self.unread.saturating_sub(1);
+        if self.is_read() {
+            self.silent_since.get_or_insert(now);
+        }
+    }
+
     /// Applies a newer entry. The health of an earlier incarnation or address is reset.
     pub(super) fn update(&mut self, entry: Entry, zone: &name::Zone) {
         if entry.incarnation != self.entry.incarnation || entry.address != self.entry.address {
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -557,6 +557,21 @@
         }
     }
 
+    /// Records that a response of an upstream is not read, since its caller does not read. Its
+    /// silence then shows nothing.
+    pub fn record_unread(&mut self, id: &name::Upstream) {
+        if let Some(upstream) = self.upstream_mut(id) {
+            upstream.record_unread();
+        }
+    }
+
+    /// Records that it is read again.
+    pub fn record_read(&mut self, now: Time, id: &name::Upstream) {
+        if let Some(upstream) = self.upstream_mut(id) {
+            upstream.record_read(now);
+        }
+    }
+
     /// Counts each upstream that fell silent as a loss of its availability zone, once per silence,
     /// and has its reachability checked.
     fn record_silent_upstreams(&mut self, now: Time) {
@@ -670,9 +685,7 @@
             return false;
         };
         upstream.load.record_end();
-        if upstream.load.in_flight() == 0 {
-            upstream.silent_since = None;
-        }
+        upstream.stop_unless_read();
         if let Some(backoff) = backoff.filter(|_| outcome == Outcome::Declined) {
             upstream.backoff_until = Some(now + backoff);
         }
