Learn from one overdue response

Cause: a request that may run more than once went to another upstream when its response was overdue, but the router preferred others only after a second loss or 450 ms of silence with requests in flight. The next requests waited as long, and those that may run only once were stuck there.

Its idle connections are closed and a connection attempt is due.

--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -208,6 +208,7 @@
             match timeout(limit, self.matching_reply(upstream, connection)).await {
                 Ok(read) => break read,
                 Err(elapsed) if self.has_alternative() => {
+                    self.record_overdue(upstream);
                     self.log_failure(upstream, "silent", &elapsed);
                     return None;
                 }
@@ -225,6 +226,14 @@
         }
     }
 
+    /// Records that a response is overdue, so that the next requests do not wait as long. Idle
+    /// connections to the upstream may hang as well.
+    fn record_overdue(&self, upstream: &name::Upstream) {
+        let now = self.shared.now();
+        self.shared.fleet.borrow_mut().record_overdue(now, upstream);
+        self.shared.pool.borrow_mut().close(upstream);
+    }
+
     /// Reads responses, skipping those to other requests, until one belongs to this request.
     async fn matching_reply(
         &self,
--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -103,7 +103,9 @@
     let untried: Vec<&Upstream> = untried.collect();
     let available = prefer(&untried, |upstream| upstream.health.is_available(now));
     let reachable = prefer(&available, |upstream| !is_unreachable(&upstream.entry.zone));
-    let responsive = prefer(&reachable, |upstream| !upstream.is_silent(now));
+    let responsive = prefer(&reachable, |upstream| {
+        !upstream.is_silent(now) && !upstream.overdue.is_active(now)
+    });
     let candidates = prefer(&responsive, |upstream| {
         upstream.load.in_flight() < connection_share
     });
--- a/crates/snipeusher/src/fleet/upstream.rs
+++ b/crates/snipeusher/src/fleet/upstream.rs
@@ -6,6 +6,7 @@
 use super::Health;
 use super::Leaving;
 use super::Load;
+use super::Overdue;
 use super::Rate;
 use super::decline;
 use super::zone::REPORTS_IGNORED_FOR;
@@ -32,6 +33,8 @@
     pub health: Health,
     /// Since when it has had requests in flight without sending anything.
     pub silent_since: Option<Time>,
+    /// Whether it owes a response that this router has given up.
+    pub overdue: Overdue,
     /// Requests whose responses this router does not read, since their callers do not read.
     unread: u32,
     /// Whether this silence has been counted as a loss of its availability zone.
@@ -60,6 +63,7 @@
             load: Load::default(),
             health: Health::default(),
             silent_since: None,
+            overdue: Overdue::default(),
             unread: 0,
             silence_counted: false,
             is_doubtful: false,
@@ -119,6 +123,7 @@
     pub(super) fn record_activity(&mut self, now: Time) {
         self.silent_since = self.is_read().then_some(now);
         self.silence_counted = false;
+        self.overdue.record_activity();
     }
 
     /// Whether this router waits for a response.
@@ -151,6 +156,7 @@
     pub(super) fn update(&mut self, entry: Entry, zone: &name::Zone) {
         if entry.incarnation != self.entry.incarnation || entry.address != self.entry.address {
             self.health = Health::default();
+            self.overdue = Overdue::default();
             self.paused_until = None;
             self.backoff_until = None;
             self.rate = Rate::default();
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -535,7 +535,8 @@
             zone.record_activity();
             return was_unavailable || was_unreachable;
         }
-        if upstream.health.is_probe_due(now) || upstream.is_silent(now) {
+        let is_doubted = upstream.is_silent(now) || upstream.overdue.is_active(now);
+        if upstream.health.is_probe_due(now) || is_doubted {
             let is_news = !upstream.health.is_unreachable();
             upstream.health.record_unreachable(now);
             if is_news {
@@ -557,6 +558,15 @@
         }
     }
 
+    /// Records that a request was given up since its response was overdue. Others are preferred, and
+    /// a connection attempt has to show if the upstream is reachable.
+    pub fn record_overdue(&mut self, now: Time, id: &name::Upstream) {
+        if let Some(upstream) = self.upstream_mut(id) {
+            upstream.overdue.record(now);
+            upstream.is_doubtful = true;
+        }
+    }
+
     /// Records that a response of an upstream is not read, since its caller does not read. Its
     /// silence then shows nothing.
     pub fn record_unread(&mut self, id: &name::Upstream) {
@@ -664,6 +674,7 @@
             upstream.load.record_sent();
             upstream.rate.record_sent(now);
             upstream.health.record_sent();
+            upstream.overdue.record_sent(now);
             upstream.silent_since.get_or_insert(now);
         }
     }
