--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -27,4 +27,5 @@
 pub mod shared;
 mod socket;
 pub mod status;
+mod task;
 pub mod watch;
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -742,7 +742,8 @@
             zone.record_activity();
             return was_unavailable || was_unreachable;
         }
-        if upstream.health.is_probe_due(now) || upstream.is_silent(now) {
+        let is_doubted = upstream.is_silent(now) || upstream.overdue.is_active(now);
+        if upstream.health.is_probe_due(now) || is_doubted {
             let is_news = !upstream.health.is_unreachable();
             upstream.health.record_unreachable(now);
             if is_news {
@@ -764,6 +765,30 @@
         }
     }
 
+    /// Records that a request was given up since its response was overdue. Others are preferred, and
+    /// a connection attempt has to show if the upstream is reachable.
+    pub fn record_overdue(&mut self, now: Time, id: &name::Upstream) {
+        if let Some(upstream) = self.upstream_mut(id) {
+            upstream.overdue.record(now);
+            upstream.is_doubtful = true;
+        }
+    }
+
+    /// Records that a response of an upstream is not read, since its caller does not read. Its
+    /// silence then shows nothing.
+    pub fn record_unread(&mut self, id: &name::Upstream) {
+        if let Some(upstream) = self.upstream_mut(id) {
+            upstream.record_unread();
+        }
+    }
+
+    /// Records that it is read again.
+    pub fn record_read(&mut self, now: Time, id: &name::Upstream) {
+        if let Some(upstream) = self.upstream_mut(id) {
+            upstream.record_read(now);
+        }
+    }
+
     /// Counts each upstream that fell silent as a loss of its availability zone, once per silence,
     /// and has its reachability checked.
     fn record_silent_upstreams(&mut self, now: Time) {
@@ -857,6 +882,7 @@
             upstream.rate.record_sent(now);
             upstream.warmup.record_sent(now);
             upstream.health.record_sent();
+            upstream.overdue.record_sent(now);
             upstream.silent_since.get_or_insert(now);
         }
     }
@@ -879,9 +905,7 @@
         };
         upstream.load.record_end();
         let is_idle = upstream.load.in_flight() == 0;
-        if is_idle {
-            upstream.silent_since = None;
-        }
+        upstream.stop_unless_read();
         if let Some(backoff) = backoff.filter(|_| outcome == Outcome::Declined) {
             upstream.backoff_until = Some(now + backoff);
         }
