Do not relay requests whose home regions exceed a peer's limit on heads

Cause: a peer reads a head that is at most 1 KiB longer than a caller's. With many home regions it could reject the relayed request with a status that the caller would take for the answer.

--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -5,6 +5,7 @@
 use actix_http::header::HeaderName;
 use actix_http::header::HeaderValue;
 use snafu::Snafu;
+use snafu::ensure;
 use snipeusher::name;
 use snipeusher::route::Homes;
 
@@ -18,6 +19,9 @@
 pub(crate) const RELAY_BUILD: HeaderName = HeaderName::from_static("relay-build");
 /// States, in a relayed request, a home region; there is one for each.
 pub(crate) const RELAY_HOMES: HeaderName = HeaderName::from_static("relay-homes");
+/// Largest size of the home regions in the head of a relayed request. A peer reads a head that is at
+/// most 1 KiB longer than a caller's, of which the path and the deadline need a part.
+const HOMES_BYTES_MAX: usize = 800;
 /// Headers that apply to a single connection, or that the codec writes itself.
 const HOP_BY_HOP: [HeaderName; 9] = [
     header::CONNECTION,
@@ -65,11 +69,21 @@
     forwarded
 }
 
-/// A home region that cannot be stated in a header.
+/// Home regions that cannot be stated in a relayed request.
 #[derive(Debug, Snafu)]
-#[snafu(display("home region \"{region}\" cannot be stated"))]
-pub(crate) struct Unstatable {
-    region: name::Region,
+pub(crate) enum Unstatable {
+    /// The name of a region is no value of a header.
+    #[snafu(display("home region \"{region}\" cannot be stated in a header"))]
+    Name {
+        /// The region.
+        region: name::Region,
+    },
+    /// There are too many regions for the head of a request.
+    #[snafu(display("the home regions take {bytes} bytes of a header"))]
+    Size {
+        /// Their size.
+        bytes: usize,
+    },
 }
 
 /// States the home regions of a relayed request. What the caller stated is dropped.
@@ -77,11 +91,18 @@
     headers.remove(RELAY_HOMES);
     for region in homes.regions() {
         let value = HeaderValue::from_bytes(region.as_str().as_bytes());
-        let value = value.map_err(|_error| Unstatable {
+        let value = value.map_err(|_error| Unstatable::Name {
             region: region.clone(),
         })?;
         headers.append(RELAY_HOMES, value);
     }
+    let name = RELAY_HOMES;
+    let lines = homes.regions().iter().map(|region| {
+        let parts = [name.as_str(), ": ", region.as_str(), "\r\n"];
+        parts.map(str::len).iter().sum::<usize>()
+    });
+    let bytes: usize = lines.sum();
+    ensure!(bytes <= HOMES_BYTES_MAX, SizeSnafu { bytes });
     Ok(())
 }
 
--- a/crates/edge/tests/homes.rs
+++ b/crates/edge/tests/homes.rs
@@ -346,6 +346,24 @@
     assert_eq!((statuses, fleet.counts()), (vec![status; 6], vec![counts]));
 }
 
+/// Guards against a relay without a part of the home regions, and against one whose head the peer
+/// rejects as too long, which the caller would take for the answer.
+#[rstest]
+#[case::short(20, 200, (1, 0))]
+#[case::long(60, 503, (0, 0))]
+#[actix_rt::test]
+async fn home_regions_that_cannot_be_stated_are_not_relayed(
+    #[case] regions: usize,
+    #[case] status: u16,
+    #[case] counts: (usize, usize),
+) {
+    let others = (0..regions).map(|number| format!(",region-{number}"));
+    let homes = format!("south{}", others.collect::<String>());
+    let fleet = Fleet::start(&homes, &[("near", "")]).await;
+    let statuses = call_all(fleet.cut_off.front, "/read/", 1).await;
+    assert_eq!((statuses, fleet.counts()), (vec![status], vec![counts]));
+}
+
 /// Guards against a header of a caller that reaches a peer as home regions, and against the home
 /// regions that reach an upstream as a header.
 #[actix_rt::test]
