Forward the remaining time of cold upstreams only where a limit is configured

Cause: engines may state a remaining time on a deployment without limits; its routers would have sent a field that earlier builds cannot decode.

Change: Fleet::changes_since leaves the time out unless the service has a limit.

--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -200,13 +200,15 @@
     }
 
     /// Changes of the store's entries after a revision, for a peer. Upstreams that are warming up
-    /// are listed with the time that remains.
+    /// are listed with the time that remains, if their service has a limit: routers of earlier
+    /// builds cannot read it.
     pub fn changes_since(&self, now: Time, revision: Revision) -> Delta {
         let mut delta = self.roster.changes_since(now, revision);
         let cold = delta.entries.iter_mut().filter(|entry| entry.cold_ms > 0);
         for entry in cold {
             let upstream = self.upstream(&entry.id);
-            let remaining = upstream.map(|upstream| upstream.warmup.stated(now));
+            let limited = upstream.filter(|_| self.warmups.get(&entry.service).is_some());
+            let remaining = limited.map(|upstream| upstream.warmup.stated(now));
             entry.cold_ms = remaining.unwrap_or_default().as_millis() as u32;
         }
         delta
--- a/crates/snipeusher/tests/warmup.rs
+++ b/crates/snipeusher/tests/warmup.rs
@@ -599,12 +599,17 @@
 fn forwarded_entries_state_the_remaining_time() {
     let mut router = router(9.3);
     router.upsert(at(10_000), entry(0, 2, 3_000));
-    let forwarded = |ms| {
+    let forwarded = |router: &Fleet, ms| {
         let delta = router.changes_since(at(ms), Revision::new(1));
         delta.entries[0].cold_ms
     };
-    assert_eq!(forwarded(10_400), 2_600);
-    assert_eq!(forwarded(20_000), 0);
+    assert_eq!(forwarded(&router, 10_400), 2_600);
+    assert_eq!(forwarded(&router, 20_000), 0);
+    // Routers of earlier builds cannot read it, so it is left out where no limit is configured.
+    router.upsert(at(30_000), entry(0, 3, 3_000));
+    router.set_warmups(at(30_000), std::iter::empty());
+    let delta = router.changes_since(at(30_000), Revision::new(1));
+    assert_eq!(delta.entries[0].cold_ms, 0);
     let warm = entry(0, 2, 0);
     let cold = entry(0, 2, 7);
     let bytes = |entry: &Entry| rmp_serde::to_vec(entry).expect("it can be written");
