Check evacuations against a store with restores, lists, watches and peers

Cause: the order of lists, changes and messages was tested in single cases; the bytes of a delta with evacuations were not recorded; a peer could state a retention without end.

--- a/crates/edge/tests/serialized.rs
+++ b/crates/edge/tests/serialized.rs
@@ -15,6 +15,7 @@
 use snipeusher::fleet::DeclineLimit;
 use snipeusher::fleet::Delta;
 use snipeusher::fleet::Entry;
+use snipeusher::fleet::Evacuation;
 use snipeusher::fleet::Observation;
 use snipeusher::fleet::RateLimit;
 use snipeusher::fleet::Removal;
@@ -191,3 +192,24 @@
     };
     assert_form("configuration.hex", &configuration);
 }
+
+/// Guards against routers of the release after this one that no longer understand evacuations.
+#[test]
+fn a_delta_with_evacuations_keeps_its_form() {
+    let evacuation = |zone: &str, number, keep_ms| Evacuation {
+        zone: zone.into(),
+        revision: Revision::new(number),
+        keep_ms,
+    };
+    let delta = Delta {
+        revision: Revision::new(301),
+        complete: true,
+        evacuations: vec![
+            evacuation("a", 301, None),
+            evacuation("b", 300, Some(0)),
+            evacuation("c", 299, Some(5)),
+        ],
+        ..Delta::default()
+    };
+    assert_form("delta-evacuations.hex", &delta);
+}
--- a/crates/snipeusher/src/fleet/evacuation.rs
+++ b/crates/snipeusher/src/fleet/evacuation.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::roster::OUTAGE_RETENTION;
 use crate::kv::Revision;
 use crate::name;
 use crate::time::Time;
@@ -123,7 +124,10 @@
             let state = match statement.keep_ms {
                 None => State::Listed,
                 Some(0) => State::Ended,
-                Some(ms) => State::Retained(now + Duration::from_millis(ms)),
+                Some(ms) => {
+                    let keep = Duration::from_millis(ms).min(OUTAGE_RETENTION);
+                    State::Retained(now + keep)
+                }
             };
             self.record(statement.zone, statement.revision, state);
         }
--- a/crates/snipeusher/src/fleet/roster.rs
+++ b/crates/snipeusher/src/fleet/roster.rs
@@ -20,8 +20,9 @@
 use crate::time::Time;
 
 /// Time after an outage of the store for which removed entries are kept. All leases expire
-/// together in a long outage, and the upstreams register again within this time.
-const OUTAGE_RETENTION: Duration = Duration::from_millis(2_300);
+/// together in a long outage, and the upstreams register again within this time. The same holds for
+/// evacuations that a restored store lacks.
+pub(super) const OUTAGE_RETENTION: Duration = Duration::from_millis(2_300);
 /// Time for which an upstream that leaves still serves requests, unless the settings say otherwise.
 const DRAIN: Duration = Duration::from_secs(2);
 /// Share of that time for which an entry removed after the store's return is kept. The rest covers
--- a/crates/snipeusher/tests/evacuation.rs
+++ b/crates/snipeusher/tests/evacuation.rs
@@ -5,11 +5,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use proptest::prelude::*;
 use rstest::rstest;
 use snipeusher::fleet::Cause;
 use snipeusher::fleet::Decision;
 use snipeusher::fleet::Delta;
 use snipeusher::fleet::Entry;
+use snipeusher::fleet::Evacuation;
 use snipeusher::fleet::Fleet;
 use snipeusher::fleet::Limits;
 use snipeusher::fleet::List;
@@ -526,3 +528,162 @@
     assert_eq!(stages(&fleet.take_milestones()), [Stage::Ended]);
     assert_eq!(fleet.drains().count(), 0);
 }
+
+/// Guards against a peer that states a retention without end.
+#[rstest]
+fn the_retention_that_a_peer_states_is_bounded() {
+    let mut roster = roster(Revision::new(10), &[]);
+    let delta = Delta {
+        revision: Revision::new(11),
+        evacuations: vec![Evacuation {
+            zone: zone("a"),
+            revision: Revision::new(11),
+            keep_ms: Some(u64::MAX),
+        }],
+        ..Delta::default()
+    };
+    roster.merge(NOW, delta);
+    assert_eq!(roster.next_expiry(), Some(NOW + RETENTION));
+}
+
+const ROUTERS: usize = 3;
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// What happens next.
+#[derive(Clone, Debug)]
+enum Step {
+    /// The operators write or remove the key of a zone.
+    Write { zone: usize, is_evacuated: bool },
+    /// The store comes back from a copy this many writes old.
+    Restore { lost: usize },
+    /// A router lists the store.
+    List { router: usize },
+    /// A router that is at the store's era receives the next writes of its watch.
+    Watch { router: usize, count: usize },
+    /// A router answers another one; the message waits.
+    Answer { from: usize, to: usize },
+    /// A waiting message arrives; it may arrive again.
+    Deliver { message: usize, again: bool },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let router = 0..ROUTERS;
+    prop_oneof![
+        4 => (0..ZONES.len(), any::<bool>())
+            .prop_map(|(zone, is_evacuated)| Step::Write { zone, is_evacuated }),
+        1 => (0..6_usize).prop_map(|lost| Step::Restore { lost }),
+        2 => router.clone().prop_map(|router| Step::List { router }),
+        4 => (router.clone(), 1..4_usize)
+            .prop_map(|(router, count)| Step::Watch { router, count }),
+        4 => (router.clone(), router).prop_map(|(from, to)| Step::Answer { from, to }),
+        4 => (0..8_usize, any::<bool>())
+            .prop_map(|(message, again)| Step::Deliver { message, again }),
+    ]
+}
+
+/// A store of the keys of evacuations that can be restored from an earlier copy of itself.
+#[derive(Default)]
+struct Store {
+    era: u64,
+    /// Each write: the zone and whether its key was written or removed.
+    writes: Vec<(usize, bool)>,
+}
+
+impl Store {
+    fn revision(&self, number: usize) -> Revision {
+        revision(self.era, number as u64)
+    }
+
+    /// The evacuated zones after the first `count` writes.
+    fn evacuations(&self, count: usize) -> BTreeMap<name::Zone, Revision> {
+        let mut zones = BTreeMap::new();
+        for (number, (index, is_evacuated)) in (1..).zip(&self.writes[..count]) {
+            let zone = zone(ZONES[*index]);
+            if *is_evacuated {
+                zones.insert(zone, self.revision(number));
+            } else {
+                zones.remove(&zone);
+            }
+        }
+        zones
+    }
+
+    fn list_to(&self, roster: &mut Roster, now: Time) {
+        let count = self.writes.len();
+        let list = List {
+            revision: self.revision(count),
+            entries: Vec::new(),
+            evacuations: self.evacuations(count),
+        };
+        roster.replace(now, list);
+    }
+
+    /// Sends the writes after a router's revision, if it has listed this era.
+    fn watch_to(&self, roster: &mut Roster, count: usize) {
+        let known = roster.revision();
+        if roster.is_unsynced() || known.era != Era(self.era) {
+            return;
+        }
+        let first = known.number as usize;
+        let next = self.writes.iter().enumerate().skip(first).take(count);
+        for (index, (zone_index, is_evacuated)) in next {
+            let (zone, at) = (zone(ZONES[*zone_index]), self.revision(index + 1));
+            if *is_evacuated {
+                roster.evacuate(zone, at);
+            } else {
+                roster.end_evacuation(zone, at);
+            }
+        }
+    }
+}
+
+proptest! {
+    /// Guards against a router that lacks an evacuation of the revision that it says it has, or has
+    /// one that ended, whatever the order in which lists, changes and messages of peers arrive.
+    #[test]
+    fn a_router_has_the_evacuations_of_its_revision(
+        steps in proptest::collection::vec(step(), 1..80),
+    ) {
+        let mut store = Store::default();
+        let mut rosters: Vec<Roster> = vec![Roster::default(); ROUTERS];
+        let mut messages: Vec<(usize, Delta)> = Vec::new();
+        for (index, step) in (0..).zip(steps) {
+            let now = Time::from_millis(index * 100);
+            match step {
+                Step::Write { zone, is_evacuated } => store.writes.push((zone, is_evacuated)),
+                Step::Restore { lost } => {
+                    store.era += 1;
+                    let kept = store.writes.len().saturating_sub(lost);
+                    store.writes.truncate(kept);
+                }
+                Step::List { router } => store.list_to(&mut rosters[router], now),
+                Step::Watch { router, count } => store.watch_to(&mut rosters[router], count),
+                Step::Answer { from, to } => {
+                    let delta = rosters[from].changes_since(now, rosters[to].revision());
+                    messages.push((to, delta));
+                }
+                Step::Deliver { message, again } if message < messages.len() => {
+                    let (to, delta) = messages[message].clone();
+                    if !again {
+                        messages.remove(message);
+                    }
+                    rosters[to].merge(now, delta);
+                }
+                Step::Deliver { .. } => {}
+            }
+            // Long after any retention, without a change of the state itself.
+            let later = Time::from_millis(index * 100 + 60_000);
+            for roster in rosters.iter().filter(|roster| !roster.is_unsynced()) {
+                let known = roster.revision();
+                if known.era != Era(store.era) {
+                    continue;
+                }
+                let expected = store.evacuations(known.number as usize);
+                let expected: Vec<String> = expected.keys().map(name::Zone::to_string).collect();
+                prop_assert_eq!(evacuated(roster, later), expected.clone());
+                let now_evacuated = evacuated(roster, now);
+                prop_assert!(expected.iter().all(|zone| now_evacuated.contains(zone)));
+            }
+        }
+    }
+}
