End a retained evacuation at peers that know of its second write

A router that retained a zone after a restore and missed its write and removal kept the old revision when it listed the store; a peer that knew of the write then ignored the statement and stayed evacuated. Change: a retained evacuation that a complete list lacks takes the revision of the list.

--- a/crates/snipeusher/src/fleet/evacuation.rs
+++ b/crates/snipeusher/src/fleet/evacuation.rs
@@ -186,7 +186,8 @@
         self.forget();
     }
 
-    /// Ends or retains the listed evacuations that a complete list at a revision lacks.
+    /// Ends or retains the evacuations that a complete list at a revision lacks. One that is retained
+    /// already takes the revision, since it may have been written and removed again before it.
     fn drop_unlisted(
         &mut self,
         revision: Revision,
@@ -194,11 +195,13 @@
         retained_until: Option<Time>,
     ) {
         let rows = self.rows.iter_mut().filter(|(zone, row)| {
-            row.state == State::Listed && row.revision <= revision && !listed.contains(zone)
+            row.state != State::Ended && row.revision <= revision && !listed.contains(zone)
         });
         for (_, row) in rows {
-            let state = retained_until.map_or(State::Ended, State::Retained);
-            *row = Row { revision, state };
+            row.revision = revision;
+            if row.state == State::Listed {
+                row.state = retained_until.map_or(State::Ended, State::Retained);
+            }
         }
         self.forget();
     }
--- a/crates/snipeusher/tests/evacuation.rs
+++ b/crates/snipeusher/tests/evacuation.rs
@@ -529,6 +529,23 @@
     assert_eq!(fleet.drains().count(), 0);
 }
 
+/// Guards against a peer that stays evacuated for ever, since the router that sends it the list of
+/// upstreams retained the zone from before the write and the removal that it did not hear of.
+#[rstest]
+fn a_list_ends_at_peers_what_the_router_still_retains() {
+    let mut first = roster(Revision::new(10), &[("a", Revision::new(5))]);
+    let mut second = roster(revision(1, 7), &[]);
+    first.merge(NOW, second.changes_since(NOW, first.revision()));
+    second.evacuate(zone("a"), revision(1, 8));
+    first.replace(NOW, list(revision(1, 9), &[]));
+    second.merge(NOW, first.changes_since(NOW, second.revision()));
+    let later = NOW + RETENTION;
+    for roster in [&mut first, &mut second] {
+        roster.expire(later);
+        assert_eq!(evacuated(roster, later), Vec::<String>::new());
+    }
+}
+
 /// Guards against a peer that states a retention without end.
 #[rstest]
 fn the_retention_that_a_peer_states_is_bounded() {
