Spread requests over the least loaded upstreams by the age of their reports

Cause: routers that choose at the same moment on the same old report all take the upstream with the least reported load, so upstreams are overloaded in turn while others are idle.

Change: requests without a session go by chance to the upstreams below the level to which unknown requests have probably filled up the least loaded ones. What is unknown grows with the age of the reports; a router's own requests decide strictly. Without recent reports the rule is the one before.

--- a/crates/edge/tests/common/platform.rs
+++ b/crates/edge/tests/common/platform.rs
@@ -89,6 +89,7 @@
                     running,
                     waiting: 0,
                     slots: 8,
+                    pace: None,
                 }),
             leaving: headers.contains_key("t-leaving"),
             pause: text(headers, "t-pause")
--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -4,11 +4,11 @@
 //! first by rendezvous hashing, which is the same at every router, unless that upstream is
 //! overloaded. Other requests go to the least loaded upstream. See `docs/platform.md#placement`.
 
-use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::Upstream;
+use super::spread;
 use crate::hash;
 use crate::name;
 use crate::time::Time;
@@ -88,16 +88,27 @@
     Paused,
 }
 
+/// What applies to all upstreams of a service.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Terms {
+    /// Requests that this router may have in flight at one of them.
+    pub(super) connection_share: u32,
+    /// Whether they get only requests for which they have room.
+    pub(super) needs_room: bool,
+    /// Mean time that requests stay at them, in seconds.
+    pub(super) residence_s: f64,
+}
+
 /// Chooses among the ready upstreams of a service.
 pub(super) fn choose(
     now: Time,
     upstreams: &[Upstream],
     ready: &[usize],
     is_unreachable: impl Fn(&name::Zone) -> bool,
-    connection_share: u32,
-    needs_room: bool,
+    terms: Terms,
     query: &Query<'_>,
 ) -> Decision {
+    let needs_room = terms.needs_room;
     let all = ready.iter().map(|slot| &upstreams[*slot]);
     let untried = all.filter(|upstream| query.admits(now, upstream, needs_room));
     let untried: Vec<&Upstream> = untried.collect();
@@ -105,7 +116,7 @@
     let reachable = prefer(&available, |upstream| !is_unreachable(&upstream.entry.zone));
     let responsive = prefer(&reachable, |upstream| !upstream.is_silent(now));
     let candidates = prefer(&responsive, |upstream| {
-        upstream.load.in_flight() < connection_share
+        upstream.load.in_flight() < terms.connection_share
     });
     let source = |chosen: &Upstream| {
         let session = query.session?;
@@ -113,7 +124,7 @@
     };
     let chosen = match query.session {
         Some(session) => by_session(now, &candidates, session),
-        None => by_load(now, &candidates, query.tie_breaker),
+        None => spread::choose(now, &candidates, terms.residence_s, query.tie_breaker),
     };
     match chosen {
         Some(upstream) => Decision::Send {
@@ -186,19 +197,6 @@
     first.copied()
 }
 
-/// The least loaded upstream; a local one is preferred among equals.
-fn by_load<'a>(now: Time, candidates: &[&'a Upstream], tie_breaker: u64) -> Option<&'a Upstream> {
-    let best = candidates.iter().min_by_key(|upstream| {
-        let load = upstream.load.estimate(now);
-        (
-            load,
-            Reverse(upstream.local),
-            hash::score(tie_breaker, upstream.id_hash),
-        )
-    });
-    best.copied()
-}
-
 /// The upstream that most likely caches the session's prompt if the chosen one does not: the
 /// highest-ranked of the others of the same software version, draining ones included.
 fn likely_holder(
--- a/crates/snipeusher/src/fleet/load.rs
+++ b/crates/snipeusher/src/fleet/load.rs
@@ -20,6 +20,9 @@
     pub waiting: u32,
     /// Requests that it can process at once.
     pub slots: u32,
+    /// How long work takes at it at this moment, in percent of the usual time; `None` if it does not
+    /// say.
+    pub pace: Option<u32>,
 }
 
 /// The load of an upstream as one router observed it, sent to its peers.
@@ -84,6 +87,13 @@
         (age < STALE_AFTER).then_some((age, sample.load))
     }
 
+    /// Age of the last sample, and the requests of other routers in it, unless it is stale.
+    pub(super) fn others(&self, now: Time) -> Option<(Duration, u32)> {
+        let sample = self.sample?;
+        let others = sample.load.saturating_sub(sample.in_flight);
+        self.latest(now).map(|(age, _)| (age, others))
+    }
+
     /// Estimated number of requests at the upstream.
     ///
     /// It is never below this router's own count, so that an outdated sample cannot hide requests
--- /dev/null
+++ b/crates/snipeusher/src/fleet/spread.rs
@@ -0,0 +1,90 @@
+//! Random choice among the least loaded upstreams.
+//!
+//! The requests that other routers have sent since the reports are unknown, but as many routers
+//! choose by the same rule, they have probably filled up the least loaded upstreams to a common
+//! level. A request goes to an upstream with a probability in proportion to what is missing there
+//! to this level. With recent reports these are the few least loaded upstreams, with old ones all.
+
+use super::Upstream;
+use super::expected::Expected;
+use crate::hash;
+use crate::time::Time;
+
+/// Passes over the upstreams to find the level. Each leaves out those above it, and few remain
+/// after some.
+const PASSES_MAX: usize = 12;
+/// Bits of a random number that a float holds.
+const FLOAT_BITS: u32 = 53;
+
+/// The upstream that gets a request.
+pub(super) fn choose<'a>(
+    now: Time,
+    candidates: &[&'a Upstream],
+    residence_s: f64,
+    random: u64,
+) -> Option<&'a Upstream> {
+    let expected = |upstream: &&Upstream| Expected::new(now, upstream, residence_s);
+    let loads: Vec<Expected> = candidates.iter().map(expected).collect();
+    let own = 1.0 + loads.iter().map(|load| load.own).sum::<f64>();
+    let replaced: f64 = loads.iter().map(|load| load.replaced).sum();
+    if replaced <= 0.0 {
+        return least(candidates, &loads, random);
+    }
+    let arrivals = own + replaced;
+    let level = level(&loads, arrivals);
+    let share = own / arrivals;
+    let due = |load: &Expected| (level * load.speed - load.kept).max(0.0) * share - load.own;
+    let most = loads.iter().map(due).fold(0.0, f64::max);
+    // Whole requests decide first, the rest by chance.
+    let whole = (most.ceil() - 1.0).max(0.0);
+    let weight = |load: &Expected| (due(load) - whole).max(0.0);
+    let total: f64 = loads.iter().map(weight).sum();
+    let mut point = unit(random) * total;
+    let mut chosen = None;
+    for (upstream, load) in candidates.iter().zip(&loads) {
+        let weight = weight(load);
+        if weight > 0.0 {
+            chosen = Some(*upstream);
+            point -= weight;
+        }
+        if point < 0.0 {
+            break;
+        }
+    }
+    chosen.or_else(|| candidates.first().copied())
+}
+
+/// The least loaded upstream, for a router that is alone or knows nothing of the others.
+fn least<'a>(candidates: &[&'a Upstream], loads: &[Expected], random: u64) -> Option<&'a Upstream> {
+    let load = |load: &Expected| load.own + load.kept;
+    let score = |upstream: &Upstream| hash::score(random, upstream.id_hash);
+    let pairs = candidates.iter().zip(loads);
+    let least = pairs.min_by(|(left, left_load), (right, right_load)| {
+        let order = load(left_load).total_cmp(&load(right_load));
+        order.then_with(|| score(left).cmp(&score(right)))
+    });
+    least.map(|(upstream, _)| *upstream)
+}
+
+/// The load per speed to which `arrivals` fill up the least loaded upstreams.
+fn level(loads: &[Expected], arrivals: f64) -> f64 {
+    let mut level = f64::INFINITY;
+    for _ in 0..PASSES_MAX {
+        let below = loads.iter().filter(|load| load.kept < level * load.speed);
+        let (kept, speed) = below.fold((0.0, 0.0), |(kept, speed), load| {
+            (kept + load.kept, speed + load.speed)
+        });
+        let next = (arrivals + kept) / speed;
+        if next >= level {
+            break;
+        }
+        level = next;
+    }
+    level
+}
+
+/// A number from 0 to below 1.
+fn unit(random: u64) -> f64 {
+    let mixed = hash::mix(random, 1) >> (u64::BITS - FLOAT_BITS);
+    mixed as f64 / (1_u64 << FLOAT_BITS) as f64
+}
--- a/crates/snipeusher/src/fleet/upstream.rs
+++ b/crates/snipeusher/src/fleet/upstream.rs
@@ -6,6 +6,7 @@
 use super::Health;
 use super::Leaving;
 use super::Load;
+use super::Pace;
 use super::Rate;
 use super::decline;
 use super::zone::REPORTS_IGNORED_FOR;
@@ -28,6 +29,8 @@
     pub local: bool,
     /// Its load.
     pub load: Load,
+    /// How long work takes at it.
+    pub pace: Pace,
     /// Its health.
     pub health: Health,
     /// Since when it has had requests in flight without sending anything.
@@ -56,6 +59,7 @@
             local: entry.zone == *zone,
             entry,
             load: Load::default(),
+            pace: Pace::default(),
             health: Health::default(),
             silent_since: None,
             silence_counted: false,
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -22,9 +22,11 @@
 use super::Upstream;
 use super::builds::Builds;
 use super::choice;
+use super::choice::Terms;
 use super::decline;
 use super::decline::DeclineLimits;
 use super::rate::Routers;
+use super::residence::Residence;
 use super::zone::Zone;
 use crate::hash;
 use crate::kv::Revision;
@@ -70,6 +72,7 @@
     refresh_at: Option<Time>,
     budgets: BTreeMap<name::Service, Budget>,
     zones: BTreeMap<name::Zone, Zone>,
+    residences: BTreeMap<name::Service, Residence>,
     /// News to report to peers.
     outage: Outage,
     routers: usize,
@@ -90,6 +93,7 @@
             refresh_at: None,
             budgets: BTreeMap::new(),
             zones: BTreeMap::new(),
+            residences: BTreeMap::new(),
             outage: Outage::default(),
             routers: 1,
             sharers: Routers::default(),
@@ -277,18 +281,18 @@
         let ready = self.ready.get(query.service).map_or(&[][..], Vec::as_slice);
         let is_unreachable =
             |zone: &name::Zone| self.zones.get(zone).is_some_and(Zone::is_unreachable);
-        let connection_share = self
-            .connection_share(query.max_connections)
-            .max(CONNECTION_SHARE_MIN);
-        choice::choose(
-            now,
-            &self.upstreams,
-            ready,
-            is_unreachable,
-            connection_share,
-            self.needs_room(now, query.service),
-            query,
-        )
+        let connection_share = self.connection_share(query.max_connections);
+        let terms = Terms {
+            connection_share: connection_share.max(CONNECTION_SHARE_MIN),
+            needs_room: self.needs_room(now, query.service),
+            residence_s: self.residence(query.service).mean_s(),
+        };
+        choice::choose(now, &self.upstreams, ready, is_unreachable, terms, query)
+    }
+
+    /// How long requests stay at the upstreams of a service.
+    fn residence(&self, service: &name::Service) -> Residence {
+        self.residences.get(service).copied().unwrap_or_default()
     }
 
     /// Whether the upstreams of a service get only requests for which they have room.
@@ -650,6 +654,8 @@
             upstream.rate.record_sent(now);
             upstream.health.record_sent();
             upstream.silent_since.get_or_insert(now);
+            let service = upstream.entry.service.clone();
+            self.residences.entry(service).or_default().record_sent(now);
         }
     }
 
@@ -658,6 +664,7 @@
         if let Some(upstream) = self.upstream_mut(id) {
             let load = report.running.saturating_add(report.waiting);
             upstream.load.record(now, load);
+            upstream.pace.record(now, report.pace);
         }
     }
 
@@ -666,6 +673,7 @@
     pub fn record_outcome(&mut self, now: Time, id: &name::Upstream, outcome: Outcome) -> bool {
         let service_rate = self.service_failure_rate(id);
         let backoff = self.backoff(now, id);
+        self.record_end(now, id);
         let Some(upstream) = self.upstream_mut(id) else {
             return false;
         };
@@ -688,6 +696,16 @@
         ejected
     }
 
+    fn record_end(&mut self, now: Time, id: &name::Upstream) {
+        let Some(slot) = self.slots.get(id) else {
+            return;
+        };
+        let service = &self.upstreams[*slot].entry.service;
+        if let Some(residence) = self.residences.get_mut(service) {
+            residence.record_end(now);
+        }
+    }
+
     /// Time for which this router stays away from an upstream that has declined its request, if the
     /// upstream can decline few.
     fn backoff(&self, now: Time, id: &name::Upstream) -> Option<Duration> {
--- a/crates/snipeusher/tests/decline.rs
+++ b/crates/snipeusher/tests/decline.rs
@@ -397,6 +397,7 @@
                 running,
                 waiting: load - running,
                 slots: self.load.slots,
+                pace: None,
             };
             router.record_load(now, &id, report);
             if is_stated {
