--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -2,13 +2,14 @@
 //!
 //! A request that shares the start of its prompt with others goes to the upstream that ranks
 //! first by rendezvous hashing, which is the same at every router, unless that upstream is
-//! overloaded. Other requests go to the least loaded upstream. See `docs/platform.md#placement`.
+//! overloaded. Other requests are spread over the least loaded upstreams. See
+//! `docs/platform.md#even-load`.
 
-use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::Upstream;
+use super::spread;
 use crate::hash;
 use crate::name;
 use crate::route::Homes;
@@ -108,34 +109,37 @@
     Evacuated,
 }
 
+/// What applies to all upstreams of a service.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Terms {
+    /// Requests that this router may have in flight at one of them.
+    pub(super) connection_share: u32,
+    /// Whether they get only requests for which they have room.
+    pub(super) needs_room: bool,
+    /// Mean time that requests stay at them, in seconds.
+    pub(super) residence_s: f64,
+}
+
 /// Chooses among the ready upstreams of a service.
 pub(super) fn choose(
     now: Time,
     upstreams: &[Upstream],
     ready: &[usize],
     is_unreachable: impl Fn(&name::Zone) -> bool,
-    connection_share: u32,
-    needs_room: bool,
+    terms: Terms,
     query: &Query<'_>,
 ) -> Decision {
+    let needs_room = terms.needs_room;
     let all = ready.iter().map(|slot| &upstreams[*slot]);
     let untried = all.filter(|upstream| query.admits(now, upstream, needs_room));
-    let untried: Vec<&Upstream> = untried.collect();
-    let available = prefer(&untried, |upstream| upstream.health.is_available(now));
-    let reachable = prefer(&available, |upstream| !is_unreachable(&upstream.entry.zone));
-    let responsive = prefer(&reachable, |upstream| {
-        !upstream.is_silent(now) && !upstream.overdue.is_active(now)
-    });
-    let candidates = prefer(&responsive, |upstream| {
-        upstream.load.in_flight() < connection_share
-    });
+    let candidates = most_suitable(now, untried, &is_unreachable, terms.connection_share);
     let source = |chosen: &Upstream| {
         let session = query.session?;
         likely_holder(now, upstreams, &is_unreachable, query, session, chosen)
     };
     let chosen = match query.session {
         Some(session) => by_session(now, &candidates, session),
-        None => by_load(now, &candidates, query.tie_breaker),
+        None => spread::choose(now, &candidates, terms.residence_s, query.tie_breaker),
     };
     match chosen {
         Some(upstream) => Decision::Send {
@@ -204,22 +208,30 @@
     }
 }
 
-/// The upstreams that meet a condition, or all if none does: sending the request to a doubtful
-/// upstream is better than refusing it.
-fn prefer<'a>(
-    upstreams: &[&'a Upstream],
-    condition: impl Fn(&Upstream) -> bool,
+/// The most suitable of the upstreams: available, then reachable, then not silent or overdue, then within this
+/// router's share of connections. Sending the request to a doubtful one is better than refusing it.
+fn most_suitable<'a>(
+    now: Time,
+    upstreams: impl Iterator<Item = &'a Upstream>,
+    is_unreachable: impl Fn(&name::Zone) -> bool,
+    connection_share: u32,
 ) -> Vec<&'a Upstream> {
-    let preferred: Vec<&Upstream> = upstreams
-        .iter()
-        .copied()
-        .filter(|upstream| condition(upstream))
-        .collect();
-    if preferred.is_empty() {
-        upstreams.to_vec()
-    } else {
-        preferred
+    let mut best = 0;
+    let mut kept = Vec::with_capacity(upstreams.size_hint().1.unwrap_or_default());
+    for upstream in upstreams {
+        let suitability = u8::from(upstream.health.is_available(now)) << 3
+            | u8::from(!is_unreachable(&upstream.entry.zone)) << 2
+            | u8::from(!upstream.is_silent(now) && !upstream.overdue.is_active(now)) << 1
+            | u8::from(upstream.load.in_flight() < connection_share);
+        if suitability > best {
+            best = suitability;
+            kept.clear();
+        }
+        if suitability == best {
+            kept.push(upstream);
+        }
     }
+    kept
 }
 
 /// The highest-ranked upstream for the session whose load is within the limit.
@@ -237,19 +249,6 @@
     first.copied()
 }
 
-/// The least loaded upstream; a local one is preferred among equals.
-fn by_load<'a>(now: Time, candidates: &[&'a Upstream], tie_breaker: u64) -> Option<&'a Upstream> {
-    let best = candidates.iter().min_by_key(|upstream| {
-        let load = upstream.load.estimate(now);
-        (
-            load,
-            Reverse(upstream.local),
-            hash::score(tie_breaker, upstream.id_hash),
-        )
-    });
-    best.copied()
-}
-
 /// The upstream that most likely caches the session's prompt if the chosen one does not: the
 /// highest-ranked of the others of the same software version in the home regions, draining ones
 /// included. One outside would get data of the prompt.
--- a/crates/snipeusher/src/fleet/upstream.rs
+++ b/crates/snipeusher/src/fleet/upstream.rs
@@ -7,6 +7,7 @@
 use super::Leaving;
 use super::Load;
 use super::Overdue;
+use super::Pace;
 use super::Rate;
 use super::Regions;
 use super::Warmup;
@@ -36,6 +37,8 @@
     pub region: Option<name::Region>,
     /// Its load.
     pub load: Load,
+    /// How long work takes at it.
+    pub pace: Pace,
     /// Its health.
     pub health: Health,
     /// Since when it has had requests in flight without sending anything.
@@ -75,6 +78,7 @@
             region: regions.of(&entry.zone).cloned(),
             entry,
             load: Load::default(),
+            pace: Pace::default(),
             health: Health::default(),
             silent_since: None,
             overdue: Overdue::default(),
--- a/crates/snipeusher/tests/decline.rs
+++ b/crates/snipeusher/tests/decline.rs
@@ -402,6 +402,7 @@
                 running,
                 waiting: load - running,
                 slots: self.load.slots,
+                pace: None,
             };
             router.record_load(now, &id, report);
             if is_stated {
