Spread requests only where upstreams state their pace

Cause: the new choice also changed what deployments got whose upstreams state no pace; these are to be served as before.

The test states a pace of 100 for upstreams of equal speed.

--- a/crates/snipeusher/src/fleet/pace.rs
+++ b/crates/snipeusher/src/fleet/pace.rs
@@ -19,6 +19,8 @@
     last: f64,
     lasting: f64,
     stated_at: Time,
+    /// Whether the last report stated it.
+    is_stated: bool,
 }
 
 impl Default for Pace {
@@ -27,6 +29,7 @@
             last: 1.0,
             lasting: 1.0,
             stated_at: Time::default(),
+            is_stated: false,
         }
     }
 }
@@ -43,6 +46,12 @@
         self.lasting += (stated - self.lasting) * weight;
         self.last = stated;
         self.stated_at = at;
+        self.is_stated = percent.is_some();
+    }
+
+    /// Whether the upstream states its pace.
+    pub const fn is_stated(&self) -> bool {
+        self.is_stated
     }
 
     /// Expected multiple of the usual time.
--- a/crates/snipeusher/src/fleet/spread.rs
+++ b/crates/snipeusher/src/fleet/spread.rs
@@ -4,6 +4,9 @@
 //! choose by the same rule, they have probably filled up the least loaded upstreams to a common
 //! level. A request goes to an upstream with a probability in proportion to what is missing there
 //! to this level. With recent reports these are the few least loaded upstreams, with old ones all.
+//! Where no upstream states its pace, the least loaded one gets the request.
+
+use std::cmp::Reverse;
 
 use super::Upstream;
 use super::expected::Expected;
@@ -23,12 +26,15 @@
     residence_s: f64,
     random: u64,
 ) -> Option<&'a Upstream> {
+    if !candidates.iter().any(|upstream| upstream.pace.is_stated()) {
+        return least(now, candidates, random);
+    }
     let expected = |upstream: &&Upstream| Expected::new(now, upstream, residence_s);
     let loads: Vec<Expected> = candidates.iter().map(expected).collect();
     let own = 1.0 + loads.iter().map(|load| load.own).sum::<f64>();
     let replaced: f64 = loads.iter().map(|load| load.replaced).sum();
     if replaced <= 0.0 {
-        return least(candidates, &loads, random);
+        return least(now, candidates, random);
     }
     let arrivals = own + replaced;
     let level = level(&loads, arrivals);
@@ -53,16 +59,17 @@
     chosen.or_else(|| candidates.first().copied())
 }
 
-/// The least loaded upstream, for a router that is alone or knows nothing of the others.
-fn least<'a>(candidates: &[&'a Upstream], loads: &[Expected], random: u64) -> Option<&'a Upstream> {
-    let load = |load: &Expected| load.own + load.kept;
-    let score = |upstream: &Upstream| hash::score(random, upstream.id_hash);
-    let pairs = candidates.iter().zip(loads);
-    let least = pairs.min_by(|(left, left_load), (right, right_load)| {
-        let order = load(left_load).total_cmp(&load(right_load));
-        order.then_with(|| score(left).cmp(&score(right)))
+/// The least loaded upstream; a local one is preferred among equals.
+fn least<'a>(now: Time, candidates: &[&'a Upstream], random: u64) -> Option<&'a Upstream> {
+    let least = candidates.iter().min_by_key(|upstream| {
+        let load = upstream.load.estimate(now);
+        (
+            load,
+            Reverse(upstream.local),
+            hash::score(random, upstream.id_hash),
+        )
     });
-    least.map(|(upstream, _)| *upstream)
+    least.copied()
 }
 
 /// The load per speed to which `arrivals` fill up the least loaded upstreams.
--- a/crates/snipeusher/tests/even_load.rs
+++ b/crates/snipeusher/tests/even_load.rs
@@ -410,7 +410,7 @@
             return;
         };
         let taken_at = Time(self.now.saturating_sub(steps * HISTORY_STEP_US));
-        let is_stated = self.setup.speeds == Speeds::Stated;
+        let is_stated = self.setup.speeds != Speeds::Unstated;
         for ((load, pace), id) in view.iter().zip(&self.ids) {
             let report = Report {
                 running: (*load).min(SLOTS),
