Mend what a newcomer's reading of the change found

Cause and change, each as read: an evacuation whose retention was over was not recorded if the check of home regions or a departure noticed it first, so that its upstreams were not limited; the time in which a caller does not read counted against a stream whose last bytes were no event; times in flight of services were never dropped and could not be corrected; while a zone is evacuated each ended request counted all upstreams; a task that returns was not logged.

The other faults have no test of their own yet.

--- a/crates/edge/src/exchange/relay.rs
+++ b/crates/edge/src/exchange/relay.rs
@@ -137,7 +137,7 @@
     }
 
     /// Headers of the caller, with what remains of the deadline and with the home regions.
-    fn relay_headers(&self) -> Result<HeaderMap, headers::Unstatable> {
+    fn relay_headers(&self) -> Result<HeaderMap, headers::HomesError> {
         let mut headers = headers::end_to_end(&self.admitted.head.head().headers);
         let left = remaining(self.admitted.deadline);
         self.shared.platform.set_deadline(left, &mut headers);
--- a/crates/edge/src/exchange/stall.rs
+++ b/crates/edge/src/exchange/stall.rs
@@ -51,6 +51,12 @@
         self.check_at = self.gap_since + self.limit / RESUME_DIVISOR;
     }
 
+    /// Leaves out a time in which the caller did not read.
+    pub(super) fn exclude(&mut self, unread: Duration) {
+        self.gap_since += unread;
+        self.check_at += unread;
+    }
+
     /// When to check next whether the stream is to be resumed elsewhere or ended.
     pub(super) const fn check_at(&self) -> Instant {
         self.check_at
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -136,6 +136,7 @@
             let has_event = events::has_data(&events);
             let (sent, unread) = send(events, responder, &guard).await;
             backlog.record_unread(unread);
+            timer.exclude(unread);
             if let Err(error) = sent {
                 return Step::Answered(Err(error));
             }
--- a/crates/edge/src/headers.rs
+++ b/crates/edge/src/headers.rs
@@ -71,7 +71,7 @@
 
 /// Home regions that cannot be stated in a relayed request.
 #[derive(Debug, Snafu)]
-pub(crate) enum Unstatable {
+pub(crate) enum HomesError {
     /// The name of a region is no value of a header.
     #[snafu(display("home region \"{region}\" cannot be stated in a header"))]
     Name {
@@ -87,11 +87,11 @@
 }
 
 /// States the home regions of a relayed request. What the caller stated is dropped.
-pub(crate) fn set_homes(homes: &Homes, headers: &mut HeaderMap) -> Result<(), Unstatable> {
+pub(crate) fn set_homes(homes: &Homes, headers: &mut HeaderMap) -> Result<(), HomesError> {
     headers.remove(RELAY_HOMES);
     for region in homes.regions() {
         let value = HeaderValue::from_bytes(region.as_str().as_bytes());
-        let value = value.map_err(|_error| Unstatable::Name {
+        let value = value.map_err(|_error| HomesError::Name {
             region: region.clone(),
         })?;
         headers.append(RELAY_HOMES, value);
--- a/crates/edge/src/lifecycle.rs
+++ b/crates/edge/src/lifecycle.rs
@@ -46,11 +46,11 @@
 
     /// Waits until the balancer no longer sends new connections.
     pub async fn deregistered(&self) {
-        self.left_for(DEREGISTRATION).await;
+        self.shutdown_elapsed(DEREGISTRATION).await;
     }
 
     /// Waits until a time has passed since the shutdown started.
-    pub async fn left_for(&self, time: Duration) {
+    pub async fn shutdown_elapsed(&self, time: Duration) {
         loop {
             let changed = self.changed.notified();
             if let Some(since) = self.leaving_since.get() {
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -33,6 +33,7 @@
         let now = shared.now();
         let due = shared.fleet.borrow_mut().due_probes(now);
         evacuation::log(&shared);
+        shared.log_warmups();
         let checks = due.into_iter().take(CONCURRENT_MAX);
         join_all(checks.map(|(id, address)| check(&shared, id, address))).await;
         shared.outage.notify_one();
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -196,7 +196,7 @@
         if !self.read.is_empty() {
             return Ok(());
         }
-        let unwanted = unwanted(lifecycle, self.accepted);
+        let shutdown_close = shutdown_close(lifecycle, self.accepted);
         let idle = timeout(limits.idle_timeout, self.socket.read(&mut self.read));
         tokio::select! {
             biased;
@@ -204,7 +204,7 @@
                 Ok(Ok(count)) if count > 0 => Ok(()),
                 _ => Err(Error::Closed),
             },
-            () = unwanted => Err(Error::Closed),
+            () = shutdown_close => Err(Error::Closed),
         }
     }
 
@@ -281,7 +281,7 @@
 }
 
 /// Returns when an idle connection is to be closed for the shutdown.
-async fn unwanted(lifecycle: &Lifecycle, accepted: Instant) {
+async fn shutdown_close(lifecycle: &Lifecycle, accepted: Instant) {
     lifecycle.deregistered().await;
     sleep_until((accepted + FIRST_REQUEST_TIME).into()).await;
 }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -235,7 +235,7 @@
     /// Waits until requests in flight have to end, since the process exits whether they did or not.
     pub(crate) async fn exit_imminent(&self) {
         let limit = self.shutdown_limit().saturating_sub(LAST_RESPONSE);
-        self.lifecycle.left_for(limit).await;
+        self.lifecycle.shutdown_elapsed(limit).await;
     }
 
     /// Whether the process may exit before a request that arrives now is answered.
@@ -247,8 +247,8 @@
     /// Records that the configuration or the upstreams changed, so that peers are informed.
     pub fn record_change(&self) {
         self.changed.notify_one();
-        self.log_warmups();
         evacuation::log(self);
+        self.log_warmups();
         if self.is_loaded() && !self.ready_logged.replace(true) {
             let upstreams = self.fleet.borrow().upstreams().len();
             info!(self.log, "node: ready"; "upstreams" => upstreams, "ms" => self.now().0 / 1_000);
@@ -256,7 +256,7 @@
     }
 
     /// Logs which upstreams have become cold.
-    fn log_warmups(&self) {
+    pub(crate) fn log_warmups(&self) {
         let now = self.now();
         let mut fleet = self.fleet.borrow_mut();
         for (id, remaining) in fleet.take_warmups(now) {
--- a/crates/edge/src/task.rs
+++ b/crates/edge/src/task.rs
@@ -21,8 +21,11 @@
     let log = log.clone();
     actix_rt::spawn(async move {
         loop {
-            if let Err(error) = actix_rt::spawn(start()).await {
-                error!(log, "task: failed, started again"; "task" => name, "error" => %error);
+            match actix_rt::spawn(start()).await {
+                Ok(()) => error!(log, "task: ended, starting it again"; "task" => name),
+                Err(error) => {
+                    error!(log, "task: failed, starting it again"; "task" => name, "error" => %error);
+                }
             }
             sleep(RESTART_DELAY).await;
         }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -129,7 +129,7 @@
     record_response(shared);
     let mut upstreams = Vec::with_capacity(entries.len());
     for entry in &entries {
-        warn_of(shared, entry);
+        log_warnings(shared, entry);
         match shared.platform.entry(entry) {
             Ok(entry) => upstreams.push(entry),
             Err(error) => {
@@ -272,7 +272,7 @@
 
 /// The update for a written entry. One that cannot be decoded names no upstream to use.
 fn written<P: Platform>(shared: &Shared<P>, id: name::Upstream, entry: &kv::Entry) -> Update {
-    warn_of(shared, entry);
+    log_warnings(shared, entry);
     match shared.platform.entry(entry) {
         Ok(entry) => {
             info!(shared.log, "upstream: entry";
@@ -288,7 +288,7 @@
 }
 
 /// Logs values of an entry that cannot be used, although the rest can.
-fn warn_of<P: Platform>(shared: &Shared<P>, entry: &kv::Entry) {
+fn log_warnings<P: Platform>(shared: &Shared<P>, entry: &kv::Entry) {
     for warning in shared.platform.warnings(entry) {
         warn!(shared.log, "upstream: invalid cold time";
             "key" => &entry.key, "value" => warning);
--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -111,7 +111,7 @@
 
 /// What applies to all upstreams of a service.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Terms {
+pub(super) struct ServiceLimits {
     /// Requests that this router may have in flight at one of them.
     pub(super) connection_share: u32,
     /// Whether they get only requests for which they have room.
@@ -126,7 +126,7 @@
     upstreams: &[Upstream],
     ready: &[usize],
     is_unreachable: impl Fn(&name::Zone) -> bool,
-    terms: Terms,
+    terms: ServiceLimits,
     query: &Query<'_>,
 ) -> Decision {
     let needs_room = terms.needs_room;
@@ -208,21 +208,24 @@
     }
 }
 
-/// The most suitable of the upstreams: available, then reachable, then not silent or overdue, then within this
-/// router's share of connections. Sending the request to a doubtful one is better than refusing it.
+/// The most suitable of the upstreams, in this order of importance: available, reachable, neither
+/// silent nor with an overdue response, within this router's share of connections. Sending the
+/// request to a doubtful one is better than refusing it.
 fn most_suitable<'a>(
     now: Time,
     upstreams: impl Iterator<Item = &'a Upstream>,
     is_unreachable: impl Fn(&name::Zone) -> bool,
     connection_share: u32,
 ) -> Vec<&'a Upstream> {
-    let mut best = 0;
+    let mut best = (false, false, false, false);
     let mut kept = Vec::with_capacity(upstreams.size_hint().1.unwrap_or_default());
     for upstream in upstreams {
-        let suitability = u8::from(upstream.health.is_available(now)) << 3
-            | u8::from(!is_unreachable(&upstream.entry.zone)) << 2
-            | u8::from(!upstream.is_silent(now) && !upstream.overdue.is_active(now)) << 1
-            | u8::from(upstream.load.in_flight() < connection_share);
+        let suitability = (
+            upstream.health.is_available(now),
+            !is_unreachable(&upstream.entry.zone),
+            !upstream.is_silent(now) && !upstream.overdue.is_active(now),
+            upstream.load.in_flight() < connection_share,
+        );
         if suitability > best {
             best = suitability;
             kept.clear();
--- a/crates/snipeusher/src/fleet/drain.rs
+++ b/crates/snipeusher/src/fleet/drain.rs
@@ -15,6 +15,8 @@
     Store,
     /// From a peer.
     Peer,
+    /// From neither: the time was over for which it was retained.
+    Expiry,
 }
 
 impl Source {
@@ -23,6 +25,7 @@
         match self {
             Self::Store => "store",
             Self::Peer => "peer",
+            Self::Expiry => "expiry",
         }
     }
 }
@@ -64,7 +67,7 @@
     pub since: Time,
     /// From where this router learned of it.
     pub source: Source,
-    /// Whether requests have been in flight there ever since.
+    /// Whether the end of the last request in flight there is still to be recorded.
     pub is_pending: bool,
 }
 
@@ -141,13 +144,18 @@
         }
         let zone = self.upstream(id).map(|upstream| &upstream.entry.zone);
         let Some(zone) = zone.cloned() else { return };
-        let is_drained = self.usage(&zone).1 == 0;
-        let drain = self.drains.zones.get_mut(&zone);
-        let Some(drain) = drain.filter(|drain| drain.is_pending && is_drained) else {
+        let drain = self.drains.zones.get(&zone);
+        let Some(drain) = drain.filter(|drain| drain.is_pending) else {
             return;
         };
-        drain.is_pending = false;
-        let drain = *drain;
+        if self.usage(&zone).1 > 0 {
+            return;
+        }
+        let drain = Drain {
+            is_pending: false,
+            ..*drain
+        };
+        self.drains.zones.insert(zone.clone(), drain);
         self.record_milestone(&zone, drain, Stage::Drained);
     }
 
--- a/crates/snipeusher/src/fleet/pace.rs
+++ b/crates/snipeusher/src/fleet/pace.rs
@@ -6,11 +6,11 @@
 
 /// Percentage that stands for the usual time.
 const USUAL: f64 = 100.0;
-/// Time in which a stated pace loses most of its weight. A noisy neighbour is there for parts of a
-/// second.
-const MOMENT_S: f64 = 0.4;
-/// Time over which the lasting pace is taken.
-const LASTING: Duration = Duration::from_secs(10);
+/// Age at which the last stated pace counts as much as the average, in seconds. Contention by other
+/// processes of a host lasts for parts of a second.
+const RECENT_WEIGHT_S: f64 = 0.4;
+/// Time over which the average is taken, in which several short contentions even out.
+const AVERAGE_WINDOW: Duration = Duration::from_secs(10);
 
 /// What an upstream states about its pace: at the moment, and lastingly.
 #[derive(Clone, Copy, Debug)]
@@ -42,7 +42,7 @@
         }
         let stated = percent.map_or(1.0, |percent| f64::from(percent) / USUAL);
         let elapsed = at.since(self.stated_at);
-        let weight = elapsed.as_secs_f64() / (elapsed + LASTING).as_secs_f64();
+        let weight = elapsed.as_secs_f64() / (elapsed + AVERAGE_WINDOW).as_secs_f64();
         self.lasting += (stated - self.lasting) * weight;
         self.last = stated;
         self.stated_at = at;
@@ -60,7 +60,7 @@
             return self.last;
         }
         let age_s = now.since(self.stated_at).as_secs_f64();
-        let weight = MOMENT_S / (MOMENT_S + age_s);
+        let weight = RECENT_WEIGHT_S / (RECENT_WEIGHT_S + age_s);
         self.lasting + (self.last - self.lasting) * weight
     }
 }
--- a/crates/snipeusher/src/fleet/residence.rs
+++ b/crates/snipeusher/src/fleet/residence.rs
@@ -4,9 +4,10 @@
 
 use crate::time::Time;
 
-/// Time over which the mean is taken.
+/// Time over which the mean is taken: long against one request, short against a change of load.
 const WINDOW: Duration = Duration::from_secs(20);
-/// Assumed before any request has ended, with the weight of one request.
+/// Assumed before any request has ended, with the weight of one request, so that it matters only
+/// then.
 const PRIOR_S: f64 = 0.2;
 
 /// Mean time that this router's requests to a service stay at its upstreams, by Little's law.
@@ -33,6 +34,12 @@
         self.ended += 1.0;
     }
 
+    /// Corrects the number of requests in flight.
+    pub(super) fn set_in_flight(&mut self, now: Time, in_flight: u32) {
+        self.advance(now);
+        self.in_flight = in_flight;
+    }
+
     /// The mean in seconds, above zero.
     pub(super) fn mean_s(&self) -> f64 {
         (self.area + PRIOR_S) / (self.ended + 1.0)
--- a/crates/snipeusher/src/fleet/upstream.rs
+++ b/crates/snipeusher/src/fleet/upstream.rs
@@ -199,8 +199,6 @@
         }
         if entry.revision != self.entry.revision {
             self.warmup.record_entry(now, cold(&entry));
-        }
-        if entry.revision != self.entry.revision {
             self.replaced_until = None;
         }
         if entry.zone != self.entry.zone {
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -26,7 +26,7 @@
 use super::Upstream;
 use super::builds::Builds;
 use super::choice;
-use super::choice::Terms;
+use super::choice::ServiceLimits;
 use super::decline;
 use super::decline::DeclineLimits;
 use super::drain::Drains;
@@ -402,7 +402,7 @@
         let is_unreachable =
             |zone: &name::Zone| self.zones.get(zone).is_some_and(Zone::is_unreachable);
         let connection_share = self.connection_share(query.max_connections);
-        let terms = Terms {
+        let terms = ServiceLimits {
             connection_share: connection_share.max(CONNECTION_SHARE_MIN),
             needs_room: self.needs_room(now, query.service),
             residence_s: self.residence(query.service).mean_s(),
@@ -495,9 +495,7 @@
         service: &name::Service,
         homes: &Homes,
     ) -> Option<Decision> {
-        if self.refresh_at.is_some_and(|at| at <= now) {
-            self.refresh(now);
-        }
+        self.expire(now);
         choice::refuse_at_home(self.ready_upstreams(service), homes)
     }
 
@@ -645,6 +643,7 @@
         if is_news {
             self.outage.leaving.push(leaving.clone());
             self.refresh(now);
+            self.record_evacuations(now, Source::Expiry);
         }
         is_news
     }
@@ -983,10 +982,27 @@
     pub fn expire(&mut self, now: Time) {
         if self.refresh_at.is_some_and(|at| at <= now) {
             self.refresh(now);
-            self.record_evacuations(now, Source::Store);
+            self.record_evacuations(now, Source::Expiry);
         }
     }
 
+    /// Drops the times of services without upstreams, and counts the requests in flight again, since
+    /// an entry may have changed its service.
+    fn update_residences(&mut self, now: Time) {
+        let upstreams = &self.upstreams;
+        self.residences.retain(|service, residence| {
+            let of_service = upstreams
+                .iter()
+                .filter(|upstream| upstream.entry.service == *service);
+            let mut counts = of_service
+                .map(|upstream| upstream.load.in_flight())
+                .peekable();
+            let is_used = counts.peek().is_some();
+            residence.set_in_flight(now, counts.sum());
+            is_used
+        });
+    }
+
     /// Updates the upstreams and their indexes from the roster.
     fn refresh(&mut self, now: Time) {
         self.roster.expire(now);
@@ -1012,6 +1028,8 @@
             }
         }
         self.builds.update(now, roster.entries());
+        self.update_residences(now);
+        let roster = &self.roster;
         self.ready.clear();
         self.evacuated.clear();
         for entry in roster.ready(now) {
--- a/crates/snipeusher/src/fleet/warmup.rs
+++ b/crates/snipeusher/src/fleet/warmup.rs
@@ -111,7 +111,7 @@
     known: BTreeMap<u64, Known>,
     /// Whether there are other routers, of which none has been heard of yet.
     awaits_peers: bool,
-    standing: Standing,
+    counts: RouterCounts,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -122,7 +122,7 @@
 
 /// What this router's permits depend on besides the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Standing {
+struct RouterCounts {
     /// Differs after each change of the known routers.
     generation: u64,
     /// Routers that are known to run, this one included.
@@ -133,7 +133,7 @@
     settled_at: Time,
 }
 
-impl Default for Standing {
+impl Default for RouterCounts {
     fn default() -> Self {
         Self {
             generation: 0,
@@ -158,15 +158,15 @@
         self.known
             .retain(|_, known| now.since(known.last_listed) < REMEMBERED_FOR);
         let all = routers.count().max(self.known.len() + 1);
-        let standing = Standing {
-            generation: self.standing.generation,
+        let counts = RouterCounts {
+            generation: self.counts.generation,
             live: routers.others().len() as u32 + 1,
             all: all as u32,
             settled_at: self.settled_at(routers),
         };
-        if is_changed || standing != self.standing {
-            self.standing = standing;
-            self.standing.generation += 1;
+        if is_changed || counts != self.counts {
+            self.counts = counts;
+            self.counts.generation += 1;
         }
     }
 
@@ -178,11 +178,14 @@
         let others = routers.others();
         let known = others.iter().filter_map(|host| self.known.get(host));
         let mut first_listed: Vec<Time> = known.map(|known| known.first_listed).collect();
-        first_listed.sort_unstable_by(|left, right| right.cmp(left));
+        if first_listed.is_empty() {
+            return Time::default();
+        }
         let new = (others.len() / NEW_FRACTION).max(NEW_MAX);
-        let index = new.min(others.len().saturating_sub(1));
-        let last = first_listed.get(index);
-        last.map_or(Time::default(), |last| *last + SETTLING)
+        let index = new.min(first_listed.len() - 1);
+        let newest_first = |left: &Time, right: &Time| right.cmp(left);
+        let (_newer, last, _older) = first_listed.select_nth_unstable_by(index, newest_first);
+        *last + SETTLING
     }
 }
 
@@ -202,7 +205,7 @@
             senders: Senders {
                 known: BTreeMap::new(),
                 awaits_peers: false,
-                standing: Standing::default(),
+                counts: RouterCounts::default(),
             },
         }
     }
@@ -235,8 +238,8 @@
     /// Records that there are other routers, of which none is known yet.
     pub(super) fn await_peers(&mut self) {
         self.senders.awaits_peers = true;
-        self.senders.standing.settled_at = Time::NEVER;
-        self.senders.standing.generation += 1;
+        self.senders.counts.settled_at = Time::NEVER;
+        self.senders.counts.generation += 1;
     }
 
     /// Applies the list of running routers.
@@ -249,9 +252,9 @@
         let limit = self.services.get(&upstream.entry.service);
         let limit = limit.map(|limit| Limit::new(limit.per_s, self.bound));
         let key = upstream.id_hash;
-        let standing = self.senders.standing;
+        let counts = self.senders.counts;
         let rank = || routers.rank(key) as u32;
-        upstream.warmup.update(now, limit, standing, rank);
+        upstream.warmup.update(now, limit, counts, rank);
     }
 }
 
@@ -265,10 +268,10 @@
     assumed_until: Option<Time>,
     /// Rank of this router among the known ones.
     rank: u32,
-    standing: Standing,
+    counts: RouterCounts,
     bucket: Bucket,
     /// Whether the bucket has to be replaced, since a limit begins.
-    begins: bool,
+    needs_new_bucket: bool,
     /// Whether the present warm-up has been taken as news.
     is_reported: bool,
 }
@@ -323,7 +326,7 @@
     /// Starts with a new bucket, unless the last limit has not quite ended.
     fn begin(&mut self, now: Time, was_warm: bool) {
         if was_warm && now < self.until() {
-            self.begins = true;
+            self.needs_new_bucket = true;
             self.is_reported = false;
         }
     }
@@ -333,7 +336,7 @@
         *self = Self {
             limit: self.limit,
             rank: self.rank,
-            standing: self.standing,
+            counts: self.counts,
             ..Self::default()
         };
     }
@@ -367,7 +370,7 @@
     /// Whether the router with a rank has permits for it.
     pub(super) fn has_permits(&self, rank: u32) -> bool {
         self.limit
-            .is_none_or(|limit| divide(self.total(&limit, None), self.standing.live, rank) > 0)
+            .is_none_or(|limit| divide(self.total(&limit, None), self.counts.live, rank) > 0)
     }
 
     /// Counts a request that is sent to it.
@@ -383,23 +386,23 @@
         &mut self,
         now: Time,
         limit: Option<Limit>,
-        standing: Standing,
+        counts: RouterCounts,
         rank: impl Fn() -> u32,
     ) {
-        self.begins |= self.limit.is_none();
+        self.needs_new_bucket |= self.limit.is_none();
         self.limit = limit;
         let Some(stage) = self.stage(now) else {
             return;
         };
-        if self.standing != standing {
+        if self.counts != counts {
             // What was gained before the change is kept.
             self.bucket = self.bucket_at(now, stage);
-            self.standing = standing;
+            self.counts = counts;
             self.rank = rank();
         }
         let rate = self.rate(now, stage);
         let capacity = self.capacity(now, stage);
-        if std::mem::take(&mut self.begins) {
+        if std::mem::take(&mut self.needs_new_bucket) {
             self.bucket = Bucket::new(now, rate, capacity, self.first_tokens());
         } else {
             self.bucket.set_rate(now, rate, capacity);
@@ -424,7 +427,7 @@
         if now < until {
             return Some(Stage {
                 step: None,
-                begins_at: self.standing.settled_at,
+                begins_at: self.counts.settled_at,
                 ends_at: until,
             });
         }
@@ -441,7 +444,7 @@
 
     /// Permits of all known routers together.
     fn total(&self, limit: &Limit, step: Option<u32>) -> u32 {
-        let Standing { live, all, .. } = self.standing;
+        let RouterCounts { live, all, .. } = self.counts;
         match step {
             None => limit.permits_of(live, all) as u32,
             Some(step) => (limit.permits as u32).saturating_mul(2 << step),
@@ -453,10 +456,10 @@
         let Some(limit) = &self.limit else {
             return 0;
         };
-        if stage.step.is_none() && now < self.standing.settled_at {
+        if stage.step.is_none() && now < self.counts.settled_at {
             return 0;
         }
-        divide(self.total(limit, stage.step), self.standing.live, self.rank)
+        divide(self.total(limit, stage.step), self.counts.live, self.rank)
     }
 
     /// What this router may send, in requests a second.
@@ -486,7 +489,7 @@
         let Some(limit) = &self.limit else {
             return 0.0;
         };
-        let count = self.total(limit, None).min(self.standing.live).max(1);
+        let count = self.total(limit, None).min(self.counts.live).max(1);
         f64::from(self.rank % count) / f64::from(count)
     }
 
--- a/crates/snipeusher/tests/evacuation.rs
+++ b/crates/snipeusher/tests/evacuation.rs
@@ -710,3 +710,26 @@
         }
     }
 }
+
+/// Guards against an evacuation whose end goes unnoticed, so that its cold upstreams are not limited,
+/// if the check of home regions is the first to notice that the time is over.
+#[rstest]
+fn the_end_of_a_retained_evacuation_is_recorded_by_each_check() {
+    let mut fleet = fleet();
+    let evacuated = list(revision(0, 20), &[("a", revision(0, 12))]);
+    fleet.replace(NOW, evacuated);
+    fleet.replace(NOW, list(revision(1, 5), &[]));
+    let _begun = fleet.take_milestones();
+    let later = NOW + Duration::from_secs(3);
+    let service = name::Service::from("letters");
+    assert_eq!(
+        fleet.refuse_at_home(later, &service, &Homes::default()),
+        None
+    );
+    let stages: Vec<Stage> = fleet
+        .take_milestones()
+        .iter()
+        .map(|milestone| milestone.stage)
+        .collect();
+    assert_eq!(stages, [Stage::Ended]);
+}
