--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -111,7 +111,9 @@
 
 /// What applies to all upstreams of a service.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct ServiceLimits {
+pub(super) struct ServiceLimits<'a> {
+    /// Slots of those in evacuated zones.
+    pub(super) evacuated: &'a [usize],
     /// Requests that this router may have in flight at one of them.
     pub(super) connection_share: u32,
     /// Whether they get only requests for which they have room.
@@ -126,20 +128,25 @@
     upstreams: &[Upstream],
     ready: &[usize],
     is_unreachable: impl Fn(&name::Zone) -> bool,
-    terms: ServiceLimits,
+    limits: ServiceLimits<'_>,
     query: &Query<'_>,
 ) -> Decision {
-    let needs_room = terms.needs_room;
+    let needs_room = limits.needs_room;
     let all = ready.iter().map(|slot| &upstreams[*slot]);
     let untried = all.filter(|upstream| query.admits(now, upstream, needs_room));
-    let candidates = most_suitable(now, untried, &is_unreachable, terms.connection_share);
+    let candidates = most_suitable(now, untried, &is_unreachable, limits.connection_share);
     let source = |chosen: &Upstream| {
         let session = query.session?;
         likely_holder(now, upstreams, &is_unreachable, query, session, chosen)
     };
     let chosen = match query.session {
-        Some(session) => by_session(now, &candidates, session),
-        None => spread::choose(now, &candidates, terms.residence_s, query.tie_breaker),
+        Some(session) => {
+            let warming = ready.iter().map(|slot| &upstreams[*slot]);
+            let warming = warming.filter(|upstream| upstream.warmup.available_at(now).is_some());
+            let evacuated = limits.evacuated.iter().map(|slot| &upstreams[*slot]);
+            by_session(now, &candidates, evacuated.chain(warming), session)
+        }
+        None => spread::choose(now, &candidates, limits.residence_s, query.tie_breaker),
     };
     match chosen {
         Some(upstream) => Decision::Send {
@@ -238,17 +245,32 @@
 }
 
 /// The highest-ranked upstream for the session whose load is within the limit.
-fn by_session<'a>(now: Time, candidates: &[&'a Upstream], session: u64) -> Option<&'a Upstream> {
-    let total: u64 = candidates
-        .iter()
-        .map(|upstream| u64::from(upstream.load.estimate(now)))
-        .sum();
-    let mean = total as f64 / candidates.len().max(1) as f64;
-    let limit = LOAD_LIMIT * mean + LOAD_SLACK;
-    let within = candidates
-        .iter()
-        .filter(|upstream| f64::from(upstream.load.estimate(now)) < limit);
-    let first = within.max_by_key(|upstream| hash::score(session, upstream.id_hash));
+///
+/// Upstreams of the service that get nothing now, since they are evacuated or warming up, count for
+/// the mean: otherwise the others would be loaded further beyond it. If that leaves no upstream, only
+/// the candidates count.
+fn by_session<'a>(
+    now: Time,
+    candidates: &[&'a Upstream],
+    withheld: impl Iterator<Item = &'a Upstream>,
+    session: u64,
+) -> Option<&'a Upstream> {
+    let load = |upstream: &Upstream| u64::from(upstream.load.estimate(now));
+    let total: u64 = candidates.iter().map(|upstream| load(upstream)).sum();
+    let (all_total, all_count) = withheld
+        .fold((total, candidates.len()), |(total, count), upstream| {
+            (total + load(upstream), count + 1)
+        });
+    let first_within = |total: u64, count: usize| {
+        let mean = total as f64 / count.max(1) as f64;
+        let limit = LOAD_LIMIT * mean + LOAD_SLACK;
+        let within = candidates
+            .iter()
+            .filter(|upstream| (load(upstream) as f64) < limit);
+        within.max_by_key(|upstream| hash::score(session, upstream.id_hash))
+    };
+    let first = first_within(all_total, all_count);
+    let first = first.or_else(|| first_within(total, candidates.len()));
     first.copied()
 }
 
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -1,7 +1,6 @@
 //! One router's view of all upstreams.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -78,8 +77,8 @@
     upstreams: Vec<Upstream>,
     slots: BTreeMap<name::Upstream, usize>,
     ready: BTreeMap<name::Service, Vec<usize>>,
-    /// Services with ready upstreams in evacuated zones.
-    evacuated: BTreeSet<name::Service>,
+    /// Ready upstreams in evacuated zones.
+    evacuated: BTreeMap<name::Service, Vec<usize>>,
     pub(super) drains: Drains,
     builds: Builds,
     /// When the next retained entry of the roster expires.
@@ -104,7 +103,7 @@
             upstreams: Vec::new(),
             slots: BTreeMap::new(),
             ready: BTreeMap::new(),
-            evacuated: BTreeSet::new(),
+            evacuated: BTreeMap::new(),
             drains: Drains::default(),
             builds: Builds::default(),
             refresh_at: None,
@@ -396,18 +395,20 @@
         self.expire(now);
         self.record_silent_upstreams(now);
         let ready = self.ready.get(query.service).map_or(&[][..], Vec::as_slice);
-        if ready.is_empty() && self.evacuated.contains(query.service) {
+        if ready.is_empty() && self.evacuated.contains_key(query.service) {
             return choice::refuse_evacuated(query);
         }
         let is_unreachable =
             |zone: &name::Zone| self.zones.get(zone).is_some_and(Zone::is_unreachable);
         let connection_share = self.connection_share(query.max_connections);
-        let terms = ServiceLimits {
+        let evacuated = self.evacuated.get(query.service);
+        let limits = ServiceLimits {
+            evacuated: evacuated.map_or(&[][..], Vec::as_slice),
             connection_share: connection_share.max(CONNECTION_SHARE_MIN),
             needs_room: self.needs_room(now, query.service),
             residence_s: self.residence(query.service).mean_s(),
         };
-        choice::choose(now, &self.upstreams, ready, is_unreachable, terms, query)
+        choice::choose(now, &self.upstreams, ready, is_unreachable, limits, query)
     }
 
     /// How long requests stay at the upstreams of a service.
@@ -1033,11 +1034,12 @@
         self.ready.clear();
         self.evacuated.clear();
         for entry in roster.ready(now) {
-            if roster.is_evacuated(now, &entry.zone) {
-                self.evacuated.insert(entry.service.clone());
-                continue;
-            }
-            let slots = self.ready.entry(entry.service.clone()).or_default();
+            let index = if roster.is_evacuated(now, &entry.zone) {
+                &mut self.evacuated
+            } else {
+                &mut self.ready
+            };
+            let slots = index.entry(entry.service.clone()).or_default();
             slots.extend(self.slots.get(&entry.id));
         }
         self.divide_slots(now);
--- a/crates/snipeusher/tests/evacuation.rs
+++ b/crates/snipeusher/tests/evacuation.rs
@@ -19,6 +19,7 @@
 use snipeusher::fleet::Outcome;
 use snipeusher::fleet::Query;
 use snipeusher::fleet::Regions;
+use snipeusher::fleet::Report;
 use snipeusher::fleet::Roster;
 use snipeusher::fleet::Settings;
 use snipeusher::fleet::Source;
@@ -733,3 +734,36 @@
         .collect();
     assert_eq!(stages, [Stage::Ended]);
 }
+
+/// Guards against upstreams that are loaded beyond the bound while others of their service are
+/// evacuated and idle: these count for the mean. If all others are beyond it, sessions are not
+/// refused.
+#[rstest]
+#[case(6, 0, false)]
+#[case(20, 20, true)]
+fn evacuated_upstreams_count_for_the_load_bound(
+    #[case] first_load: u32,
+    #[case] second_load: u32,
+    #[case] stays: bool,
+) {
+    let mut fleet = fleet();
+    evacuate(&mut fleet, "a", 11);
+    let session = Some(7);
+    let sent = |decision| match decision {
+        Decision::Send { upstream, .. } => upstream,
+        Decision::Refuse { .. } => panic!("two upstreams are left"),
+    };
+    let first = sent(choose(&mut fleet, NOW, 0, session));
+    let second = ["b1", "b2"].map(name::Upstream::from);
+    let second = second.into_iter().find(|id| *id != first);
+    let second = second.expect("one of two is first");
+    let report = |running| Report {
+        running,
+        ..Report::default()
+    };
+    fleet.record_load(NOW, &first, report(first_load));
+    fleet.record_load(NOW, &second, report(second_load));
+    let later = NOW + Duration::from_millis(10);
+    let chosen = sent(choose(&mut fleet, later, 0, session));
+    assert_eq!(chosen == first, stays);
+}
