--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -15,8 +15,11 @@
 use crate::route::Homes;
 use crate::time::Time;
 
-/// Limit of the load of one upstream, as a multiple of the mean over the candidates.
-const LOAD_LIMIT: f64 = 1.5;
+/// Bound of the load of one upstream, as a multiple of the mean of its service.
+const LOAD_BOUND: f64 = 2.0;
+/// Part of the mean over the candidates that is kept free below the bound, for what other routers send
+/// at the same time.
+const LOAD_MARGIN: f64 = 0.5;
 /// Requests allowed on top of the factor, so that sessions stay in place at low load.
 const LOAD_SLACK: f64 = 3.0;
 /// `Retry-After` of a refusal for lack of an upstream.
@@ -261,9 +264,10 @@
         .fold((total, candidates.len()), |(total, count), upstream| {
             (total + load(upstream), count + 1)
         });
+    let margin = LOAD_MARGIN * total as f64 / candidates.len().max(1) as f64;
     let first_within = |total: u64, count: usize| {
         let mean = total as f64 / count.max(1) as f64;
-        let limit = LOAD_LIMIT * mean + LOAD_SLACK;
+        let limit = LOAD_BOUND * mean + LOAD_SLACK - margin;
         let within = candidates
             .iter()
             .filter(|upstream| (load(upstream) as f64) < limit);
