Correct the module comment on which requests are spread

Cause: the comment said that all requests without a session are spread; since only those at services whose upstreams state their pace are. One local variable is named for what it holds.

--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -343,8 +343,8 @@
 
     /// Logs once that no upstream is in a home region, since the settings name no regions.
     fn check_homes(&self, table: &Table) {
-        let is_wrong = table.has_homes() && self.settings.fleet.regions.is_empty();
-        if is_wrong && !self.homes_warned.replace(true) {
+        let lacks_regions = table.has_homes() && self.settings.fleet.regions.is_empty();
+        if lacks_regions && !self.homes_warned.replace(true) {
             warn!(
                 self.log,
                 "settings: no regions of zones, but the configuration has home regions; \
--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -2,8 +2,8 @@
 //!
 //! A request that shares the start of its prompt with others goes to the upstream that ranks
 //! first by rendezvous hashing, which is the same at every router, unless that upstream is
-//! overloaded. Other requests are spread over the least loaded upstreams. See
-//! `docs/platform.md#even-load`.
+//! overloaded. Other requests go to the least loaded upstream or, where upstreams state their pace,
+//! are spread over the least loaded ones. See `docs/platform.md#placement`.
 
 use std::net::SocketAddr;
 use std::time::Duration;
