Record in the store what has to outlive a loss of all routers

Cause: which software version began a stream, and which versions had run, were known only in the memory of routers.

Change: the first reader of each zone records the streams of its zone while several versions run, the first of all readers the versions when they change; a router reads the records with its list of upstreams, in one call instead of two, and again for a stream that nobody knows.

--- a/crates/edge/src/exchange/resume.rs
+++ b/crates/edge/src/exchange/resume.rs
@@ -2,8 +2,8 @@
 //!
 //! Such a stream may go on only at the software version that began it. The router knows the version
 //! if it began the stream itself or a peer sent it the origin; else it asks the peers that should
-//! have a copy. A stream whose version cannot be determined is refused, since a wrong continuation
-//! is worse than none. See `docs/platform.md#streams`.
+//! have a copy, then reads the records in the store. A stream whose version cannot be determined is
+//! refused, since a wrong continuation is worse than none. See `docs/platform.md#streams`.
 
 use std::time::Duration;
 
@@ -24,15 +24,37 @@
     Memory,
     /// From the answer of a peer.
     Peer,
+    /// From a record in the store.
+    Store,
     /// All upstreams of the service run one version.
     SoleBuild,
 }
 
+/// Why the origin of a stream is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unknown {
+    /// Nobody has a record of it.
+    Unrecorded,
+    /// The store does not answer in time.
+    StoreUnavailable,
+}
+
+impl Unknown {
+    /// Name in logs and metrics.
+    const fn cause(self) -> &'static str {
+        match self {
+            Self::Unrecorded => "unknown_origin",
+            Self::StoreUnavailable => "origin_store_unavailable",
+        }
+    }
+}
+
 impl Source {
     const fn as_str(self) -> &'static str {
         match self {
             Self::Memory => "memory",
             Self::Peer => "peer",
+            Self::Store => "store",
             Self::SoleBuild => "sole_build",
         }
     }
@@ -44,9 +66,12 @@
         if !self.admitted.takes_up_stream() {
             return Ok(());
         }
-        let Some((origin, source)) = self.find_origin().await else {
-            self.shared.metrics.stream_taken_up("unknown_origin");
-            return Err(self.not_run("unknown_origin", self.retry_after()));
+        let (origin, source) = match self.find_origin().await {
+            Ok(found) => found,
+            Err(unknown) => {
+                self.shared.metrics.stream_taken_up(unknown.cause());
+                return Err(self.not_run(unknown.cause(), self.known_in(unknown)));
+            }
         };
         info!(self.shared.log, "stream: taken up";
             "id" => self.admitted.request.id.as_deref(),
@@ -62,20 +87,42 @@
         Ok(())
     }
 
-    async fn find_origin(&self) -> Option<(Origin, Source)> {
-        // Callers that do not name a stream belong to platforms whose upstreams run one version.
-        let Some(named) = self.admitted.request.resumes.as_deref() else {
-            return self.sole_origin(Duration::ZERO);
-        };
-        let id = Id::of_request(named);
-        let known = self.shared.origins.borrow().get(id).cloned();
-        if let Some(origin) = known {
-            return Some((origin, Source::Memory));
+    /// Time after which the origin may be known.
+    fn known_in(&self, unknown: Unknown) -> Duration {
+        let soon = self.retry_after();
+        if unknown == Unknown::StoreUnavailable {
+            return soon;
         }
+        let service = &self.admitted.target.service;
+        let age = self.admitted.route.timeout;
+        let fleet = self.shared.fleet.borrow();
+        let sole_in = fleet.sole_build_in(self.shared.now(), service, age);
+        sole_in.map_or(soon, |time| time.max(soon))
+    }
+
+    async fn find_origin(&self) -> Result<(Origin, Source), Unknown> {
         // Upstreams that a router never knew may have begun a stream of longer ago.
         let age = self.admitted.route.timeout;
+        let named = self.admitted.request.resumes.as_deref();
+        let stream = named.map(Id::of_request);
+        let found = match stream {
+            Some(stream) => self.find_named(stream, age).await,
+            // Callers that name no stream are served while one version runs.
+            None => self.sole_origin(age),
+        };
+        match found {
+            Some(found) => Ok(found),
+            None => self.find_in_store(stream, age).await,
+        }
+    }
+
+    /// Finds the origin in the memory of routers.
+    async fn find_named(&self, stream: Id, age: Duration) -> Option<(Origin, Source)> {
+        if let Some(origin) = self.recorded_origin(stream) {
+            return Some((origin, Source::Memory));
+        }
         let question = Question {
-            stream: id,
+            stream,
             service: self.admitted.target.service.clone(),
             age_ms: age.as_millis() as u64,
         };
@@ -94,6 +141,27 @@
         }
     }
 
+    /// Finds the origin in the records of the store, which outlive a loss of all routers.
+    async fn find_in_store(
+        &self,
+        stream: Option<Id>,
+        age: Duration,
+    ) -> Result<(Origin, Source), Unknown> {
+        if !self.shared.archive.look_up().await {
+            return Err(Unknown::StoreUnavailable);
+        }
+        let recorded = stream.and_then(|stream| self.recorded_origin(stream));
+        if let Some(origin) = recorded {
+            return Ok((origin, Source::Store));
+        }
+        self.sole_origin(age).ok_or(Unknown::Unrecorded)
+    }
+
+    /// The origin of a stream that this router has a record of.
+    fn recorded_origin(&self, stream: Id) -> Option<Origin> {
+        self.shared.origins.borrow().get(stream).cloned()
+    }
+
     /// The origin of all streams of the service while all its upstreams run one version.
     fn sole_origin(&self, age: Duration) -> Option<(Origin, Source)> {
         let service = &self.admitted.target.service;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 //! of a platform's headers and the encoding of its documents are given by [`dialect::Platform`].
 //! Everything runs on one thread. See `docs/platform.md`.
 
+pub mod archive;
 pub mod clock;
 pub mod connection;
 mod crash;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -78,6 +78,7 @@
     malformed_headers: Counter,
     crashes: Counter,
     relays: Family<OutcomeLabels, Counter>,
+    archive_calls: Family<OutcomeLabels, Counter>,
     first_byte: Family<WorkspaceLabels, Histogram>,
     duration: Family<KindLabels, Histogram>,
     in_flight: Gauge,
@@ -137,6 +138,27 @@
     outcomes
 }
 
+/// Counters by outcome: rejections, streams taken up, attempts, relays, calls of the archive.
+fn counters_by_outcome(registry: &mut Registry) -> [Family<OutcomeLabels, Counter>; 5] {
+    let counters = [
+        ("rejections", "Requests that were not admitted, by reason"),
+        (
+            "streams_taken_up",
+            "Streams that callers took up, by how their software version was determined",
+        ),
+        ("attempts", "Sends to upstreams, by how they ended"),
+        (
+            "relays",
+            "Requests relayed to peers, by what became of them",
+        ),
+        (
+            "archive_calls",
+            "Calls of the store for records of streams and software versions",
+        ),
+    ];
+    counters.map(|(name, help)| outcomes(registry, name, help))
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("snipeusher");
@@ -146,20 +168,13 @@
             "Requests that were admitted, by how they ended",
             requests.clone(),
         );
-        let by_outcome = [
-            ("rejections", "Requests that were not admitted, by reason"),
-            (
-                "streams_taken_up",
-                "Streams that callers took up, by how their software version was determined",
-            ),
-            ("attempts", "Sends to upstreams, by how they ended"),
-            (
-                "relays",
-                "Requests relayed to peers, by what became of them",
-            ),
-        ];
-        let by_outcome = by_outcome.map(|(name, help)| outcomes(&mut registry, name, help));
-        let [rejections, streams_taken_up, attempts, relays] = by_outcome;
+        let [
+            rejections,
+            streams_taken_up,
+            attempts,
+            relays,
+            archive_calls,
+        ] = counters_by_outcome(&mut registry);
         let malformed_headers = counter(
             &mut registry,
             "malformed_headers",
@@ -225,6 +240,7 @@
             malformed_headers,
             crashes,
             relays,
+            archive_calls,
             first_byte,
             duration,
             in_flight,
@@ -293,6 +309,13 @@
         self.crashes.inc();
     }
 
+    /// Counts a call that reads or writes the records of routers.
+    pub(crate) fn archive_call(&self, outcome: &'static str) {
+        self.archive_calls
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+
     /// Counts a request that was relayed to a peer.
     pub(crate) fn relay(&self, outcome: &'static str) {
         self.relays.get_or_create(&OutcomeLabels { outcome }).inc();
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -18,6 +18,7 @@
 use snipeusher_store::Store;
 use tokio::time::sleep;
 
+use crate::archive;
 use crate::dialect::Platform;
 use crate::exchange::Proxy;
 use crate::lifecycle::Lifecycle;
@@ -111,7 +112,7 @@
     Ok(())
 }
 
-/// Runs the tasks that read the store.
+/// Runs the tasks that use the store.
 fn supervise_store<P, S>(shared: &Rc<Shared<P>>, store: &Rc<S>)
 where
     P: Platform,
@@ -126,10 +127,22 @@
     supervise(&shared.log, "configurations", move || {
         peer::fetch_configurations(Rc::clone(&state), Rc::clone(&source))
     });
-    let (state, source) = context;
+    let (state, source) = context.clone();
     supervise(&shared.log, "rosters", move || {
         peer::fetch_rosters(Rc::clone(&state), Rc::clone(&source))
     });
+    let (state, source) = context.clone();
+    supervise(&shared.log, "stream records", move || {
+        archive::write_streams(Rc::clone(&state), Rc::clone(&source))
+    });
+    let (state, source) = context.clone();
+    supervise(&shared.log, "version records", move || {
+        archive::write_versions(Rc::clone(&state), Rc::clone(&source))
+    });
+    let (state, source) = context;
+    supervise(&shared.log, "record lookups", move || {
+        archive::serve_lookups(Rc::clone(&state), Rc::clone(&source))
+    });
 }
 
 /// Runs the tasks that exchange data with peers or check what can be reached.
--- a/crates/edge/src/peer/peers.rs
+++ b/crates/edge/src/peer/peers.rs
@@ -154,6 +154,11 @@
         peers.map(|(host, known)| (host, known.address)).collect()
     }
 
+    /// The address of a known peer.
+    pub fn address(&self, host: &name::Host) -> Option<SocketAddr> {
+        self.known.get(host).map(|known| known.address)
+    }
+
     /// The availability zone of a known peer.
     pub fn zone(&self, host: &name::Host) -> Option<&name::Zone> {
         self.known.get(host).map(|known| &known.zone)
--- a/crates/edge/src/peer/streams.rs
+++ b/crates/edge/src/peer/streams.rs
@@ -14,6 +14,7 @@
 
 use actix_http::Method;
 use futures_util::StreamExt as _;
+use futures_util::future::join;
 use futures_util::future::join_all;
 use futures_util::stream::FuturesUnordered;
 use serde::Deserialize;
@@ -113,12 +114,38 @@
             let _elapsed = timeout(CHECK_INTERVAL, shared.new_origins.notified()).await;
             sleep(COLLECT_TIME).await;
             let unsent = take_unsent(&shared);
-            if unsent.is_empty() {
+            shared.archive.defer(unsent.clone());
+            let unrecorded = shared.archive.take_deferred();
+            if unrecorded.is_empty() {
                 continue;
             }
             let (streams, shared) = (Rc::clone(&self), Rc::clone(&shared));
             // A peer that does not answer must not delay the origins that follow.
-            actix_rt::spawn(async move { streams.send_copies(&shared, unsent).await });
+            actix_rt::spawn(async move {
+                let copies = streams.send_copies(&shared, unsent);
+                let records = streams.send_to_writer(&shared, unrecorded);
+                join(copies, records).await
+            });
+        }
+    }
+
+    /// Sends streams to the router of the zone that records them in the store. They wait while none
+    /// is known.
+    async fn send_to_writer<P: Platform>(&self, shared: &Shared<P>, streams: Vec<(Id, Origin)>) {
+        let now = shared.now();
+        let writer = shared.readers.borrow().first_of_zone(now).cloned();
+        let is_own = writer.as_ref() == Some(&shared.settings.host);
+        let address = writer.and_then(|writer| self.peers.borrow().address(&writer));
+        if is_own {
+            shared.archive.write(streams);
+            return;
+        }
+        let is_sent = match address {
+            Some(address) => self.send(shared, address, &streams).await.is_ok(),
+            None => false,
+        };
+        if !is_sent {
+            shared.archive.defer(streams);
         }
     }
 
@@ -241,8 +268,12 @@
     Some(Known { origin, recorded })
 }
 
-/// Records the origins that a peer sent.
+/// Records the origins that a peer sent, also in the store if this router does so for its zone.
 pub(super) fn merge<P: Platform>(shared: &Shared<P>, groups: Vec<Group>) {
     let now = shared.now();
-    shared.origins.borrow_mut().merge(now, groups);
+    let news = shared.origins.borrow_mut().merge(now, groups);
+    let readers = shared.readers.borrow();
+    if readers.first_of_zone(now) == Some(&shared.settings.host) {
+        shared.archive.write(news);
+    }
 }
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -28,6 +28,7 @@
 use snipeusher::time::Time;
 use tokio::sync::Notify;
 
+use crate::archive::Archive;
 use crate::clock::Clock;
 use crate::crash;
 use crate::dialect::Platform;
@@ -109,6 +110,8 @@
     pub origins: RefCell<Origins>,
     /// Notified when there are origins that peers do not have.
     pub new_origins: Notify,
+    /// Records of this router and others in the store.
+    pub archive: Archive,
     /// Prompt parts that crash upstreams.
     pub poison: RefCell<poison::Tracker>,
     /// Requests whose upstreams are about to be checked for a crash.
@@ -137,6 +140,7 @@
     pub fn open(platform: P, settings: Settings, log: Logger) -> Rc<Self> {
         let mut rng = SmallRng::from_os_rng();
         let poison = poison::Tracker::new(rng.random());
+        let archive = Archive::new(rng.random());
         let mut fleet = Fleet::new(settings.fleet.clone());
         fleet.set_warmup_bound(Time::default(), settings.warmup);
         if settings.seeds.iter().any(|seed| *seed != settings.control) {
@@ -157,6 +161,7 @@
             outage: Notify::new(),
             origins: RefCell::default(),
             new_origins: Notify::new(),
+            archive,
             poison: RefCell::new(poison),
             lost: crash::Unverified::default(),
             configurations: Announcement::default(),
@@ -212,7 +217,8 @@
     }
 
     /// What began all streams of a service, if its upstreams run one software version only, and ran
-    /// no other in the last minute, and this router has known them for `age`.
+    /// no other in the last minute, and this router has known them for `age` or the store's record
+    /// shows no other version.
     pub fn sole_origin(&self, service: &name::Service, age: Duration) -> Option<Origin> {
         let fleet = self.fleet.borrow();
         let build = fleet.sole_build(self.now(), service, age)?;
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -9,6 +9,7 @@
 use futures_util::StreamExt as _;
 use slog::info;
 use slog::warn;
+use snipeusher::archive::is_record;
 use snipeusher::fleet::List;
 use snipeusher::fleet::Update;
 use snipeusher::kv;
@@ -22,6 +23,7 @@
 use snipeusher_store::Store;
 use tokio::time::sleep;
 
+use crate::archive;
 use crate::dialect::Platform;
 use crate::evacuation;
 use crate::shared::Shared;
@@ -123,12 +125,21 @@
     shared.readers.borrow_mut().record_answer(shared.now());
 }
 
-/// Reads the configuration and all entries of upstreams.
+/// Reads the configuration, all entries of upstreams and the records of routers.
+///
+/// One call reads all keys, so that upstreams are not known without the evacuations and the records
+/// of their versions.
 async fn list<P: Platform, S: Store>(shared: &Shared<P>, store: &S) -> Result<(), Error> {
-    let (revision, entries) = range(store, P::UPSTREAMS).await.map_err(Error::List)?;
+    let (revision, entries) = range(store, ALL_KEYS).await.map_err(Error::List)?;
     record_response(shared);
-    let mut upstreams = Vec::with_capacity(entries.len());
-    for entry in &entries {
+    let (operators, others): (Vec<_>, Vec<_>) = entries
+        .into_iter()
+        .partition(|entry| entry.key.starts_with(P::OPERATORS));
+    let mut upstreams = Vec::with_capacity(others.len());
+    for entry in others
+        .iter()
+        .filter(|entry| shared.platform.upstream(&entry.key).is_some())
+    {
         log_warnings(shared, entry);
         match shared.platform.entry(entry) {
             Ok(entry) => upstreams.push(entry),
@@ -139,18 +150,13 @@
     }
     info!(shared.log, "upstreams: listed";
         "count" => upstreams.len(), "revision" => revision.number, "era" => revision.era.0);
-    // Upstreams are not known without the evacuations. The watch continues from the earlier revision
-    // and repeats a change made in between.
-    let (latest, operators) = range(store, P::OPERATORS).await.map_err(Error::List)?;
-    if latest.era != revision.era {
-        return Err(Error::Watch(Fault::Restored));
-    }
     let list = List {
-        revision: revision.min(latest),
+        revision,
         entries: upstreams,
         evacuations: evacuation::listed(shared, &operators),
     };
     replace_upstreams(shared, list);
+    archive::apply_list(shared, &others);
     configure(shared, &operators);
     shared.record_change();
     Ok(())
@@ -237,11 +243,20 @@
     !change.entries.is_empty() || !change.deleted.is_empty()
 }
 
+/// Whether a change is one of the platform, which all routers apply.
+fn concerns_all(change: &Change) -> bool {
+    let mut written = change.entries.iter().map(|entry| &entry.key);
+    let mut keys = written.by_ref().chain(&change.deleted);
+    keys.any(|key| !is_record(key))
+}
+
 /// Applies changes that arrived together.
 fn apply<P: Platform>(shared: &Shared<P>, changes: &[Change]) {
     let before = shared.revisions();
+    let entries = changes.iter().flat_map(|change| &change.entries);
+    archive::apply_changes(shared, entries);
     let mut updates = Vec::new();
-    for change in changes {
+    for change in changes.iter().filter(|change| concerns_all(change)) {
         for entry in &change.entries {
             if entry.key == P::CONFIGURATION {
                 shared.configure(entry.modified, &entry.value, "store");
@@ -261,7 +276,9 @@
     if !updates.is_empty() {
         fleet.apply(shared.now(), updates);
     }
-    for change in changes {
+    // Records of routers are not passed on, so peers need not catch up with them.
+    let latest = changes.iter().rfind(|change| concerns_all(change));
+    if let Some(change) = latest {
         fleet.advance_to(change.revision);
     }
     drop(fleet);
--- a/crates/edge/tests/builds.rs
+++ b/crates/edge/tests/builds.rs
@@ -6,17 +6,12 @@
 use std::time::Duration;
 
 use actix_rt::time::sleep;
-use common::Node;
-use common::caller::Caller;
-use common::caller::Response;
+use common::builds::Engines;
+use common::builds::begin;
+use common::builds::take_up;
 use common::caller::call;
 use common::caller::post;
 use common::engine::Act;
-use common::engine::Engine;
-use common::engine::Seen;
-use common::engine::end;
-use common::engine::event;
-use common::engine::stream;
 use common::zone;
 use rstest::rstest;
 
@@ -25,65 +20,6 @@
 /// Time within which routers of a zone learn which version began a stream.
 const SPREAD_TIME: Duration = Duration::from_millis(600);
 
-/// Sends events up to the fifth; a stream that is not resumed stops after the second one.
-fn script(then: Act) -> impl Fn(&Seen) -> Vec<Act> {
-    move |seen| {
-        let mut acts = vec![stream(seen.id())];
-        if let Some(last) = seen.header("t-last") {
-            let last: u32 = last.parse().expect("a number");
-            acts.extend((last + 1..=5).map(event));
-            acts.push(end());
-        } else {
-            acts.extend([event(1), event(2), then.clone()]);
-        }
-        acts
-    }
-}
-
-/// Two engines of each of two versions.
-struct Engines([Engine; 4]);
-
-impl Engines {
-    async fn start(then: Act) -> Self {
-        Self([
-            Engine::start(script(then.clone())).await,
-            Engine::start(script(then.clone())).await,
-            Engine::start(script(then.clone())).await,
-            Engine::start(script(then)).await,
-        ])
-    }
-
-    fn with_builds(&self) -> [(&Engine, &'static str); 4] {
-        let [first, second, third, fourth] = &self.0;
-        [(first, "v1"), (second, "v1"), (third, "v2"), (fourth, "v2")]
-    }
-
-    /// Versions of the engines that got a request whose identifier begins with `id`.
-    fn builds(&self, id: &str) -> Vec<&'static str> {
-        let engines = self.with_builds().into_iter();
-        let builds = engines.flat_map(|(engine, build)| {
-            let seen = engine.seen().into_iter();
-            seen.filter(|seen| seen.id().starts_with(id))
-                .map(move |_| build)
-        });
-        builds.collect()
-    }
-}
-
-/// Reads the first two events of a stream and closes the connection, as a caller sees it whose
-/// router is killed.
-async fn begin(node: &Node, id: &str) {
-    let mut caller = Caller::connect(node.front).await;
-    caller.write(&post("/chat/", id, "x")).await;
-    caller.read_to("part 2").await;
-}
-
-async fn take_up(node: &Node, id: &str, resumes: &str) -> Response {
-    let resume = format!("T-Last: 2\r\nT-Resumes: {resumes}\r\nContent-Length");
-    let request = post("/chat/", id, "x").replacen("Content-Length", &resume, 1);
-    call(node.front, &request).await
-}
-
 /// Guards against a router that resumes a broken stream at another software version.
 #[actix_rt::test]
 async fn a_response_holds_events_of_one_build() {
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! Fake upstreams, store and callers, on loopback.
 #![allow(dead_code, reason = "no test file uses all helpers")]
 
+pub mod builds;
 pub mod caller;
 pub mod engine;
 pub mod link;
--- a/crates/edge/tests/common/store.rs
+++ b/crates/edge/tests/common/store.rs
@@ -12,11 +12,15 @@
 use futures_util::stream;
 use snipeusher::kv;
 use snipeusher::kv::Call;
+use snipeusher::kv::Compare;
 use snipeusher::kv::Era;
 use snipeusher::kv::Fault;
+use snipeusher::kv::Lease;
+use snipeusher::kv::Op;
 use snipeusher::kv::Range;
 use snipeusher::kv::Reply;
 use snipeusher::kv::Revision;
+use snipeusher::kv::Txn;
 use snipeusher_store::Change;
 
 /// How often a waiting watch checks for changes.
@@ -28,6 +32,12 @@
     changes: RefCell<Vec<Change>>,
     era: Cell<Era>,
     calls: Cell<u64>,
+    writes: Cell<u64>,
+    leases: Cell<i64>,
+    /// How long each call takes.
+    latency: Cell<Duration>,
+    /// Whether writes take effect without an answer.
+    loses_answers: Cell<bool>,
 }
 
 /// Client of one host for a store in memory.
@@ -62,6 +72,26 @@
         self.state.calls.get()
     }
 
+    /// Transactions that routers sent.
+    pub fn writes(&self) -> u64 {
+        self.state.writes.get()
+    }
+
+    pub fn set_latency(&self, latency: Duration) {
+        self.state.latency.set(latency);
+    }
+
+    pub fn lose_answers(&self, is_lost: bool) {
+        self.state.loses_answers.set(is_lost);
+    }
+
+    /// The present keys with a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let keys = self.state.keys.borrow();
+        let keys = keys.keys().filter(|key| key.starts_with(prefix));
+        keys.cloned().collect()
+    }
+
     pub fn configure(&self, text: &str) {
         self.put("conf", text);
     }
@@ -107,10 +137,14 @@
     }
 
     pub fn put(&self, key: &str, value: &str) {
+        self.put_bytes(key, value.as_bytes());
+    }
+
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
         let revision = self.next();
         let entry = kv::Entry {
             key: key.to_owned(),
-            value: value.as_bytes().to_vec(),
+            value: value.to_vec(),
             created: revision,
             modified: revision,
             lease: None,
@@ -153,21 +187,71 @@
     }
 }
 
+impl Store {
+    fn range(&self, prefix: &str) -> Reply {
+        let keys = self.state.keys.borrow();
+        let found = keys.values().filter(|entry| entry.key.starts_with(prefix));
+        Reply::Range {
+            revision: self.revision(),
+            entries: found.map(|entry| self.present(entry)).collect(),
+        }
+    }
+
+    fn transact(&self, txn: &Txn) -> Reply {
+        self.state.writes.set(self.state.writes.get() + 1);
+        let modified = |key: &str| {
+            let keys = self.state.keys.borrow();
+            let entry = keys.get(key);
+            entry.map_or(0, |entry| entry.modified.number)
+        };
+        let succeeded = txn.compare.iter().all(|compare| match compare {
+            Compare::Modified(key, revision) => modified(key) == revision.number,
+            other => panic!("not expected: {other:?}"),
+        });
+        for op in txn.success.iter().filter(|_| succeeded) {
+            match op {
+                Op::Put { key, value, .. } => self.put_bytes(key, value),
+                Op::Delete { key } => self.delete(key),
+                other => panic!("not expected: {other:?}"),
+            }
+        }
+        Reply::Txn {
+            revision: self.revision(),
+            succeeded,
+            results: Vec::new(),
+        }
+    }
+
+    fn grant(&self, ttl_s: u64) -> Reply {
+        let lease = self.state.leases.get() + 1;
+        self.state.leases.set(lease);
+        Reply::Grant {
+            lease: Lease(lease),
+            ttl_s,
+        }
+    }
+}
+
 impl snipeusher_store::Store for Store {
     async fn call(&self, call: Call) -> Result<Reply, Fault> {
         self.state.calls.set(self.state.calls.get() + 1);
+        let latency = self.state.latency.get();
+        if !latency.is_zero() {
+            sleep(latency).await;
+        }
         if !self.reachable.get() {
             return Err(Fault::NotSent);
         }
-        let Call::Range(Range::Prefix(prefix)) = call else {
-            return Err(Fault::Refused);
+        let reply = match call {
+            Call::Range(Range::Prefix(prefix)) => return Ok(self.range(&prefix)),
+            Call::Txn(txn) => self.transact(&txn),
+            Call::Grant { ttl_s } => self.grant(ttl_s),
+            _ => return Err(Fault::Refused),
         };
-        let keys = self.state.keys.borrow();
-        let found = keys.values().filter(|entry| entry.key.starts_with(&prefix));
-        Ok(Reply::Range {
-            revision: self.revision(),
-            entries: found.map(|entry| self.present(entry)).collect(),
-        })
+        if self.state.loses_answers.get() {
+            return Err(Fault::Lost);
+        }
+        Ok(reply)
     }
 
     fn watch(&self, prefix: &str, from: Revision) -> impl Stream<Item = Result<Change, Fault>> {
--- a/crates/snipeusher/src/fleet/builds.rs
+++ b/crates/snipeusher/src/fleet/builds.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::Entry;
+use crate::archive::Versions;
 use crate::name;
 use crate::time::Time;
 
@@ -18,6 +19,8 @@
     services: BTreeMap<name::Service, BTreeMap<name::Build, Option<Time>>>,
     /// When the first list of upstreams arrived.
     known_since: Option<Time>,
+    /// The versions as recorded in the store, by earlier routers too.
+    recorded: Versions,
 }
 
 impl Builds {
@@ -35,6 +38,49 @@
         }
     }
 
+    /// Learns the versions that are recorded in the store. One without upstreams may have left just
+    /// now, since nobody may have run to see it leave.
+    pub(super) fn record(&mut self, now: Time, recorded: Versions) {
+        for (service, builds) in &recorded.0 {
+            let known = self.services.entry(service.clone()).or_default();
+            for build in builds {
+                known.entry(build.clone()).or_insert(Some(now));
+            }
+        }
+        self.recorded = recorded;
+    }
+
+    /// The versions that the store should have recorded: in addition to the record those that
+    /// upstreams run, without those that none has run for a minute. One that has left is never
+    /// added, so that routers which saw it leave at different times agree in the end.
+    pub(super) fn to_record(&self, now: Time) -> Versions {
+        let mut versions = self.recorded.clone();
+        for (service, builds) in &self.services {
+            let present = builds.iter().filter(|(_, left)| left.is_none());
+            let recorded = versions.0.entry(service.clone()).or_default();
+            recorded.extend(present.map(|(build, _)| build.clone()));
+        }
+        for (service, recorded) in &mut versions.0 {
+            let known = self.services.get(service);
+            recorded.retain(|build| {
+                let left = known.and_then(|builds| builds.get(build));
+                left.is_some_and(|left| is_recent(now, *left))
+            });
+        }
+        versions.0.retain(|_, builds| !builds.is_empty());
+        versions
+    }
+
+    /// The versions as they are recorded in the store.
+    pub(super) const fn recorded(&self) -> &Versions {
+        &self.recorded
+    }
+
+    /// Whether upstreams have been listed.
+    pub(super) const fn is_known(&self) -> bool {
+        self.known_since.is_some()
+    }
+
     /// Lists of thousands of upstreams hold few versions, so names are copied only for new ones.
     fn record_present(&mut self, entry: &Entry) {
         let known = self.services.get_mut(&entry.service);
@@ -60,20 +106,40 @@
     }
 
     /// The only version that upstreams of a service run now and ran in the last minute, if the
-    /// upstreams have been known for `age`.
+    /// upstreams have been known for `age` or the store's record shows no other version.
     pub(super) fn sole(
         &self,
         now: Time,
         service: &name::Service,
         age: Duration,
     ) -> Option<&name::Build> {
-        if self.known_since.is_none_or(|since| now.since(since) < age) {
-            return None;
-        }
         let builds = self.services.get(service)?.iter();
         let mut recent = builds.filter(|(_, left)| is_recent(now, **left));
         let (only, _) = recent.next()?;
-        recent.next().is_none().then_some(only)
+        if recent.next().is_some() {
+            return None;
+        }
+        let is_known_long = self
+            .known_since
+            .is_some_and(|since| now.since(since) >= age);
+        (is_known_long || self.is_recorded_alone(service, only)).then_some(only)
+    }
+
+    /// Time after which [`Self::sole`] can tell the version, if no second one appears.
+    pub(super) fn sole_in(
+        &self,
+        now: Time,
+        service: &name::Service,
+        age: Duration,
+    ) -> Option<Duration> {
+        let known_since = self.known_since?;
+        let is_mixed = self.has_several(now, service);
+        (!is_mixed).then(|| age.saturating_sub(now.since(known_since)))
+    }
+
+    fn is_recorded_alone(&self, service: &name::Service, build: &name::Build) -> bool {
+        let recorded = self.recorded.0.get(service);
+        recorded.is_some_and(|builds| builds.len() == 1 && builds.contains(build))
     }
 }
 
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -34,6 +34,7 @@
 use super::warmup::Bound;
 use super::warmup::Warmups;
 use super::zone::Zone;
+use crate::archive::Versions;
 use crate::hash;
 use crate::kv::Revision;
 use crate::name;
@@ -835,8 +836,32 @@
         self.builds.has_any_several(now)
     }
 
+    /// Learns the software versions that are recorded in the store.
+    pub fn record_versions(&mut self, now: Time, recorded: Versions) {
+        self.builds.record(now, recorded);
+    }
+
+    /// The software versions to be recorded in the store, if the record differs from them.
+    pub fn unrecorded_versions(&self, now: Time) -> Option<Versions> {
+        if !self.builds.is_known() {
+            return None;
+        }
+        let versions = self.builds.to_record(now);
+        (versions != *self.builds.recorded()).then_some(versions)
+    }
+
+    /// Time after which [`Self::sole_build`] can tell the version, if no second one appears.
+    pub fn sole_build_in(
+        &self,
+        now: Time,
+        service: &name::Service,
+        age: Duration,
+    ) -> Option<Duration> {
+        self.builds.sole_in(now, service, age)
+    }
+
     /// The only software version that upstreams of a service run now and ran in the last minute, if
-    /// this router has known the upstreams for `age`.
+    /// this router has known the upstreams for `age` or the store's record shows no other version.
     pub fn sole_build(
         &self,
         now: Time,
--- a/crates/snipeusher/src/lib.rs
+++ b/crates/snipeusher/src/lib.rs
@@ -5,6 +5,7 @@
 //! on every machine. The design is described in `docs/design.md`.
 
 pub mod admission;
+pub mod archive;
 pub mod board;
 pub mod churn;
 pub mod claim;
--- a/crates/snipeusher/src/reader.rs
+++ b/crates/snipeusher/src/reader.rs
@@ -140,8 +140,7 @@
     /// The highest-ranked fresh readers of each zone, to be sent to peers.
     pub fn list(&self, now: Time) -> Vec<Reader> {
         let mut zones: BTreeMap<&name::Zone, Vec<(u64, Reader)>> = BTreeMap::new();
-        let is_reader = |host: &name::Host| self.reading || *host != self.host;
-        for (host, known) in self.fresh(now).filter(|(host, _)| is_reader(host)) {
+        for (host, known) in self.fresh_readers(now) {
             let reader = Reader {
                 host: host.clone(),
                 zone: known.zone.clone(),
@@ -201,6 +200,28 @@
         self.reading
     }
 
+    /// The first fresh reader of this router's availability zone, which records streams in the store
+    /// for the others of the zone.
+    pub fn first_of_zone(&self, now: Time) -> Option<&name::Host> {
+        let readers = self.fresh_readers(now);
+        let local = readers.filter(|(_, known)| known.zone == self.zone);
+        let first = local.min_by_key(|(_, known)| known.rank);
+        first.map(|(host, _)| host)
+    }
+
+    /// Number of fresh readers of all zones that rank before this router; `None` if it is no reader.
+    pub fn position(&self, now: Time) -> Option<usize> {
+        let readers = self.fresh_readers(now);
+        let ahead = readers.filter(|(_, known)| known.rank < self.rank);
+        self.reading.then(|| ahead.count())
+    }
+
+    /// The fresh readers. This router was answered by the store once if it has been one.
+    fn fresh_readers(&self, now: Time) -> impl Iterator<Item = (&name::Host, &Known)> {
+        let fresh = self.fresh(now);
+        fresh.filter(|(host, _)| self.reading || **host != self.host)
+    }
+
     /// Whether this router reads the store, as last decided.
     pub const fn is_reading(&self) -> bool {
         self.reading
--- a/crates/snipeusher/src/stream.rs
+++ b/crates/snipeusher/src/stream.rs
@@ -3,9 +3,9 @@
 //! What two versions of an upstream's software write into one stream does not fit together. A
 //! caller whose connection broke takes its stream up at any router, also after the router that
 //! began it was killed. Each router therefore remembers the [`Origin`] of the streams that it begins
-//! and copies it to a few peers, as long as more than one version runs. All of it is soft state in
-//! memory: what is lost only makes a router refuse to resume the stream. See
-//! `docs/platform.md#streams`.
+//! and copies it to a few peers, as long as more than one version runs; one router of each
+//! availability zone also records them in the store ([`crate::archive`]). What is lost only makes a
+//! router refuse to resume the stream. See `docs/platform.md#streams`.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -94,13 +94,17 @@
         is_news
     }
 
-    /// Records streams that a peer began.
-    pub fn merge(&mut self, now: Time, groups: Vec<Group>) {
+    /// Records streams that other routers began. Returns those that were not known.
+    pub fn merge(&mut self, now: Time, groups: Vec<Group>) -> Vec<(Id, Origin)> {
+        let mut news = Vec::new();
         for group in groups {
             for id in group.streams {
-                self.insert(now, id, group.origin.clone());
+                if self.insert(now, id, group.origin.clone()) {
+                    news.push((id, group.origin.clone()));
+                }
             }
         }
+        news
     }
 
     /// What began a stream, if it is known.
--- a/crates/snipeusher/tests/stream.rs
+++ b/crates/snipeusher/tests/stream.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use snipeusher::archive::Versions;
 use snipeusher::fleet::Decision;
 use snipeusher::fleet::Entry;
 use snipeusher::fleet::Fleet;
@@ -197,3 +198,49 @@
         }
     }
 }
+
+fn versions(builds: &[&str]) -> Versions {
+    let builds = builds.iter().copied().map(name::Build::from).collect();
+    Versions([(service(), builds)].into())
+}
+
+/// Guards against a router that starts after the last upstream of a version has left and takes the
+/// other version for the only one.
+#[rstest]
+#[case(&["v1"], None)]
+#[case(&["v1", "v2"], None)]
+#[case(&["v2"], Some("v2"))]
+#[case(&[], None)]
+fn a_recorded_version_counts_after_a_restart(
+    #[case] recorded: &[&str],
+    #[case] expected: Option<&str>,
+) {
+    let mut fleet = fleet(&["v2"]);
+    fleet.record_versions(at(10), versions(recorded));
+    let age = Duration::from_secs(12);
+    let sole = fleet.sole_build(at(20), &service(), age);
+    assert_eq!(sole.map(name::Build::as_str), expected);
+}
+
+/// Guards against routers that keep replacing one another's record of versions, since they saw a
+/// version leave at different times.
+#[rstest]
+fn routers_agree_on_the_recorded_versions() {
+    let mut early = fleet(&["v1", "v2"]);
+    let mut record = early
+        .unrecorded_versions(at(10))
+        .expect("nothing is recorded");
+    assert_eq!(record, versions(&["v1", "v2"]));
+    early.record_versions(at(10), record.clone());
+    early.remove(at(1_000), &"e0".into(), Revision::new(9));
+    assert_eq!(early.unrecorded_versions(at(2_000)), None);
+    let mut late = fleet(&["v2"]);
+    late.record_versions(at(30_000), record);
+    record = early
+        .unrecorded_versions(at(1_000 + FORGOTTEN_MS))
+        .expect("v1 has left");
+    assert_eq!(record, versions(&["v2"]));
+    late.record_versions(at(62_100), record);
+    assert_eq!(late.unrecorded_versions(at(62_200)), None);
+    assert_eq!(late.unrecorded_versions(at(95_000)), None);
+}
