--- a/crates/snipeusher/src/fleet/choice.rs
+++ b/crates/snipeusher/src/fleet/choice.rs
@@ -23,6 +23,8 @@
 const LOAD_MARGIN: f64 = 0.5;
 /// Requests allowed on top of the factor, so that sessions stay in place at low load.
 const LOAD_SLACK: f64 = 3.0;
+/// Upstreams that a session fills up to the limit, one after the other, before it uses the others.
+const PREFERRED_UPSTREAMS: usize = 2;
 /// Upstreams of a session. With more, its prompt would be read at many of them; with fewer, all of
 /// them are often at the limit.
 const SESSION_UPSTREAMS: usize = 4;
@@ -249,8 +251,8 @@
     kept
 }
 
-/// The first upstream for the session by rendezvous hashing if its load is within the limit, else
-/// the least loaded of the first few.
+/// The first upstream for the session by rendezvous hashing whose load is within the limit, of the
+/// first two, else the least loaded of the first few.
 ///
 /// Routers know loads that are up to a second old. Those that all chose the next one within the
 /// limit, or all left one at the same load, would fill the others far beyond it before they learn of
@@ -284,8 +286,10 @@
         load(upstream) as f64 + unseen * shift
     };
     let ranked = first_ranked(candidates, session);
-    let first = ranked.first().copied();
-    let first = first.filter(|upstream| assumed(upstream) < limit);
+    let mut preferred = ranked.iter().take(PREFERRED_UPSTREAMS);
+    let first = preferred
+        .find(|upstream| assumed(upstream) < limit)
+        .copied();
     let least = |left: &&Upstream, right: &&Upstream| assumed(left).total_cmp(&assumed(right));
     first.or_else(|| ranked.into_iter().min_by(least))
 }
