review: case 1, machines that don't read the store serve an old config

Looked for: how long a machine in touch follows neither configs nor entries after the machines that read the store for it are lost.

--- /dev/null
+++ b/review/standin/src/main.rs
@@ -0,0 +1,45 @@
+//! Stand-ins and scripts of the review. `standin CASE FOLDER` plays a case, writes `record.txt` to
+//! the folder and exits with 1 if the rule was broken, 0 if it held and 2 if it could not run.
+
+mod client;
+mod engine;
+mod fleet;
+mod http;
+mod lost_readers;
+mod record;
+mod store;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// How a case ended.
+pub enum Verdict {
+    Held,
+    Broken,
+    NotRun(&'static str),
+}
+
+fn main() -> ExitCode {
+    let mut arguments = std::env::args().skip(1);
+    let case = arguments.next().unwrap_or_default();
+    let folder = PathBuf::from(arguments.next().unwrap_or_default());
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let verdict = match case.as_str() {
+        "lost-readers" => lost_readers::play(&folder, has_trouble),
+        _ => Verdict::NotRun("there is no such case"),
+    };
+    match verdict {
+        Verdict::Held => {
+            println!("{case}: the rule held");
+            ExitCode::SUCCESS
+        }
+        Verdict::Broken => {
+            println!("{case}: the rule was broken");
+            ExitCode::from(1)
+        }
+        Verdict::NotRun(reason) => {
+            println!("{case}: not run: {reason}");
+            ExitCode::from(2)
+        }
+    }
+}
