review: case 2, routers that start with seeds that are down stay alone

Looked for: what routers share by counting each other, and when they don't know each other. Shown by review/2/run.sh: after a loss of all machines four of seven start again while the settings name the three that are gone; the platform corrects the settings within seedStalenessS and sends SIGHUP.

--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -20,8 +20,11 @@
 /// One router.
 pub struct Node {
     pub name: String,
+    pub zone: String,
+    pub ip: IpAddr,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    platform: SocketAddr,
     child: Child,
 }
 
@@ -32,6 +35,12 @@
         let _status = self.child.wait();
     }
 
+    /// Sends a signal that the process handles.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let _sent = Command::new("kill").args(["-s", name, &id]).status();
+    }
+
     /// Whether the readiness check succeeds.
     pub fn is_ready(&self) -> bool {
         let request = "GET /readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
@@ -55,6 +64,8 @@
 pub struct Fleet {
     pub nodes: Vec<Node>,
     folder: PathBuf,
+    root: PathBuf,
+    ports: Vec<u16>,
 }
 
 impl Drop for Fleet {
@@ -65,52 +76,91 @@
 }
 
 impl Fleet {
-    /// Starts a router for each zone that is named, all on the same ports.
+    /// Starts a router for each zone that is named, all on the same ports. The first three are the
+    /// seeds.
     pub fn start(root: &Path, store: &Arc<Store>, zones: &[&str]) -> Self {
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("the temporary folder can be made");
         let ips: Vec<IpAddr> = (0..zones.len())
             .map(|index| IpAddr::from([127, 81, 0, 10 + index as u8]))
             .collect();
-        let ports: Vec<u16> = (0..3).map(|_| free_port(&ips)).collect();
-        let seeds: Vec<String> = ips
-            .iter()
-            .take(3)
-            .map(|ip| format!("\"{ip}:{}\"", ports[2]))
-            .collect();
-        let mut nodes = Vec::new();
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            folder,
+            root: root.to_owned(),
+            ports: (0..3).map(|_| free_port(&ips)).collect(),
+        };
         for (index, zone) in zones.iter().enumerate() {
-            let ip = ips[index];
             let name = format!("front-{zone}-{}", index + 1);
             let platform = store.listen(&name);
-            let text = settings(&name, zone, ip, &ports, &seeds, platform);
-            let path = folder.join(format!("{name}.toml"));
-            fs::write(&path, text).expect("the settings can be written");
-            let log = fs::File::create(folder.join(format!("{name}.log")));
-            let child = Command::new("target/release/snipeusher-node")
-                .arg("--metrics")
-                .arg(format!("{ip}:9464"))
-                .current_dir(root)
-                .env_clear()
-                .env("SNIPEUSHER_CONFIG", &path)
-                .stdin(Stdio::null())
-                .stdout(log.expect("the log can be written"))
-                .spawn()
-                .expect("the router starts");
-            nodes.push(Node {
+            fleet.write_settings(&name, zone, ips[index], platform, &ips[..3.min(ips.len())]);
+            let child = fleet.spawn(&name, ips[index]);
+            fleet.nodes.push(Node {
+                zone: (*zone).to_owned(),
+                ip: ips[index],
+                front: SocketAddr::new(ips[index], fleet.ports[0]),
+                ready: SocketAddr::new(ips[index], fleet.ports[1]),
+                platform,
                 name,
-                front: SocketAddr::new(ip, ports[0]),
-                ready: SocketAddr::new(ip, ports[1]),
                 child,
             });
         }
-        Self { nodes, folder }
+        fleet
+    }
+
+    /// Starts a router again that has ended.
+    pub fn restart(&mut self, index: usize) {
+        let child = self.spawn(&self.nodes[index].name, self.nodes[index].ip);
+        self.nodes[index].child = child;
+    }
+
+    /// Rewrites the settings of a router with other seeds, as the platform does while it runs.
+    pub fn reseed(&self, index: usize, seeds: &[IpAddr]) {
+        let node = &self.nodes[index];
+        self.write_settings(&node.name, &node.zone, node.ip, node.platform, seeds);
+    }
+
+    fn write_settings(
+        &self,
+        name: &str,
+        zone: &str,
+        ip: IpAddr,
+        platform: SocketAddr,
+        seeds: &[IpAddr],
+    ) {
+        let control = self.ports[2];
+        let seeds: Vec<String> = seeds
+            .iter()
+            .map(|seed| format!("\"{seed}:{control}\""))
+            .collect();
+        let text = settings(name, zone, ip, &self.ports, &seeds, platform);
+        fs::write(self.settings_path(name), text).expect("the settings can be written");
+    }
+
+    fn settings_path(&self, name: &str) -> PathBuf {
+        self.folder.join(format!("{name}.toml"))
+    }
+
+    fn spawn(&self, name: &str, ip: IpAddr) -> Child {
+        let log = self.folder.join(format!("{name}.log"));
+        let log = fs::File::options().create(true).append(true).open(log);
+        Command::new("target/release/snipeusher-node")
+            .arg("--metrics")
+            .arg(format!("{ip}:9464"))
+            .current_dir(&self.root)
+            .env_clear()
+            .env("SNIPEUSHER_CONFIG", self.settings_path(name))
+            .stdin(Stdio::null())
+            .stdout(log.expect("the log can be written"))
+            .spawn()
+            .expect("the router starts")
     }
 
-    /// Waits until all routers are ready.
-    pub fn wait_until_ready(&self, limit: Duration) -> bool {
+    /// Waits until all routers that run are ready.
+    pub fn wait_until_ready(&mut self, limit: Duration) -> bool {
         let start = Instant::now();
-        while !self.nodes.iter().all(Node::is_ready) {
+        let is_waiting = |node: &mut Node| node.is_running() && !node.is_ready();
+        while self.nodes.iter_mut().any(is_waiting) {
             if start.elapsed() > limit {
                 return false;
             }
--- a/review/standin/src/lost_readers.rs
+++ b/review/standin/src/lost_readers.rs
@@ -14,6 +14,7 @@
 use crate::client::Answer;
 use crate::client::Clients;
 use crate::client::Plan;
+use crate::config::config;
 use crate::engine::Engine;
 use crate::engine::Run;
 use crate::engine::Runs;
@@ -185,10 +186,3 @@
     record.note(&line);
     println!("{line}");
 }
-
-/// A config with two tenants, each with a list of keys.
-fn config(version: u32, first: &str, second: &str) -> String {
-    format!(
-        r#"{{"version":{version},"routes":[{{"name":"book","host":"shop.example","prefix":"/book/","kind":"idempotent","timeoutMs":800,"sloMs":150,"priority":2,"service":"notice-app","maxAttempts":2,"public":false}}],"services":[{{"name":"notice-app","maxConnections":100,"healthPath":"/healthz"}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"keeps","apiKeys":{first}}},{{"name":"loses","apiKeys":{second}}}]}}"#
-    )
-}
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,11 +2,13 @@
 //! the folder and exits with 1 if the rule was broken, 0 if it held and 2 if it could not run.
 
 mod client;
+mod config;
 mod engine;
 mod fleet;
 mod http;
 mod lost_readers;
 mod record;
+mod stale_seeds;
 mod store;
 
 use std::path::PathBuf;
@@ -26,6 +28,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match case.as_str() {
         "lost-readers" => lost_readers::play(&folder, has_trouble),
+        "stale-seeds" => stale_seeds::play(&folder, has_trouble),
         _ => Verdict::NotRun("there is no such case"),
     };
     match verdict {
