review: case 2, a removal that a router never hears of again

Looked for: two routers at the same revision of the store that don't know the same, after delayed and partial deltas.

--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -66,6 +66,19 @@
         Instant::now()
     }
 
+    /// Removes a key; returns when it was confirmed.
+    pub fn remove(&self, key: &str) -> Instant {
+        let mut state = self.state.lock().expect("no thread fails with the lock");
+        state.revision += 1;
+        state.keys.remove(key);
+        let revision = state.revision;
+        let event = format!(r#"{{"key":"{key}","revision":{revision},"tombstone":true}}"#);
+        state.events.push((revision, key.to_owned(), event));
+        drop(state);
+        self.changed.notify_all();
+        Instant::now()
+    }
+
     /// Whether a caller has begun a watch within a time.
     pub fn is_watched_by(&self, caller: &str, within: Duration) -> bool {
         let state = self.state.lock().expect("no thread fails with the lock");
