--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # build command of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cargo build --release --offline --manifest-path review/standin/Cargo.toml --target-dir target/review
+cargo build --release --offline --manifest-path review/.standin/Cargo.toml --target-dir target/review
