--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -193,6 +193,11 @@
     if lifecycle.in_flight() > 0 {
         warn!(shared.log, "node: requests did not end in time"; "open" => lifecycle.in_flight());
     }
+    for (service, spending) in shared.fleet.borrow_mut().spending(shared.now()) {
+        info!(shared.log, "retries: spent";
+            "service" => service.as_str(), "requests" => spending.requests,
+            "retries" => spending.retries);
+    }
     info!(shared.log, "node: stopped");
 }
 
--- a/crates/edge/src/peer/fetch.rs
+++ b/crates/edge/src/peer/fetch.rs
@@ -1,5 +1,6 @@
 //! Copies configurations and lists of upstreams from peers that announced them.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,6 +18,7 @@
 use snipeusher::fleet::Delta;
 use snipeusher::kv::Revision;
 use snipeusher::route::Position;
+use snipeusher::time::Time;
 use snipeusher_store::Store;
 use tokio::sync::Notify;
 use tokio::time::sleep;
@@ -43,15 +45,23 @@
 pub struct Announcement<K> {
     fetch: RefCell<Fetch<SocketAddr, K>>,
     notify: Notify,
+    /// When a peer first announced a version that this router still lacks.
+    behind_since: Cell<Option<Time>>,
 }
 
 impl<K: Copy + Ord> Announcement<K> {
+    /// Ends the time for which this router has known of a version that it lacked, and returns it.
+    pub(crate) fn take_delay(&self, now: Time) -> Option<Duration> {
+        let since = self.behind_since.take()?;
+        Some(now.since(since))
+    }
+
     /// Records that a peer has a version.
     pub fn record<P: Platform>(&self, shared: &Shared<P>, version: K, source: Source<SocketAddr>) {
-        let is_news = self
-            .fetch
-            .borrow_mut()
-            .announce(shared.now(), version, source);
+        let now = shared.now();
+        let since = self.behind_since.get().unwrap_or(now);
+        self.behind_since.set(Some(since));
+        let is_news = self.fetch.borrow_mut().announce(now, version, source);
         if is_news {
             self.notify.notify_one();
         }
@@ -221,8 +231,11 @@
         .fetch
         .borrow_mut()
         .record_store_read(now);
-    // If this fails, peers are asked, whose failures are logged.
-    let _read = watch::configuration(shared, store).await;
+    if let Err(fault) = watch::configuration(shared, store).await {
+        let elapsed = shared.now().since(now);
+        info!(shared.log, "configuration: not read from the store";
+            "cause" => watch::cause(fault), "ms" => elapsed.as_millis() as u64);
+    }
 }
 
 async fn request<P: Platform>(
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -256,8 +256,10 @@
         evacuation::log(self);
         self.log_warmups();
         if self.is_loaded() && !self.ready_logged.replace(true) {
-            let upstreams = self.fleet.borrow().upstreams().len();
-            info!(self.log, "node: ready"; "upstreams" => upstreams, "ms" => self.now().0 / 1_000);
+            let fleet = self.fleet.borrow();
+            info!(self.log, "node: ready";
+                "upstreams" => fleet.upstreams().len(), "routers" => fleet.routers(),
+                "ms" => self.now().0 / 1_000);
         }
     }
 
@@ -303,9 +305,12 @@
             }
             Ok(table) => {
                 let position = table.position();
+                let delay = self.configurations.take_delay(self.now());
                 info!(self.log, "configuration: in force";
                     "version" => table.version(), "revision" => revision.number,
-                    "era" => revision.era.0, "routes" => table.len(), "source" => source);
+                    "era" => revision.era.0, "routes" => table.len(), "source" => source,
+                    "bytes" => value.len(),
+                    "announced_ms" => delay.map(|delay| delay.as_millis() as u64));
                 for warning in table.warnings() {
                     warn!(self.log, "configuration: invalid value";
                         "version" => table.version(), "value" => warning);
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -318,7 +318,8 @@
     Update::Removed(id, revision)
 }
 
-const fn cause(fault: Fault) -> &'static str {
+/// Name of a fault in logs.
+pub(crate) const fn cause(fault: Fault) -> &'static str {
     match fault {
         Fault::NotSent => "unreachable",
         Fault::Lost => "no answer",
--- a/crates/snipeusher/src/fleet.rs
+++ b/crates/snipeusher/src/fleet.rs
@@ -30,6 +30,7 @@
 
 pub use self::budget::Budget;
 pub use self::budget::Limits;
+pub use self::budget::Spending;
 pub use self::choice::Cause;
 pub use self::choice::Decision;
 pub use self::choice::Query;
--- a/crates/snipeusher/src/fleet/budget.rs
+++ b/crates/snipeusher/src/fleet/budget.rs
@@ -31,6 +31,15 @@
     }
 }
 
+/// Requests and retries of one service within a window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Spending {
+    /// New requests of callers.
+    pub requests: u32,
+    /// Retries that were sent.
+    pub retries: u32,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     since: Time,
@@ -71,14 +80,23 @@
 
     /// Retries remaining at `now`.
     pub fn remaining(&mut self, now: Time, limits: &Limits, routers: usize) -> f64 {
-        self.expire(now, limits.window);
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        let Spending { requests, retries } = self.spending(now, limits.window);
         let slack = limits.slack / routers.max(1) as f64;
         let allowed = USABLE_FRACTION * (limits.ratio * f64::from(requests) + slack);
         (allowed - f64::from(retries)).max(0.0)
     }
 
+    /// Requests and retries within the window that ends at `now`.
+    pub fn spending(&mut self, now: Time, window: Duration) -> Spending {
+        self.expire(now, window);
+        let mut spending = Spending::default();
+        for bucket in &self.buckets {
+            spending.requests += bucket.requests;
+            spending.retries += bucket.retries;
+        }
+        spending
+    }
+
     fn current_bucket(&mut self, now: Time) -> &mut Bucket {
         let is_current = self
             .buckets
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -21,6 +21,7 @@
 use super::Report;
 use super::Roster;
 use super::Source;
+use super::Spending;
 use super::Update;
 use super::Upstream;
 use super::builds::Builds;
@@ -897,6 +898,17 @@
         remaining.collect()
     }
 
+    /// Requests and retries of each service within the budget's window.
+    pub fn spending(&mut self, now: Time) -> Vec<(name::Service, Spending)> {
+        let window = self.settings.retries.window;
+        let budgets = self.budgets.iter_mut();
+        let spending = budgets.map(|(service, budget)| {
+            let spending = budget.spending(now, window);
+            (service.clone(), spending)
+        });
+        spending.collect()
+    }
+
     /// Whether the retry budget and an available untried upstream allow another attempt.
     pub fn has_alternative(&mut self, now: Time, query: &Query<'_>) -> bool {
         let ready = self.ready.get(query.service).map_or(&[][..], Vec::as_slice);
