--- a/crates/edge/tests/builds.rs
+++ b/crates/edge/tests/builds.rs
@@ -6,15 +6,23 @@
 use std::time::Duration;
 
 use actix_rt::time::sleep;
+use common::Node;
 use common::builds::Engines;
 use common::builds::begin;
 use common::builds::take_up;
+use common::builds::take_up_unnamed;
 use common::caller::call;
 use common::caller::post;
 use common::engine::Act;
+use common::engine::Engine;
+use common::start;
+use common::until;
 use common::zone;
 use rstest::rstest;
+use snipeusher_fakes::address::free_address;
 
+/// Time for which the route lets a stream last; from then on a router infers the only version.
+const INFERENCE_TIME: Duration = Duration::from_millis(4_200);
 /// Streams that each test begins, so that no test passes by a lucky choice of upstreams.
 const STREAMS: usize = 8;
 /// Time within which routers of a zone learn which version began a stream.
@@ -91,6 +99,75 @@
     }
 }
 
+/// Lists engines of a second version at one router only, which its peers do not hear of.
+fn add_second_build(node: &Node, engines: [&Engine; 2]) {
+    let now = node.shared.now();
+    let mut fleet = node.shared.fleet.borrow_mut();
+    for (id, engine) in ["new0", "new1"].into_iter().zip(engines) {
+        let known = fleet.roster().get(&"e0".into()).cloned();
+        let mut entry = known.expect("it is listed");
+        entry.id = id.into();
+        entry.address = engine.address;
+        entry.build = "v2".into();
+        fleet.upsert(now, entry);
+    }
+}
+
+/// Guards against a stream that joins the only version that a router knows, although a peer which
+/// has no record of the stream knows two.
+#[rstest]
+#[case::named(true)]
+#[case::unnamed(false)]
+#[actix_rt::test]
+async fn a_router_that_lags_behind_its_peers_joins_no_stream(#[case] is_named: bool) {
+    let engines = Engines::start(Act::Hang).await;
+    let [_, _, (third, _), (fourth, _)] = engines.with_builds();
+    let store = engines.store_of(&["v1"]);
+    let first = start("host-1", &store, Vec::new()).await;
+    let client = store.other_client();
+    let second = start("host-2", &client, vec![first.control]).await;
+    until("the routers know each other", || {
+        let nodes = [&first, &second];
+        nodes
+            .iter()
+            .all(|node| node.shared.is_loaded() && node.shared.fleet.borrow().routers() == 2)
+    })
+    .await;
+    sleep(INFERENCE_TIME).await;
+    client.silence(true);
+    add_second_build(&first, [third, fourth]);
+    let answered = if is_named {
+        take_up(&second, "r1-b", "r1-a").await
+    } else {
+        take_up_unnamed(&second, "r1-b").await
+    };
+    assert_eq!(answered.status, 503);
+    assert_eq!(engines.builds("r1"), Vec::<&str>::new());
+}
+
+/// Guards against a stream that joins the only version in an outdated list of upstreams, at a router
+/// that reaches no peer but could read the list anew.
+#[rstest]
+#[case::named(true)]
+#[case::unnamed(false)]
+#[actix_rt::test]
+async fn a_router_with_an_outdated_list_joins_no_stream(#[case] is_named: bool) {
+    let engines = Engines::start(Act::Hang).await;
+    let store = engines.store_of(&["v1"]);
+    let node = start("host-1", &store, vec![free_address()]).await;
+    until("it is ready", || node.shared.is_ready()).await;
+    sleep(INFERENCE_TIME).await;
+    store.hold_changes(true);
+    engines.list(&store, "v2");
+    let answered = if is_named {
+        take_up(&node, "r1-b", "r1-a").await
+    } else {
+        take_up_unnamed(&node, "r1-b").await
+    };
+    assert_eq!(answered.status, 503);
+    assert_eq!(engines.builds("r1"), Vec::<&str>::new());
+}
+
 /// Guards against a stream whose version is taken from a peer that has not heard of the second
 /// version yet, although the asking router has.
 #[actix_rt::test]
@@ -98,20 +175,8 @@
     let engines = Engines::start(Act::Hang).await;
     let [(first, _), (second, _), (third, _), (fourth, _)] = engines.with_builds();
     let (nodes, _store) = zone(2, &[(first, "v1"), (second, "v1")]).await;
-    // The route lets a stream last four seconds; from then on the peer infers the version.
-    sleep(Duration::from_millis(4_200)).await;
-    let now = nodes[0].shared.now();
-    {
-        let mut fleet = nodes[0].shared.fleet.borrow_mut();
-        for (id, engine) in [("new0", third), ("new1", fourth)] {
-            let known = fleet.roster().get(&"e0".into()).cloned();
-            let mut entry = known.expect("it is listed");
-            entry.id = id.into();
-            entry.address = engine.address;
-            entry.build = "v2".into();
-            fleet.upsert(now, entry);
-        }
-    }
+    sleep(INFERENCE_TIME).await;
+    add_second_build(&nodes[0], [third, fourth]);
     let answered = take_up(&nodes[0], "r1-b", "r1-a").await;
     assert_eq!(answered.status, 503);
     assert_eq!(engines.builds("r1"), Vec::<&str>::new());
--- a/crates/edge/tests/common/store.rs
+++ b/crates/edge/tests/common/store.rs
@@ -23,6 +23,8 @@
 use snipeusher::kv::Txn;
 use snipeusher_store::Change;
 
+/// Time after which the client of a real store gives up a call that is not answered.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 /// How often a waiting watch checks for changes.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -46,6 +48,10 @@
     state: Rc<State>,
     /// Whether this host can reach the store.
     reachable: Rc<Cell<bool>>,
+    /// Whether the store answers this host.
+    answers: Rc<Cell<bool>>,
+    /// Whether the watches of this host receive no changes.
+    holds_changes: Rc<Cell<bool>>,
 }
 
 impl Store {
@@ -53,6 +59,8 @@
         Self {
             state: Rc::default(),
             reachable: Rc::new(Cell::new(true)),
+            answers: Rc::new(Cell::new(true)),
+            holds_changes: Rc::default(),
         }
     }
 
@@ -61,6 +69,8 @@
         Self {
             state: Rc::clone(&self.state),
             reachable: Rc::new(Cell::new(true)),
+            answers: Rc::new(Cell::new(true)),
+            holds_changes: Rc::default(),
         }
     }
 
@@ -68,6 +78,16 @@
         self.reachable.set(!is_cut);
     }
 
+    /// Has the store answer no call of this host, while it serves the others.
+    pub fn silence(&self, is_silent: bool) {
+        self.answers.set(!is_silent);
+    }
+
+    /// Has the watches of this host receive no changes, while its other calls are answered.
+    pub fn hold_changes(&self, is_held: bool) {
+        self.holds_changes.set(is_held);
+    }
+
     pub fn calls(&self) -> u64 {
         self.state.calls.get()
     }
@@ -242,6 +262,10 @@
         if !self.reachable.get() {
             return Err(Fault::NotSent);
         }
+        if !self.answers.get() {
+            sleep(ANSWER_TIMEOUT).await;
+            return Err(Fault::Lost);
+        }
         let reply = match call {
             Call::Range(Range::Prefix(prefix)) => return Ok(self.range(&prefix)),
             Call::Txn(txn) => self.transact(&txn),
@@ -270,7 +294,7 @@
                     .borrow()
                     .get(from.number as usize)
                     .cloned();
-                if let Some(change) = next {
+                if let Some(change) = next.filter(|_| !store.holds_changes.get()) {
                     let revision = change.revision;
                     return Some((Ok(change), (store, revision)));
                 }
--- a/crates/edge/tests/duplicates.rs
+++ b/crates/edge/tests/duplicates.rs
@@ -65,6 +65,28 @@
     assert_eq!(engine.count(), 2);
 }
 
+/// Guards against a late duplicate that lacks the identifier which the refusal itself had: the next
+/// request runs, and its caller must not learn the opposite.
+#[actix_rt::test]
+async fn a_refusal_without_an_id_on_a_reused_connection_proves_nothing() {
+    let engine = Engine::start(|seen| {
+        if seen.id() == "r1" {
+            return vec![not_run(seen.id())];
+        }
+        let run = Act::Pause(RUN_MS);
+        vec![unnamed_not_run(), run, response(seen.id(), "200 OK", "ran")]
+    })
+    .await;
+    let (node, _store) = single(&[&engine]).await;
+    let first = call(node.front, &post("/write/", "r1", "x")).await;
+    assert_eq!(first.status, 503);
+    let second = call(node.front, &post("/write/", "r2", "x")).await;
+    assert_eq!(second.status, 502);
+    let seen = engine.seen();
+    assert_eq!(seen.len(), 2);
+    assert_eq!(seen[0].connection, seen[1].connection);
+}
+
 /// Guards against a late duplicate without an identifier that reaches the next caller.
 #[actix_rt::test]
 async fn a_late_response_without_an_id_reaches_no_caller() {
--- a/crates/edge/tests/propagation.rs
+++ b/crates/edge/tests/propagation.rs
@@ -19,6 +19,8 @@
 use common::until;
 use snipeusher_fakes::address::free_address;
 
+/// Time after its confirmation in which a configuration has to be in force everywhere.
+const IN_FORCE: std::time::Duration = std::time::Duration::from_secs(2);
 const CHANGED: &str = "2\n/new/ idempotent 1 1000 public\n";
 
 fn version(node: &Node) -> Option<u64> {
@@ -197,6 +199,43 @@
     assert_eq!(store.calls(), before, "the watches of the readers suffice");
 }
 
+/// A configuration of more than 128 KiB.
+fn large(version: u64) -> String {
+    let routes = (0..6_000).map(|route| format!("/r{route}/ idempotent 1 1000 public\n"));
+    format!("{version}\n{}", routes.collect::<String>())
+}
+
+/// Guards against a router that waits for a store which is silent to it alone, while its peers have
+/// the configuration.
+#[actix_rt::test]
+async fn a_store_silent_to_one_router_does_not_delay_a_large_configuration() {
+    let store = Store::new();
+    store.configure(&large(1));
+    let mut nodes: Vec<Node> = Vec::new();
+    let mut clients = Vec::new();
+    for index in 0..4 {
+        let seeds = nodes.first().map(|node| node.control).into_iter().collect();
+        let client = store.other_client();
+        nodes.push(start(&format!("host-{index}"), &client, seeds).await);
+        clients.push(client);
+    }
+    actix_rt::time::sleep(std::time::Duration::from_secs(4)).await;
+    let is_reading = |node: &Node| node.shared.readers.borrow().is_reading();
+    let other = nodes.iter().position(|node| !is_reading(node));
+    let other = other.expect("two of four read the store");
+    clients[other].silence(true);
+    for next in [2, 3] {
+        store.configure(&large(next));
+        let changed = std::time::Instant::now();
+        until("the change is in force", || {
+            version(&nodes[other]) == Some(next)
+        })
+        .await;
+        let elapsed = changed.elapsed();
+        assert!(elapsed < IN_FORCE, "version {next} after {elapsed:?}");
+    }
+}
+
 /// Guards against requests that are aborted by the shutdown of the router.
 #[actix_rt::test]
 async fn shutdown_completes_requests_in_flight() {
