Ask others beside a request for a configuration that takes long

Callers of some routers were refused as an older configuration says, seconds after a change was confirmed (CONFIG). A router asked the store first for a configuration whose predecessor had more than 128 KiB, and for any after half a second, and waited for each request: a read that is not answered takes 0.9 s, longer than the pause of 0.5 s before the next one, which began with the read, so a router to which the store was silent never asked a peer.

Requests that take long are now joined by others, to another peer or the store, the pause begins when a read has failed, and copies between routers are compressed, so that large configurations are copied like small ones.

--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -10,6 +10,7 @@
 
 mod client;
 mod fetch;
+mod gzip;
 mod link;
 mod outage;
 mod peers;
--- a/crates/edge/src/peer/client.rs
+++ b/crates/edge/src/peer/client.rs
@@ -2,11 +2,11 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::Method;
 use actix_http::StatusCode;
 use futures_util::future::join_all;
 use slog::debug;
@@ -65,6 +65,12 @@
         /// The cause.
         source: rmp_serde::decode::Error,
     },
+    /// The response cannot be decompressed.
+    #[snafu(display("the response cannot be decompressed: {source}"))]
+    Decompress {
+        /// The cause.
+        source: io::Error,
+    },
     /// The peer responded with an error status.
     #[snafu(display("the peer responded with status {status}"))]
     Status {
@@ -145,11 +151,7 @@
 ) -> Result<(), Error> {
     let mut connection = links.open(address, &shared.http).await?;
     let digest = digest(shared, &mut peers.borrow_mut());
-    let call = Call {
-        method: Method::POST,
-        path: EXCHANGE_PATH,
-        body: rmp_serde::to_vec(&digest).context(EncodeSnafu)?,
-    };
+    let call = Call::post(EXCHANGE_PATH, &digest)?;
     let body = call.send(&mut connection, address).await?;
     links.keep(address, connection);
     let response: Response = rmp_serde::from_slice(&body).context(DecodeSnafu)?;
--- a/crates/edge/src/peer/fetch.rs
+++ b/crates/edge/src/peer/fetch.rs
@@ -6,15 +6,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::Method;
 use bytes::Bytes;
+use futures_util::StreamExt as _;
+use futures_util::future::Either;
+use futures_util::stream::FuturesUnordered;
 use slog::info;
 use snafu::ResultExt as _;
 use snipeusher::fetch::Fetch;
 use snipeusher::fetch::Query;
-use snipeusher::fetch::Size;
 use snipeusher::fetch::Source;
 use snipeusher::fetch::Step;
+use snipeusher::fetch::Target;
 use snipeusher::fleet::Delta;
 use snipeusher::kv::Revision;
 use snipeusher::route::Position;
@@ -35,9 +37,6 @@
 use crate::shared::Shared;
 use crate::watch;
 
-/// Size of the configuration in force up to which the next one counts as small.
-const SMALL_BYTES: usize = 128 << 10;
-
 /// Newer data that peers announced.
 ///
 /// `K` orders the versions of the data.
@@ -84,9 +83,6 @@
     /// Version that this router has.
     fn known(shared: &Shared<P>) -> Option<Self::Version>;
 
-    /// Expected size of the data.
-    fn size(shared: &Shared<P>) -> Size;
-
     /// Whether this task may read the data from the store.
     fn may_read_store(shared: &Shared<P>) -> bool;
 
@@ -110,15 +106,6 @@
         shared.revisions().0
     }
 
-    fn size(shared: &Shared<P>) -> Size {
-        let document = shared.document();
-        if document.is_some_and(|document| document.value.len() > SMALL_BYTES) {
-            Size::Large
-        } else {
-            Size::Small
-        }
-    }
-
     fn may_read_store(shared: &Shared<P>) -> bool {
         !shared.is_store_unreachable()
     }
@@ -145,10 +132,6 @@
         Some(shared.revisions().1)
     }
 
-    fn size(_shared: &Shared<P>) -> Size {
-        Size::Small
-    }
-
     /// The task that watches the store reads the list where necessary.
     fn may_read_store(_shared: &Shared<P>) -> bool {
         false
@@ -180,11 +163,24 @@
     let announcement = T::announcement(shared);
     loop {
         announcement.notify.notified().await;
+        let mut requests = FuturesUnordered::new();
         while let Some(step) = next_step::<T, P>(shared) {
-            match step {
-                Step::Peer(address, limit) => copy::<T, P>(shared, address, limit).await,
-                Step::Store => read_configuration(shared, store).await,
-                Step::Wait(time) => sleep(time).await,
+            let wait = match step {
+                Step::Peer(address, limit) => {
+                    requests.push(Either::Left(copy::<T, P>(shared, address, limit)));
+                    continue;
+                }
+                Step::Store => {
+                    requests.push(Either::Right(read_configuration(shared, store)));
+                    continue;
+                }
+                Step::Wait(time) => time,
+            };
+            if requests.is_empty() {
+                sleep(wait).await;
+            } else {
+                // What a request delivered is applied; if none has ended, another one may start.
+                let _ended = timeout(wait, requests.next()).await;
             }
         }
     }
@@ -193,31 +189,25 @@
 fn next_step<T: Topic<P>, P: Platform>(shared: &Shared<P>) -> Option<Step<SocketAddr>> {
     let query = Query {
         known: T::known(shared),
-        size: T::size(shared),
         store: T::may_read_store(shared),
         random: shared.random(),
     };
-    let fetch = T::announcement(shared).fetch.borrow();
+    let mut fetch = T::announcement(shared).fetch.borrow_mut();
     fetch.next(shared.now(), &query)
 }
 
-/// Copies the data of a peer. A peer that does not deliver the announced version is removed from
-/// the sources until it announces it again.
+/// Copies the data of a peer.
 async fn copy<T: Topic<P>, P: Platform>(shared: &Shared<P>, address: SocketAddr, limit: Duration) {
     let requested = timeout(limit, request(shared, address, T::PATH)).await;
     let body = requested.unwrap_or(Err(Error::TimedOut));
     let applied = body.and_then(|body| T::apply(shared, &body));
     let mut fetch = T::announcement(shared).fetch.borrow_mut();
+    let target = Target::Peer(address);
     match applied {
-        Ok(Some(version)) => {
-            fetch.record_received(version);
-            if !fetch.is_current(version) {
-                fetch.remove(address);
-            }
-        }
-        Ok(None) => fetch.remove(address),
+        Ok(Some(version)) => fetch.record_received(target, version),
+        Ok(None) => fetch.record_failure(shared.now(), target),
         Err(error) => {
-            fetch.remove(address);
+            fetch.record_failure(shared.now(), target);
             info!(shared.log, "peer: copy not received";
                 "data" => T::NAME, "peer" => %address, "error" => %error);
         }
@@ -225,14 +215,14 @@
 }
 
 async fn read_configuration<P: Platform, S: Store>(shared: &Shared<P>, store: &S) {
+    let started_at = shared.now();
+    let read = watch::configuration(shared, store).await;
     let now = shared.now();
-    shared
-        .configurations
-        .fetch
-        .borrow_mut()
-        .record_store_read(now);
-    if let Err(fault) = watch::configuration(shared, store).await {
-        let elapsed = shared.now().since(now);
+    let mut fetch = shared.configurations.fetch.borrow_mut();
+    // One that the store does not have yet is read again after a pause.
+    fetch.record_failure(now, Target::Store);
+    if let Err(fault) = read {
+        let elapsed = now.since(started_at);
         info!(shared.log, "configuration: not read from the store";
             "cause" => watch::cause(fault), "ms" => elapsed.as_millis() as u64);
     }
@@ -243,11 +233,6 @@
     address: SocketAddr,
     path: &'static str,
 ) -> Result<Bytes, Error> {
-    let call = Call {
-        method: Method::GET,
-        path,
-        body: Vec::new(),
-    };
     let mut connection = link::open(address, &shared.http).await?;
-    call.send(&mut connection, address).await
+    Call::get(path).send(&mut connection, address).await
 }
--- a/crates/edge/src/peer/link.rs
+++ b/crates/edge/src/peer/link.rs
@@ -13,13 +13,17 @@
 use actix_http::header::HeaderMap;
 use actix_http::header::HeaderValue;
 use bytes::Bytes;
+use serde::Serialize;
 use snafu::ResultExt as _;
 use tokio::time::timeout;
 
 use super::BYTES_MAX;
 use super::client::ConnectionSnafu;
+use super::client::DecompressSnafu;
+use super::client::EncodeSnafu;
 use super::client::Error;
 use super::client::StatusSnafu;
+use super::gzip;
 use crate::connection;
 use crate::connection::Connection;
 
@@ -29,9 +33,9 @@
 /// A call to a peer.
 #[derive(Debug)]
 pub(super) struct Call {
-    pub(super) method: Method,
-    pub(super) path: &'static str,
-    pub(super) body: Vec<u8>,
+    method: Method,
+    path: &'static str,
+    body: Vec<u8>,
 }
 
 /// Idle connections to peers, one to each, kept for the next call.
@@ -88,6 +92,24 @@
 }
 
 impl Call {
+    /// A call with a message.
+    pub(super) fn post<T: Serialize>(path: &'static str, message: &T) -> Result<Self, Error> {
+        Ok(Self {
+            method: Method::POST,
+            path,
+            body: rmp_serde::to_vec(message).context(EncodeSnafu)?,
+        })
+    }
+
+    /// A call for data that may be large, so that its response may be compressed.
+    pub(super) const fn get(path: &'static str) -> Self {
+        Self {
+            method: Method::GET,
+            path,
+            body: Vec::new(),
+        }
+    }
+
     /// Sends the request to a peer and reads the body of the response.
     pub(super) async fn send(
         self,
@@ -98,6 +120,10 @@
         if let Ok(host) = HeaderValue::try_from(address.to_string()) {
             headers.insert(header::HOST, host);
         }
+        if self.method == Method::GET {
+            let encoding = HeaderValue::from_static(gzip::ENCODING);
+            headers.insert(header::ACCEPT_ENCODING, encoding);
+        }
         let head = connection::request(self.method, Uri::from_static(self.path), headers);
         connection
             .send(head, &Bytes::from(self.body))
@@ -110,6 +136,11 @@
             }
             .fail();
         }
-        Ok(body)
+        match head.headers.get(header::CONTENT_ENCODING) {
+            Some(encoding) if encoding == gzip::ENCODING => {
+                gzip::decompress(&body, BYTES_MAX).context(DecompressSnafu)
+            }
+            _ => Ok(body),
+        }
     }
 }
--- a/crates/edge/src/peer/outage.rs
+++ b/crates/edge/src/peer/outage.rs
@@ -5,18 +5,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::Method;
 use futures_util::future::join_all;
 use slog::debug;
 use slog::info;
-use snafu::ResultExt as _;
 use snipeusher::fleet::Leaving;
 use tokio::time::timeout;
 
 use super::OUTAGE_PATH;
 use super::OutageReport;
 use super::Peers;
-use super::client::EncodeSnafu;
 use super::client::Error;
 use super::link;
 use super::link::Call;
@@ -96,12 +93,7 @@
     address: SocketAddr,
     report: &OutageReport,
 ) -> Result<(), Error> {
-    let body = rmp_serde::to_vec(report).context(EncodeSnafu)?;
-    let call = Call {
-        method: Method::POST,
-        path: OUTAGE_PATH,
-        body,
-    };
+    let call = Call::post(OUTAGE_PATH, report)?;
     let mut connection = link::open(address, &shared.http).await?;
     call.send(&mut connection, address).await?;
     Ok(())
--- a/crates/edge/src/peer/server.rs
+++ b/crates/edge/src/peer/server.rs
@@ -7,7 +7,9 @@
 
 use actix_http::StatusCode;
 use actix_http::Uri;
+use actix_http::header;
 use actix_http::header::HeaderMap;
+use actix_http::header::HeaderValue;
 use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -15,6 +17,7 @@
 use snipeusher::fleet::Delta;
 use snipeusher::kv::Revision;
 use snipeusher::route::Limits;
+use snipeusher::route::Position;
 use snipeusher::stream::Group;
 
 use super::BYTES_MAX;
@@ -31,6 +34,7 @@
 use super::Response;
 use super::UPSTREAMS_PATH;
 use super::digest;
+use super::gzip;
 use super::merge;
 use super::outage;
 use super::relay;
@@ -42,6 +46,7 @@
 use crate::server::Handler;
 use crate::server::Request;
 use crate::server::Sender;
+use crate::shared::Document;
 use crate::shared::Shared;
 
 /// Upstreams up to which a complete list is part of the response to a digest.
@@ -64,6 +69,8 @@
     proxy: Rc<Proxy<P>>,
     /// Transfers in progress.
     transfers: Cell<usize>,
+    /// The configuration as it was last compressed for a transfer.
+    compressed: RefCell<Option<(Position, Bytes)>>,
     /// Apart from that of the process, so that exchanges do not count as in-flight requests.
     lifecycle: Lifecycle,
 }
@@ -76,6 +83,7 @@
             peers: Rc::clone(&proxy.peers),
             proxy,
             transfers: Cell::new(0),
+            compressed: RefCell::default(),
             lifecycle: Lifecycle::default(),
         }
     }
@@ -136,14 +144,60 @@
         self.encode(&fleet.changes_since(now, Revision::default()))
     }
 
-    fn configuration(&self) -> Result<Vec<u8>, StatusCode> {
-        let document = self.shared.document().ok_or(StatusCode::NOT_FOUND)?;
+    fn configuration(&self, document: Document) -> Result<Vec<u8>, StatusCode> {
         self.encode(&Configuration {
             revision: document.position.revision,
             value: document.value,
         })
     }
 
+    /// The configuration in force, compressed. Several peers ask for the same one.
+    fn compressed_configuration(&self) -> Result<Bytes, StatusCode> {
+        let document = self.shared.document().ok_or(StatusCode::NOT_FOUND)?;
+        let position = document.position;
+        let mut kept = self.compressed.borrow_mut();
+        if let Some((_, body)) = kept.as_ref().filter(|(known, _)| *known == position) {
+            return Ok(body.clone());
+        }
+        let body = self.compress(&self.configuration(document)?)?;
+        *kept = Some((position, body.clone()));
+        Ok(body)
+    }
+
+    /// Sends data that may be large, compressed for a peer that accepts it. The build before this
+    /// one does not.
+    async fn transfer(&self, request: &Request, responder: &mut Responder<'_>) -> io::Result<()> {
+        let _transfer = Transfer::start(&self.transfers);
+        let is_configuration = request.head.path() == CONFIGURATION_PATH;
+        let mut headers = HeaderMap::new();
+        let body = if accepts_gzip(&request.head.head().headers) {
+            let encoding = HeaderValue::from_static(gzip::ENCODING);
+            headers.insert(header::CONTENT_ENCODING, encoding);
+            if is_configuration {
+                self.compressed_configuration()
+            } else {
+                self.upstreams().and_then(|body| self.compress(&body))
+            }
+        } else if is_configuration {
+            let document = self.shared.document().ok_or(StatusCode::NOT_FOUND);
+            let body = document.and_then(|document| self.configuration(document));
+            body.map(Bytes::from)
+        } else {
+            self.upstreams().map(Bytes::from)
+        };
+        match body {
+            Ok(body) => responder.send(StatusCode::OK, headers, &body).await,
+            Err(status) => refuse(status, responder).await,
+        }
+    }
+
+    fn compress(&self, body: &[u8]) -> Result<Bytes, StatusCode> {
+        gzip::compress(body).map_err(|error| {
+            warn!(self.shared.log, "peer: response cannot be encoded"; "error" => %error);
+            StatusCode::INTERNAL_SERVER_ERROR
+        })
+    }
+
     /// Serves a request that a peer relays, which counts as in-flight like one of a caller.
     async fn relay(
         &self,
@@ -190,14 +244,14 @@
             return self.relay(request, uri, responder).await;
         }
         let path = request.head.path();
-        let is_transfer = matches!(path, CONFIGURATION_PATH | UPSTREAMS_PATH);
-        let is_busy = is_transfer && self.transfers.get() >= TRANSFERS_MAX;
-        let _transfer = is_transfer.then(|| Transfer::start(&self.transfers));
+        if matches!(path, CONFIGURATION_PATH | UPSTREAMS_PATH) {
+            if self.transfers.get() >= TRANSFERS_MAX {
+                return refuse(StatusCode::SERVICE_UNAVAILABLE, responder).await;
+            }
+            return self.transfer(&request, responder).await;
+        }
         let body = match path {
-            _ if is_busy => Err(StatusCode::SERVICE_UNAVAILABLE),
             EXCHANGE_PATH => self.exchange(&request.body),
-            CONFIGURATION_PATH => self.configuration(),
-            UPSTREAMS_PATH => self.upstreams(),
             OUTAGE_PATH => self.outage(&request.body),
             ORIGINS_PATH => self.origins(&request.body),
             ORIGIN_PATH => self.origin(&request.body),
@@ -209,15 +263,23 @@
                     .send(StatusCode::OK, HeaderMap::new(), &Bytes::from(body))
                     .await
             }
-            Err(status) => {
-                responder
-                    .send(status, HeaderMap::new(), &Bytes::new())
-                    .await
-            }
+            Err(status) => refuse(status, responder).await,
         }
     }
 }
 
+async fn refuse(status: StatusCode, responder: &mut Responder<'_>) -> io::Result<()> {
+    responder
+        .send(status, HeaderMap::new(), &Bytes::new())
+        .await
+}
+
+/// Whether the sender of a request takes a compressed response.
+fn accepts_gzip(headers: &HeaderMap) -> bool {
+    let accepted = headers.get(header::ACCEPT_ENCODING);
+    accepted.is_some_and(|encoding| encoding == gzip::ENCODING)
+}
+
 /// A transfer in progress.
 struct Transfer<'a>(&'a Cell<usize>);
 
--- a/crates/edge/src/peer/streams.rs
+++ b/crates/edge/src/peer/streams.rs
@@ -12,7 +12,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::Method;
 use futures_util::StreamExt as _;
 use futures_util::future::join;
 use futures_util::future::join_all;
@@ -33,7 +32,6 @@
 use super::ORIGINS_PATH;
 use super::Peers;
 use super::client::DecodeSnafu;
-use super::client::EncodeSnafu;
 use super::client::Error;
 use super::link::Call;
 use super::link::Links;
@@ -191,11 +189,7 @@
         batch: &[(Id, Origin)],
     ) -> Result<(), Error> {
         let groups = group(batch.iter().cloned());
-        let call = Call {
-            method: Method::POST,
-            path: ORIGINS_PATH,
-            body: rmp_serde::to_vec(&groups).context(EncodeSnafu)?,
-        };
+        let call = Call::post(ORIGINS_PATH, &groups)?;
         self.links
             .call(address, &shared.http, call, SEND_TIMEOUT)
             .await?;
@@ -235,11 +229,7 @@
         address: SocketAddr,
         question: &Question,
     ) -> Result<Option<Known>, Error> {
-        let call = Call {
-            method: Method::POST,
-            path: ORIGIN_PATH,
-            body: rmp_serde::to_vec(question).context(EncodeSnafu)?,
-        };
+        let call = Call::post(ORIGIN_PATH, question)?;
         let answer = self
             .links
             .call(address, &shared.http, call, ASK_TIMEOUT)
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -256,10 +256,11 @@
     let entries = changes.iter().flat_map(|change| &change.entries);
     archive::apply_changes(shared, entries);
     let mut updates = Vec::new();
+    let mut configurations = Vec::new();
     for change in changes.iter().filter(|change| concerns_all(change)) {
         for entry in &change.entries {
             if entry.key == P::CONFIGURATION {
-                shared.configure(entry.modified, &entry.value, "store");
+                configurations.push(entry);
             } else if let Some(id) = shared.platform.upstream(&entry.key) {
                 updates.push(written(shared, id, entry));
             } else {
@@ -272,6 +273,10 @@
             updates.extend(removed.or_else(|| evacuation::removed(shared, key, change.revision)));
         }
     }
+    // Only the last one that can be decoded comes into force: to compile a large one takes long.
+    let mut configurations = configurations.into_iter().rev();
+    let _in_force =
+        configurations.find_map(|entry| shared.configure(entry.modified, &entry.value, "store"));
     let mut fleet = shared.fleet.borrow_mut();
     if !updates.is_empty() {
         fleet.apply(shared.now(), updates);
--- a/crates/edge/tests/propagation.rs
+++ b/crates/edge/tests/propagation.rs
@@ -236,6 +236,33 @@
     }
 }
 
+/// Guards against copies of a large configuration that fill the links of the routers which have it
+/// first, and against ones that a router of the build before, which accepts no encoding, cannot
+/// decode.
+#[actix_rt::test]
+async fn a_configuration_is_compressed_for_peers_that_accept_it() {
+    let (node, store) = single(&[]).await;
+    let document = large(2);
+    store.configure(&document);
+    until("it is in force", || version(&node) == Some(2)).await;
+    let mut bodies = Vec::new();
+    for accepted in ["", "Accept-Encoding: gzip\r\n"] {
+        let path = "/fleet/v6/configuration";
+        let request = format!("GET {path} HTTP/1.1\r\nHost: h\r\n{accepted}\r\n");
+        let mut caller = Caller::connect(node.control).await;
+        caller.write(&request).await;
+        let answered = caller.read().await.expect("an answer");
+        assert_eq!(answered.status, 200);
+        assert_eq!(
+            answered.header("content-encoding"),
+            (!accepted.is_empty()).then_some("gzip")
+        );
+        bodies.push(answered.body.len());
+    }
+    assert!(bodies[0] >= document.len());
+    assert!(bodies[1] * 5 <= document.len(), "{bodies:?}");
+}
+
 /// Guards against requests that are aborted by the shutdown of the router.
 #[actix_rt::test]
 async fn shutdown_completes_requests_in_flight() {
