Give peers three seconds again while the store cannot be read

A router that cannot read the store never got a configuration whose copy took longer than a second: the limit of three seconds had gone with the size of the data. It holds again without a store; with one, three peers and the store are asked beside each other within 0.8 s. another_peer_is_used_if_the_first_does_not_deliver and a_slow_transfer_succeeds_and_delays_no_other_change failed before.

--- a/crates/snipeusher/src/fetch.rs
+++ b/crates/snipeusher/src/fetch.rs
@@ -23,10 +23,12 @@
 const PEERS_ONLY_START: Duration = Duration::from_millis(150);
 /// Limit on a copy of a peer. A peer that takes longer is overloaded or unreachable.
 const PEER_LIMIT: Duration = Duration::from_secs(1);
+/// The same of a router that cannot read the store, and has nobody else to ask.
+const PEER_LIMIT_ALONE: Duration = Duration::from_secs(3);
 /// Time after which a request that has not delivered yet is joined by another one.
 const HEDGE_DELAY: Duration = Duration::from_millis(200);
-/// Requests in progress at most. A silent store and a frozen peer leave one.
-const IN_PROGRESS_MAX: usize = 3;
+/// Requests in progress at most: three to peers and one to the store.
+const IN_PROGRESS_MAX: usize = 4;
 /// Pause while no source is known to be able to deliver.
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 /// Largest random addition to the pause, so that routers do not return together.
@@ -200,7 +202,12 @@
             return Some(Step::Wait(LOCAL_WAIT.saturating_sub(waited)));
         }
         if let Some(source) = local.or_else(|| self.pick(false, query.random)) {
-            return Some(Step::Peer(source.address, PEER_LIMIT));
+            let limit = if query.store {
+                PEER_LIMIT
+            } else {
+                PEER_LIMIT_ALONE
+            };
+            return Some(Step::Peer(source.address, limit));
         }
         let jitter = Duration::from_millis(query.random % RETRY_JITTER_MS);
         let may_deliver = query.store || !self.in_progress.is_empty();
--- a/crates/snipeusher/tests/fetch.rs
+++ b/crates/snipeusher/tests/fetch.rs
@@ -221,18 +221,22 @@
     for address in 1..=5 {
         fetch.announce(Time::from_millis(0), NEWEST, source(address, true));
     }
-    let mut query = query(Some(Revision::new(1)));
-    query.store = false;
-    let mut asked = Vec::new();
+    let query = query(Some(Revision::new(1)));
+    let mut asked = BTreeMap::new();
+    let mut store_asked_at = None;
     for now in (0..1_000).step_by(10) {
-        if let Some(Step::Peer(address, limit)) = fetch.next(Time::from_millis(now), &query) {
-            assert!(limit <= Duration::from_secs(1));
-            asked.push((now, address));
+        match fetch.next(Time::from_millis(now), &query) {
+            Some(Step::Peer(address, limit)) => {
+                assert!(limit <= Duration::from_secs(1));
+                asked.entry(address).or_insert(now);
+            }
+            Some(Step::Store) => store_asked_at = Some(now),
+            _ => {}
         }
     }
-    asked.dedup_by_key(|(_, address)| *address);
     assert_eq!(asked.len(), 3, "{asked:?}");
-    assert!(asked.iter().all(|(now, _)| *now <= 500), "{asked:?}");
+    assert!(asked.values().all(|now| *now <= 500), "{asked:?}");
+    assert!(store_asked_at.is_some_and(|now| now <= 800));
 }
 
 /// Guards against traffic between zones when a peer of the own zone is about to have the data.
