Count what a router spent of the retry budget before it was restarted

Upstreams got more retries than the fleet may send (BUDGET). On the reported deployment 405 of 403 retries reached a service while three of six routers were restarted in turn beside upstreams that declined 45 in 100 requests; without the restarts the rule held. Cause: what a router has spent was known to its process only, and nothing on a host outlives it, so that each restart renewed its part. A router that started also took the slack of all for its own until it had heard of the others.

Routers now state their spending to four peers while they send retries, and one that starts sends none until a peer can tell what the process before it spent, or for one window. The settings say if the fleet starts for the first time, when nothing can have been spent.

--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -157,6 +157,11 @@
         Rc::clone(&origins).copy(Rc::clone(&state))
     });
     let (state, others) = context.clone();
+    supervise(&shared.log, "spending", move || {
+        peer::state_spending(Rc::clone(&state), Rc::clone(&others))
+    });
+    actix_rt::spawn(peer::learn_spending(Rc::clone(shared), Rc::clone(peers)));
+    let (state, others) = context.clone();
     supervise(&shared.log, "outages", move || {
         peer::report_outages(Rc::clone(&state), Rc::clone(&others))
     });
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod relay;
 mod server;
+mod spending;
 mod streams;
 
 use std::net::SocketAddr;
@@ -44,6 +45,8 @@
 pub use self::peers::Peers;
 pub(crate) use self::relay::relay_uri;
 pub use self::server::Control;
+pub use self::spending::learn_spending;
+pub use self::spending::state_spending;
 pub(crate) use self::streams::Answer;
 pub use self::streams::Question;
 pub use self::streams::Streams;
@@ -65,6 +68,10 @@
 const ORIGINS_PATH: &str = "/fleet/v6/origins";
 /// Path of questions for the origin of one stream.
 const ORIGIN_PATH: &str = "/fleet/v6/origin";
+/// Path to which routers state what they spend of the retry budgets.
+const SPENDING_PATH: &str = "/fleet/v6/spending";
+/// Path of questions for what an earlier process spent.
+const SPENT_PATH: &str = "/fleet/v6/spent";
 /// Largest body of a request or response between routers.
 const BYTES_MAX: usize = 4 << 20;
 
--- a/crates/edge/src/peer/server.rs
+++ b/crates/edge/src/peer/server.rs
@@ -16,6 +16,7 @@
 use slog::warn;
 use snipeusher::fleet::Delta;
 use snipeusher::kv::Revision;
+use snipeusher::name;
 use snipeusher::route::Limits;
 use snipeusher::route::Position;
 use snipeusher::stream::Group;
@@ -32,12 +33,15 @@
 use super::Peers;
 use super::Question;
 use super::Response;
+use super::SPENDING_PATH;
+use super::SPENT_PATH;
 use super::UPSTREAMS_PATH;
 use super::digest;
 use super::gzip;
 use super::merge;
 use super::outage;
 use super::relay;
+use super::spending;
 use super::streams;
 use crate::dialect::Platform;
 use crate::exchange::Proxy;
@@ -105,6 +109,16 @@
         self.encode(&streams::answer(&self.shared, &question))
     }
 
+    fn spending(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
+        spending::record(&self.shared, self.decode(body)?);
+        Ok(Vec::new())
+    }
+
+    fn spent(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
+        let host: name::Host = self.decode(body)?;
+        self.encode(&spending::answer(&self.shared, &host))
+    }
+
     fn exchange(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
         let received: Digest = self.decode(body)?;
         let own = digest(&self.shared, &mut self.peers.borrow_mut());
@@ -255,6 +269,8 @@
             OUTAGE_PATH => self.outage(&request.body),
             ORIGINS_PATH => self.origins(&request.body),
             ORIGIN_PATH => self.origin(&request.body),
+            SPENDING_PATH => self.spending(&request.body),
+            SPENT_PATH => self.spent(&request.body),
             _ => Err(StatusCode::NOT_FOUND),
         };
         match body {
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -64,6 +64,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Limit on the time to connect to an upstream.
     pub connect_timeout: Duration,
+    /// Whether the whole fleet starts for the first time, so that nothing was sent before.
+    pub is_first_start: bool,
     /// Longest time from SIGTERM to the exit, even with requests in flight.
     pub grace: Duration,
     /// Settings of the view of the fleet.
@@ -112,6 +114,8 @@
     pub new_origins: Notify,
     /// Records of this router and others in the store.
     pub archive: Archive,
+    /// What peers have spent of the retry budgets.
+    pub accounts: RefCell<fleet::Accounts>,
     /// Prompt parts that crash upstreams.
     pub poison: RefCell<poison::Tracker>,
     /// Requests whose upstreams are about to be checked for a crash.
@@ -143,8 +147,14 @@
         let archive = Archive::new(rng.random());
         let mut fleet = Fleet::new(settings.fleet.clone());
         fleet.set_warmup_bound(Time::default(), settings.warmup);
-        if settings.seeds.iter().any(|seed| *seed != settings.control) {
+        let others = settings.seeds.iter();
+        let others = others.filter(|seed| **seed != settings.control).count();
+        if others > 0 {
+            fleet.set_routers(others + 1);
             fleet.await_peers(Time::default());
+            if !settings.is_first_start {
+                fleet.await_past_retries(Time::default());
+            }
         }
         let shared = Rc::new(Self {
             platform,
@@ -162,6 +172,7 @@
             origins: RefCell::default(),
             new_origins: Notify::new(),
             archive,
+            accounts: RefCell::default(),
             poison: RefCell::new(poison),
             lost: crash::Unverified::default(),
             configurations: Announcement::default(),
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -53,6 +53,7 @@
         metrics: Some(free_address()),
         seeds,
         connect_timeout: Duration::from_millis(300),
+        is_first_start: true,
         grace: Duration::from_secs(8),
         fleet: fleet::Settings {
             zone: name::Zone::from(zone),
--- a/crates/edge/tests/homes.rs
+++ b/crates/edge/tests/homes.rs
@@ -405,6 +405,7 @@
         metrics: None,
         seeds: Vec::new(),
         connect_timeout: Duration::from_millis(300),
+        is_first_start: true,
         grace: Duration::from_secs(8),
         warmup: fleet::Bound::default(),
         fleet: fleet::Settings {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -67,6 +67,11 @@
         self.optional_name(key)
     }
 
+    /// Reads an optional truth value.
+    pub fn optional_flag(&mut self, key: &'static str) -> Option<bool> {
+        self.take(key, "true or false", toml::Value::as_bool)
+    }
+
     /// Reads an optional, non-empty string.
     pub fn optional_name(&mut self, key: &'static str) -> Option<String> {
         self.take(key, "a name", |value| {
--- a/crates/snipeusher/src/fleet.rs
+++ b/crates/snipeusher/src/fleet.rs
@@ -4,6 +4,7 @@
 //! ([`Load`]), their health ([`Health`]) and how many retries this router may still send
 //! ([`Budget`]). It reads no clock and holds no socket. See `docs/platform.md#placement`.
 
+mod account;
 mod bucket;
 mod budget;
 mod builds;
@@ -21,6 +22,7 @@
 mod rate;
 mod regions;
 mod residence;
+mod retries;
 mod roster;
 mod spread;
 mod upstream;
@@ -28,8 +30,15 @@
 mod warmup;
 mod zone;
 
+pub use self::account::Account;
+pub use self::account::Accounts;
+pub use self::account::Answer;
+pub use self::account::Conclusion;
+pub use self::account::Statement;
+pub use self::account::conclude;
 pub use self::budget::Budget;
 pub use self::budget::Limits;
+pub use self::budget::Span;
 pub use self::budget::Spending;
 pub use self::choice::Cause;
 pub use self::choice::Decision;
--- a/crates/snipeusher/src/fleet/budget.rs
+++ b/crates/snipeusher/src/fleet/budget.rs
@@ -1,11 +1,16 @@
 //! Retry budget: limits the retries that the fleet sends to a service.
 
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::time::Time;
 
-const BUCKET_MS: u64 = 500;
+/// Length of the spans in which requests and retries are counted.
+const BUCKET: Duration = Duration::from_millis(500);
 /// Fraction of the limit that routers use. The rest covers a router that has just joined and that
 /// the others don't count yet.
 const USABLE_FRACTION: f64 = 0.85;
@@ -31,8 +36,9 @@
     }
 }
 
-/// Requests and retries of one service within a window.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// Requests and retries of one service within a span of time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Spending {
     /// New requests of callers.
     pub requests: u32,
@@ -40,11 +46,28 @@
     pub retries: u32,
 }
 
+/// What was spent in a span of time, as a router states it to others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Span {
+    /// Milliseconds since the span began.
+    pub age_ms: u32,
+    /// What was spent in it.
+    pub spending: Spending,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
     since: Time,
-    requests: u32,
-    retries: u32,
+    /// Its age at that time, if an earlier process has counted it.
+    age_before: Duration,
+    spending: Spending,
+}
+
+impl Bucket {
+    fn age(&self, now: Time) -> Duration {
+        now.since(self.since) + self.age_before
+    }
 }
 
 /// Budget of the retries that this router may send to one service.
@@ -59,7 +82,7 @@
 impl Budget {
     /// Counts a new request of a caller.
     pub fn record_request(&mut self, now: Time) {
-        self.current_bucket(now).requests += 1;
+        self.current(now).requests += 1;
     }
 
     /// Uses up one retry; returns false if none remains.
@@ -68,7 +91,7 @@
     pub fn try_retry(&mut self, now: Time, limits: &Limits, routers: usize) -> bool {
         let allowed = self.can_retry(now, limits, routers);
         if allowed {
-            self.current_bucket(now).retries += 1;
+            self.current(now).retries += 1;
         }
         allowed
     }
@@ -89,37 +112,57 @@
     /// Requests and retries within the window that ends at `now`.
     pub fn spending(&mut self, now: Time, window: Duration) -> Spending {
         self.expire(now, window);
-        let mut spending = Spending::default();
-        for bucket in &self.buckets {
-            spending.requests += bucket.requests;
-            spending.retries += bucket.retries;
+        let buckets = self.buckets.iter().map(|bucket| bucket.spending);
+        buckets.fold(Spending::default(), |sum, spending| Spending {
+            requests: sum.requests.saturating_add(spending.requests),
+            retries: sum.retries.saturating_add(spending.retries),
+        })
+    }
+
+    /// What was spent within the window, to be stated to others; empty if no retry was sent.
+    pub fn spans(&mut self, now: Time, window: Duration) -> Vec<Span> {
+        if self.spending(now, window).retries == 0 {
+            return Vec::new();
         }
-        spending
+        let buckets = self.buckets.iter().map(|bucket| Span {
+            age_ms: u32::try_from(bucket.age(now).as_millis()).unwrap_or(u32::MAX),
+            spending: bucket.spending,
+        });
+        buckets.collect()
     }
 
-    fn current_bucket(&mut self, now: Time) -> &mut Bucket {
-        let is_current = self
-            .buckets
-            .back()
-            .is_some_and(|last| now.since(last.since) < Duration::from_millis(BUCKET_MS));
-        if !is_current {
+    /// Adds what an earlier process of this router has spent.
+    pub fn add_earlier(&mut self, now: Time, spans: &[Span]) {
+        let earlier = spans.iter().map(|span| Bucket {
+            since: now,
+            age_before: Duration::from_millis(u64::from(span.age_ms)),
+            spending: span.spending,
+        });
+        self.buckets.extend(earlier);
+        let buckets = self.buckets.make_contiguous();
+        buckets.sort_by_key(|bucket| Reverse(bucket.age(now)));
+    }
+
+    fn current(&mut self, now: Time) -> &mut Spending {
+        let last = self.buckets.back();
+        if last.is_none_or(|last| last.age(now) >= BUCKET) {
             self.buckets.push_back(Bucket {
                 since: now,
-                requests: 0,
-                retries: 0,
+                age_before: Duration::ZERO,
+                spending: Spending::default(),
             });
         }
         let last = self.buckets.len() - 1;
-        &mut self.buckets[last]
+        &mut self.buckets[last].spending
     }
 
     fn expire(&mut self, now: Time, window: Duration) {
         // A bucket counts until its newest request is older than the window.
-        let lifetime = window + Duration::from_millis(BUCKET_MS);
+        let lifetime = window + BUCKET;
         while self
             .buckets
             .front()
-            .is_some_and(|first| now.since(first.since) > lifetime)
+            .is_some_and(|first| first.age(now) > lifetime)
         {
             self.buckets.pop_front();
         }
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::Budget;
+use super::Account;
 use super::Decision;
 use super::DeclineLimit;
 use super::Delta;
@@ -32,6 +32,7 @@
 use super::drain::Drains;
 use super::rate::Routers;
 use super::residence::Residence;
+use super::retries::Retries;
 use super::warmup::Bound;
 use super::warmup::Warmups;
 use super::zone::Zone;
@@ -87,7 +88,7 @@
     builds: Builds,
     /// When the next retained entry of the roster expires.
     refresh_at: Option<Time>,
-    budgets: BTreeMap<name::Service, Budget>,
+    retries: Retries,
     zones: BTreeMap<name::Zone, Zone>,
     residences: BTreeMap<name::Service, Residence>,
     /// News to report to peers.
@@ -103,7 +104,6 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             roster: Roster::new(settings.drain),
-            settings,
             upstreams: Vec::new(),
             slots: BTreeMap::new(),
             members: BTreeMap::new(),
@@ -112,7 +112,7 @@
             drains: Drains::default(),
             builds: Builds::default(),
             refresh_at: None,
-            budgets: BTreeMap::new(),
+            retries: Retries::new(settings.retries),
             zones: BTreeMap::new(),
             residences: BTreeMap::new(),
             outage: Outage::default(),
@@ -120,6 +120,7 @@
             sharers: Routers::default(),
             decline_limits: DeclineLimits::default(),
             warmups: Warmups::default(),
+            settings,
         }
     }
 
@@ -392,7 +393,7 @@
 
     /// Counts a caller's request to a service.
     pub fn record_request(&mut self, now: Time, service: &name::Service) {
-        self.budget(service).record_request(now);
+        self.retries.record_request(now, service);
     }
 
     /// Chooses an upstream for a request.
@@ -877,9 +878,39 @@
 
     /// Uses up one retry of the service's budget; returns false if none remains.
     pub fn try_retry(&mut self, now: Time, service: &name::Service) -> bool {
-        let limits = self.settings.retries;
-        let routers = self.routers;
-        self.budget(service).try_retry(now, &limits, routers)
+        self.retries.try_retry(now, service, self.routers)
+    }
+
+    /// Records that an earlier process of this router may have spent its part of the retry budgets
+    /// until `now`. No retry is allowed until [`Self::learn_past_retries`], or until the window has
+    /// passed.
+    pub fn await_past_retries(&mut self, now: Time) {
+        self.retries.await_past(now);
+    }
+
+    /// Whether an earlier process may have spent retries that are not counted.
+    pub fn are_past_retries_unknown(&self, now: Time) -> bool {
+        self.retries.is_past_unknown(now)
+    }
+
+    /// Counts what an earlier process of this router spent, which is all of it.
+    pub fn learn_past_retries(&mut self, now: Time, accounts: &[Account]) {
+        self.retries.learn_past(now, accounts);
+    }
+
+    /// Sets the least number of routers to share retry budgets with, while this router knows few.
+    pub const fn set_routers_min(&mut self, routers: usize) {
+        self.retries.set_routers_min(routers);
+    }
+
+    /// What this router has spent of the retry budgets, to be stated to peers.
+    pub fn accounts(&mut self, now: Time) -> Vec<Account> {
+        self.retries.accounts(now)
+    }
+
+    /// Length of the window of the retry budgets.
+    pub const fn retry_window(&self) -> Duration {
+        self.settings.retries.window
     }
 
     /// The number of routers that share retry budgets and connections.
@@ -889,24 +920,12 @@
 
     /// Retries that this router may still send at `now`, by service, rounded down.
     pub fn retries_remaining(&mut self, now: Time) -> Vec<(name::Service, u32)> {
-        let (limits, routers) = (self.settings.retries, self.routers);
-        let budgets = self.budgets.iter_mut();
-        let remaining = budgets.map(|(service, budget)| {
-            let retries = budget.remaining(now, &limits, routers);
-            (service.clone(), retries as u32)
-        });
-        remaining.collect()
+        self.retries.remaining(now, self.routers)
     }
 
     /// Requests and retries of each service within the budget's window.
     pub fn spending(&mut self, now: Time) -> Vec<(name::Service, Spending)> {
-        let window = self.settings.retries.window;
-        let budgets = self.budgets.iter_mut();
-        let spending = budgets.map(|(service, budget)| {
-            let spending = budget.spending(now, window);
-            (service.clone(), spending)
-        });
-        spending.collect()
+        self.retries.spending(now)
     }
 
     /// Whether the retry budget and an available untried upstream allow another attempt.
@@ -915,10 +934,8 @@
         let upstreams = ready.iter().map(|slot| &self.upstreams[*slot]);
         let needs_room = self.needs_room(now, query.service);
         let mut others = upstreams.filter(|upstream| query.admits(now, upstream, needs_room));
-        let limits = self.settings.retries;
-        let routers = self.routers;
         others.any(|upstream| upstream.health.is_available(now))
-            && self.budget(query.service).can_retry(now, &limits, routers)
+            && self.retries.can_retry(now, query.service, self.routers)
     }
 
     /// Records that a request was sent to an upstream.
@@ -1007,13 +1024,6 @@
         sum / f64::from(count.max(1))
     }
 
-    fn budget(&mut self, service: &name::Service) -> &mut Budget {
-        if !self.budgets.contains_key(service) {
-            self.budgets.insert(service.clone(), Budget::default());
-        }
-        self.budgets.entry(service.clone()).or_default()
-    }
-
     fn upstream_mut(&mut self, id: &name::Upstream) -> Option<&mut Upstream> {
         let slot = *self.slots.get(id)?;
         Some(&mut self.upstreams[slot])
