Trust a refusal without an identifier only on a new connection

A caller was told that its request did not run, and to try again, although an upstream ran it (REFUSED), or the request was sent to a second one (TWICE): a faulty upstream wrote an earlier refusal once more on a kept connection, without the identifier that the refusal itself had. A refusal without one was taken for the answer to whatever request the connection carried. Refusals with the identifier of another request were skipped already.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -199,6 +199,11 @@
         self.idle_before
     }
 
+    /// Whether the current request is not the first one on the connection.
+    pub const fn is_reused(&self) -> bool {
+        self.idle_before.is_some()
+    }
+
     /// Idle time after which the other side closes the connection, if stated in `Keep-Alive`.
     pub const fn idle_limit(&self) -> Option<Duration> {
         self.idle_limit
--- a/crates/edge/src/exchange/attempt.rs
+++ b/crates/edge/src/exchange/attempt.rs
@@ -252,7 +252,9 @@
             let head = connection.head().await?;
             let status = head.status.as_u16();
             let facts = self.shared.platform.response(status, &head.headers);
-            if facts.id == self.admitted.request.id || facts.declined && facts.id.is_none() {
+            // On a reused connection it may be a late duplicate of an earlier refusal.
+            let is_refusal = facts.declined && facts.id.is_none() && !connection.is_reused();
+            if facts.id == self.admitted.request.id || is_refusal {
                 return Ok(Reply { head, facts });
             }
             if facts.id.is_none() {
