Join no stream by an outdated list of upstreams

A stream held events of two software versions (ORDER): a caller took it up at a router that had been cut off, or had stood still, while upstreams of a second version joined, and that router, which knew one version only, joined it there. Three ways led to it: peers that answered without a record, or had expired from the list of peers, left the decision to the router's own list; one peer's inference counted although another knew two versions; and for a caller that names no stream nobody was asked.

Now only what all answering peers infer counts, and a router that has seeds or has had peers is never alone.

--- a/crates/edge/src/archive.rs
+++ b/crates/edge/src/archive.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::try_join;
 use slog::debug;
 use slog::info;
 use slog::warn;
@@ -22,7 +23,6 @@
 use snipeusher::kv::Compare;
 use snipeusher::kv::Fault;
 use snipeusher::kv::Op;
-use snipeusher::kv::Range;
 use snipeusher::kv::Reply;
 use snipeusher::kv::Revision;
 use snipeusher::kv::Txn;
@@ -37,6 +37,7 @@
 
 use crate::dialect::Platform;
 use crate::shared::Shared;
+use crate::watch;
 
 /// Least time between two writes of streams. It bounds the calls to the store, whatever the load;
 /// streams that began since the last write are unknown after a loss of all routers.
@@ -245,8 +246,8 @@
         shared.archive.lookup.notified().await;
         // Callers that come later need a later read.
         let waiting = shared.archive.lookups.take();
-        let is_read = timeout(LOOKUP_TIMEOUT, try_read(&shared, &*store)).await;
-        let is_read = matches!(is_read, Ok(Ok(())));
+        let reads = try_join(try_read(&shared, &*store), learn_versions(&shared, &*store));
+        let is_read = matches!(timeout(LOOKUP_TIMEOUT, reads).await, Ok(Ok(_)));
         for caller in waiting {
             // One that has left needs no answer.
             let _left = caller.send(is_read);
@@ -262,17 +263,36 @@
 }
 
 async fn try_read<P: Platform, S: Store>(shared: &Shared<P>, store: &S) -> Result<(), Fault> {
-    let range = Range::Prefix(archive::PREFIX.to_owned());
-    let read = store.call(Call::Range(range)).await;
+    let read = watch::range(store, archive::PREFIX).await;
     let outcome = if read.is_ok() { "read" } else { "read_failed" };
     shared.metrics.archive_call(outcome);
-    let Reply::Range { entries, .. } = read? else {
-        return Err(Fault::Refused);
-    };
+    let (_revision, entries) = read?;
     apply_list(shared, &entries);
     Ok(())
 }
 
+/// Learns which software versions the upstreams run that the store lists at present.
+async fn learn_versions<P: Platform, S: Store>(shared: &Shared<P>, store: &S) -> Result<(), Fault> {
+    let (_revision, entries) = watch::range(store, P::UPSTREAMS).await?;
+    let entries = entries
+        .iter()
+        .filter_map(|entry| shared.platform.entry(entry).ok());
+    let mut listed = Versions::default();
+    for entry in entries {
+        listed
+            .0
+            .entry(entry.service)
+            .or_default()
+            .insert(entry.build);
+    }
+    let now = shared.now();
+    shared
+        .fleet
+        .borrow_mut()
+        .learn_listed_versions(now, &listed);
+    Ok(())
+}
+
 /// Applies all records of the store.
 pub(crate) fn apply_list<P: Platform>(shared: &Shared<P>, entries: &[kv::Entry]) {
     let records = Records::decode(entries);
--- a/crates/edge/src/exchange/resume.rs
+++ b/crates/edge/src/exchange/resume.rs
@@ -105,24 +105,22 @@
         let age = self.admitted.route.timeout;
         let named = self.admitted.request.resumes.as_deref();
         let stream = named.map(Id::of_request);
-        let found = match stream {
-            Some(stream) => self.find_named(stream, age).await,
-            // Callers that name no stream are served while one version runs.
-            None => self.sole_origin(age),
-        };
-        match found {
+        match self.find_at_routers(stream, age).await {
             Some(found) => Ok(found),
             None => self.find_in_store(stream, age).await,
         }
     }
 
     /// Finds the origin in the memory of routers.
-    async fn find_named(&self, stream: Id, age: Duration) -> Option<(Origin, Source)> {
-        if let Some(origin) = self.recorded_origin(stream) {
+    async fn find_at_routers(&self, stream: Option<Id>, age: Duration) -> Option<(Origin, Source)> {
+        if let Some(origin) = stream.and_then(|stream| self.recorded_origin(stream)) {
             return Some((origin, Source::Memory));
         }
+        // Nobody has a record of a stream that the caller does not name, but peers know whether one
+        // version runs. The list of this router may be outdated.
+        let own = || Id::of_request(self.admitted.request.id.as_deref().unwrap_or_default());
         let question = Question {
-            stream,
+            stream: stream.unwrap_or_else(own),
             service: self.admitted.target.service.clone(),
             age_ms: age.as_millis() as u64,
         };
@@ -135,13 +133,13 @@
                 let is_mixed = fleet.has_several_builds(now, &origin.service);
                 (!is_mixed).then_some((origin, Source::Peer))
             }
-            Answer::Unknown => self.sole_origin(age),
-            // This router may be cut off and know an old list of upstreams.
-            Answer::Silent => None,
+            Answer::Alone => self.sole_origin(age),
+            Answer::Unknown => None,
         }
     }
 
-    /// Finds the origin in the records of the store, which outlive a loss of all routers.
+    /// Finds the origin in the records of the store, which outlive a loss of all routers, or the only
+    /// version in its present list of upstreams.
     async fn find_in_store(
         &self,
         stream: Option<Id>,
--- a/crates/edge/src/peer/peers.rs
+++ b/crates/edge/src/peer/peers.rs
@@ -53,6 +53,8 @@
     queue: VecDeque<SocketAddr>,
     /// The last member listed in a digest.
     last_listed: Option<name::Host>,
+    /// Whether any peer was ever known.
+    has_had_peers: bool,
 }
 
 impl Peers {
@@ -66,9 +68,15 @@
             known: BTreeMap::new(),
             queue: VecDeque::new(),
             last_listed: None,
+            has_had_peers: false,
         }
     }
 
+    /// Whether there is no sign of other routers. One that has lost its peers is not alone.
+    pub const fn is_alone(&self) -> bool {
+        self.seeds.is_empty() && !self.has_had_peers
+    }
+
     /// Number of other routers that are assumed to run, at least the number of seeds.
     pub fn len(&self, now: Time) -> usize {
         self.hosts(now).count().max(self.seeds.len())
@@ -268,6 +276,7 @@
             }
             Some(_) => {}
             None => {
+                self.has_had_peers = true;
                 let newer = Known {
                     address,
                     zone: zone.clone(),
--- a/crates/edge/src/peer/streams.rs
+++ b/crates/edge/src/peer/streams.rs
@@ -81,12 +81,12 @@
 pub(crate) enum Answer {
     /// A peer has a record of it.
     Recorded(Origin),
-    /// No peer that answered has one, but one of them knows only one version of the service.
+    /// No peer that answered has one, and all of them know the same version of the service only.
     Sole(Origin),
-    /// No peer that answered knows anything, or there are no peers.
+    /// No peer answered, or one that did has no record and cannot tell the version.
     Unknown,
-    /// No peer answered.
-    Silent,
+    /// This router is the only one.
+    Alone,
 }
 
 /// Sends origins of streams to peers and asks them for others.
@@ -198,28 +198,31 @@
 
     /// Asks the peers that should have a copy for the origin of a stream.
     pub(crate) async fn ask<P: Platform>(&self, shared: &Shared<P>, question: Question) -> Answer {
+        if self.peers.borrow().is_alone() {
+            return Answer::Alone;
+        }
         let addresses = self.peers.borrow().ranked(question.stream.0, ASKED);
-        let is_alone = addresses.is_empty();
         let questions = addresses
             .into_iter()
             .map(|address| self.ask_peer(shared, address, &question));
         let mut questions: FuturesUnordered<_> = questions.collect();
-        let mut is_answered = is_alone;
-        let mut sole = None;
+        let mut soles = Vec::new();
+        let mut is_doubtful = false;
         while let Some(answer) = questions.next().await {
             match answer {
                 Ok(Some(known)) if known.recorded => return Answer::Recorded(known.origin),
-                Ok(Some(known)) => sole = Some(known.origin),
-                Ok(None) => is_answered = true,
+                Ok(Some(known)) => soles.push(known.origin),
+                // It may know of several versions, which the others have not heard of.
+                Ok(None) => is_doubtful = true,
                 Err(error) => {
                     debug!(shared.log, "peer: origin of a stream not received"; "error" => %error);
                 }
             }
         }
-        match sole {
-            Some(origin) => Answer::Sole(origin),
-            None if is_answered => Answer::Unknown,
-            None => Answer::Silent,
+        soles.dedup();
+        match soles.pop() {
+            Some(origin) if soles.is_empty() && !is_doubtful => Answer::Sole(origin),
+            _ => Answer::Unknown,
         }
     }
 
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -197,7 +197,11 @@
     }
 }
 
-async fn range<S: Store>(store: &S, prefix: &str) -> Result<(Revision, Vec<kv::Entry>), Fault> {
+/// Reads all keys with a prefix.
+pub(crate) async fn range<S: Store>(
+    store: &S,
+    prefix: &str,
+) -> Result<(Revision, Vec<kv::Entry>), Fault> {
     let range = Range::Prefix(prefix.to_owned());
     match store.call(Call::Range(range)).await? {
         Reply::Range { revision, entries } => Ok((revision, entries)),
--- a/crates/snipeusher/src/fleet/builds.rs
+++ b/crates/snipeusher/src/fleet/builds.rs
@@ -41,13 +41,18 @@
     /// Learns the versions that are recorded in the store. One without upstreams may have left just
     /// now, since nobody may have run to see it leave.
     pub(super) fn record(&mut self, now: Time, recorded: Versions) {
-        for (service, builds) in &recorded.0 {
+        self.learn(now, &recorded);
+        self.recorded = recorded;
+    }
+
+    /// Learns of versions that may run although this router knows no upstreams of them.
+    pub(super) fn learn(&mut self, now: Time, versions: &Versions) {
+        for (service, builds) in &versions.0 {
             let known = self.services.entry(service.clone()).or_default();
             for build in builds {
                 known.entry(build.clone()).or_insert(Some(now));
             }
         }
-        self.recorded = recorded;
     }
 
     /// The versions that the store should have recorded: in addition to the record those that
--- a/crates/snipeusher/src/fleet/view.rs
+++ b/crates/snipeusher/src/fleet/view.rs
@@ -846,6 +846,12 @@
         self.builds.record(now, recorded);
     }
 
+    /// Learns the software versions of the upstreams that the store lists at present. The list of
+    /// this router may be older.
+    pub fn learn_listed_versions(&mut self, now: Time, listed: &Versions) {
+        self.builds.learn(now, listed);
+    }
+
     /// The software versions to be recorded in the store, if the record differs from them.
     pub fn unrecorded_versions(&self, now: Time) -> Option<Versions> {
         if !self.builds.is_known() {
