--- a/crates/snipeusher/src/fleet/roster.rs
+++ b/crates/snipeusher/src/fleet/roster.rs
@@ -282,8 +282,11 @@
     /// Applies a removal reported by the store.
     pub fn remove(&mut self, now: Time, id: &name::Upstream, revision: Revision) {
         self.revision = self.revision.max(revision);
-        let known = self.rows.get(id);
-        if known.is_some_and(|row| row.entry.revision <= revision) {
+        let Some(row) = self.rows.get(id) else {
+            self.record_removal(id.clone(), revision, None);
+            return;
+        };
+        if row.entry.revision <= revision {
             // The upstream may leave without notice instead of having lost its lease.
             let latest = now + self.drain.mul_f64(REMOVED_SHARE);
             let until = self.retention_deadline(now, id);
@@ -372,7 +375,9 @@
         }
         for removal in delta.removed {
             let known = self.rows.get(&removal.id);
-            if known.is_some_and(|row| row.entry.revision <= removal.revision) {
+            if known.is_none() && !delta.complete {
+                self.record_removal(removal.id, removal.revision, None);
+            } else if known.is_some_and(|row| row.entry.revision <= removal.revision) {
                 let keep = Duration::from_millis(removal.keep_ms);
                 let until = (removal.keep_ms > 0).then(|| now + keep);
                 self.remove_row(removal.id, removal.revision, until);
@@ -475,6 +480,12 @@
             }
             None => self.drop_row(&id),
         }
+        self.record_removal(id, revision, until);
+    }
+
+    /// Keeps a removal for deltas, also that of an upstream which this router has not heard of: a
+    /// peer that learns the changes from it may know the upstream.
+    fn record_removal(&mut self, id: name::Upstream, revision: Revision, until: Option<Time>) {
         let removed = Removed {
             id,
             revision,
--- a/crates/snipeusher/tests/departure.rs
+++ b/crates/snipeusher/tests/departure.rs
@@ -208,3 +208,31 @@
     let after = choose(&mut fleet, lasts_ms);
     assert!(matches!(after, Decision::Send { .. }));
 }
+
+/// Guards against an upstream that stays ready for good at a router which learns the changes from a
+/// peer that had never heard of the upstream: the peer got the removal from the store or from
+/// another router, and takes part in passing it on.
+#[rstest]
+#[case::from_the_store(false)]
+#[case::from_another_router(true)]
+fn the_removal_of_an_unknown_upstream_is_passed_on(#[case] is_received: bool) {
+    let (mut knowing, mut lagging) = (fleet(), fleet());
+    let mut source = fleet();
+    knowing.upsert(at(10), entry("c", 1, revision(0, 11)));
+    source.upsert(at(10), entry("c", 1, revision(0, 11)));
+    let id = name::Upstream::from("c");
+    if is_received {
+        source.remove(at(20), &id, revision(0, 12));
+        let known = lagging.roster().revision();
+        lagging.merge(at(30), source.changes_since(at(30), known));
+    } else {
+        lagging.remove(at(20), &id, revision(0, 12));
+    }
+    assert!(is_ready(&knowing, "c"));
+    let known = knowing.roster().revision();
+    let delta = lagging.changes_since(at(40), known);
+    assert!(!delta.complete);
+    knowing.merge(at(40), delta);
+    assert!(!is_ready(&knowing, "c"));
+    assert_eq!(knowing.roster().revision(), revision(0, 12));
+}
