Ask the peers that keep a router's statements what it spent

In a fleet of more than nine routers one that was restarted still renewed its part of the retry budget: at first it knows only the sender of a digest and eight others, which mostly do not keep its statements, and took their silence for a sign that nothing was spent. Each answer now names the keepers, by a ranking that all routers agree on, only their silence counts, and they are asked at once. An exchange that ends by a panic no longer blocks further ones with its peer. all_routers_name_the_same_keepers checks 7 and 70 routers; the simulation asserts that the answers of others conclude nothing.

--- a/crates/edge/src/peer/client.rs
+++ b/crates/edge/src/peer/client.rs
@@ -156,6 +156,26 @@
     readers_checked_at: Cell<Time>,
 }
 
+/// An exchange in progress, also if it ends by a panic.
+struct InProgress<'a> {
+    all: &'a RefCell<BTreeSet<SocketAddr>>,
+    address: SocketAddr,
+}
+
+impl<'a> InProgress<'a> {
+    /// `None` if an exchange with the peer is in progress.
+    fn start(all: &'a RefCell<BTreeSet<SocketAddr>>, address: SocketAddr) -> Option<Self> {
+        let is_new = all.borrow_mut().insert(address);
+        is_new.then_some(Self { all, address })
+    }
+}
+
+impl Drop for InProgress<'_> {
+    fn drop(&mut self) {
+        self.all.borrow_mut().remove(&self.address);
+    }
+}
+
 impl<P: Platform> Exchanges<P> {
     /// Exchanges digests with a peer. If that takes long, checks whether the readers of this zone
     /// are lost, too.
@@ -192,11 +212,10 @@
     /// Exchanges digests with a peer unless an exchange with it is in progress. Returns false if it
     /// cannot be reached.
     async fn exchange(&self, address: SocketAddr) -> bool {
-        if !self.in_progress.borrow_mut().insert(address) {
+        let Some(_in_progress) = InProgress::start(&self.in_progress, address) else {
             return true;
-        }
+        };
         let exchanged = timeout(EXCHANGE_TIMEOUT, self.try_exchange(address)).await;
-        self.in_progress.borrow_mut().remove(&address);
         let Err(error) = exchanged.unwrap_or(Err(Error::TimedOut)) else {
             return true;
         };
--- a/crates/edge/src/peer/peers.rs
+++ b/crates/edge/src/peer/peers.rs
@@ -127,14 +127,25 @@
     /// The first peers by rendezvous hashing of a key. Peers of the own availability zone come
     /// first, since callers reach the routers of their zone.
     pub fn ranked(&self, key: u64, count: usize) -> Vec<SocketAddr> {
-        let ranks = self.known.iter().map(|(host, known)| {
-            let score = hash::score(key, hash::bytes(host.as_str().as_bytes()));
-            (self.is_local(&known.zone), score, known.address)
-        });
-        let mut ranks: Vec<_> = ranks.collect();
-        ranks.sort_unstable_by(|left, right| right.cmp(left));
-        let ranks = ranks.into_iter().take(count);
-        ranks.map(|(_, _, address)| address).collect()
+        let known = self.known.iter();
+        let candidates = known.map(|(host, known)| (host, &known.zone, known.address));
+        rank(candidates, &self.zone, key, count)
+    }
+
+    /// The routers that rank first for the host of another router, by the host's name and zone. Here
+    /// `own` is the address of this router, which may be one of them.
+    pub fn ranked_for(
+        &self,
+        host: &name::Host,
+        zone: &name::Zone,
+        own: SocketAddr,
+        count: usize,
+    ) -> Vec<SocketAddr> {
+        let known = self.known.iter();
+        let peers = known.map(|(host, known)| (host, &known.zone, known.address));
+        let all = peers.chain([(&self.host, &self.zone, own)]);
+        let others = all.filter(|(other, ..)| *other != host);
+        rank(others, zone, host_key(host), count)
     }
 
     /// Peers that reach upstreams of a service as far as is known, those of the own availability
@@ -288,3 +299,25 @@
         }
     }
 }
+
+/// Key by which routers rank for a host.
+pub(super) fn host_key(host: &name::Host) -> u64 {
+    hash::bytes(host.as_str().as_bytes())
+}
+
+/// The addresses of the routers that rank first for a key, those of a zone before the others.
+fn rank<'a>(
+    routers: impl Iterator<Item = (&'a name::Host, &'a name::Zone, SocketAddr)>,
+    zone: &name::Zone,
+    key: u64,
+    count: usize,
+) -> Vec<SocketAddr> {
+    let ranks = routers.map(|(host, of_zone, address)| {
+        let score = hash::score(key, host_key(host));
+        (of_zone == zone, score, address)
+    });
+    let mut ranks: Vec<_> = ranks.collect();
+    ranks.sort_unstable_by(|left, right| right.cmp(left));
+    let ranks = ranks.into_iter().take(count);
+    ranks.map(|(_, _, address)| address).collect()
+}
--- a/crates/edge/src/peer/server.rs
+++ b/crates/edge/src/peer/server.rs
@@ -16,7 +16,6 @@
 use slog::warn;
 use snipeusher::fleet::Delta;
 use snipeusher::kv::Revision;
-use snipeusher::name;
 use snipeusher::route::Limits;
 use snipeusher::route::Position;
 use snipeusher::stream::Group;
@@ -115,8 +114,9 @@
     }
 
     fn spent(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
-        let host: name::Host = self.decode(body)?;
-        self.encode(&spending::answer(&self.shared, &host))
+        let inquiry = self.decode(body)?;
+        let peers = self.peers.borrow();
+        self.encode(&spending::answer(&self.shared, &peers, &inquiry))
     }
 
     fn exchange(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
--- a/crates/edge/src/peer/spending.rs
+++ b/crates/edge/src/peer/spending.rs
@@ -6,6 +6,7 @@
 //! `docs/design/retry-budget.md`.
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,10 +19,9 @@
 use snipeusher::fleet::Account;
 use snipeusher::fleet::Answer;
 use snipeusher::fleet::Conclusion;
+use snipeusher::fleet::Inquiry;
 use snipeusher::fleet::Statement;
 use snipeusher::fleet::conclude;
-use snipeusher::hash;
-use snipeusher::name;
 use snipeusher::time::Time;
 use tokio::time::sleep;
 
@@ -32,6 +32,7 @@
 use super::client::Error;
 use super::link::Call;
 use super::link::Links;
+use super::peers::host_key;
 use crate::dialect::Platform;
 use crate::shared::Shared;
 
@@ -40,9 +41,10 @@
 /// How often a router states its spending while it sends retries. What it sent since is unknown
 /// after a kill.
 const INTERVAL: Duration = Duration::from_millis(250);
-/// Peers that are asked after a restart. More than there are copies, since the earlier process may
-/// have ranked others that are gone.
+/// Peers that are asked after a restart, before any has told which ones keep the statements.
 const ASKED: usize = 6;
+/// Keepers that are asked at most. Peers that disagree on the fleet name different ones.
+const KEEPERS_MAX: usize = 12;
 /// Pause before they are asked again.
 const ASK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time limit of a call.
@@ -91,14 +93,18 @@
         let fleet = shared.fleet.borrow();
         fleet.are_past_retries_unknown(shared.now())
     };
+    let mut keepers = BTreeSet::new();
     while is_unknown() {
-        let addresses = ranked(&shared, &peers, ASKED);
-        let asks = addresses
-            .into_iter()
-            .map(|address| ask(&shared, &links, address));
+        let mut asked = keepers.clone();
+        asked.extend(ranked(&shared, &peers, ASKED));
+        let asks = asked.iter().map(|address| ask(&shared, &links, *address));
         let answers: Vec<Answer> = join_all(asks).await.into_iter().flatten().collect();
+        let stated = answers.iter().flat_map(|answer| &answer.keepers);
+        keepers = stated.copied().take(KEEPERS_MAX).collect();
         match conclude(&answers) {
             Conclusion::Spent(accounts) if is_unknown() => apply(&shared, &accounts, &answers),
+            // This router did not know yet whom to ask.
+            _ if !keepers.is_subset(&asked) => {}
             _ => sleep(ASK_INTERVAL).await,
         }
     }
@@ -131,8 +137,9 @@
     peers: &RefCell<Peers>,
     count: usize,
 ) -> Vec<SocketAddr> {
-    let key = hash::bytes(shared.settings.host.as_str().as_bytes());
-    peers.borrow().ranked(key, count)
+    peers
+        .borrow()
+        .ranked(host_key(&shared.settings.host), count)
 }
 
 async fn send<P: Platform>(
@@ -170,7 +177,11 @@
     links: &Links,
     address: SocketAddr,
 ) -> Result<Answer, Error> {
-    let call = Call::post(SPENT_PATH, &shared.settings.host)?;
+    let inquiry = Inquiry {
+        host: shared.settings.host.clone(),
+        zone: shared.settings.fleet.zone.clone(),
+    };
+    let call = Call::post(SPENT_PATH, &inquiry)?;
     let body = links
         .call(address, &shared.http, call, CALL_TIMEOUT)
         .await?;
@@ -189,17 +200,20 @@
 }
 
 /// What this router knows of the earlier process of a host.
-pub(super) fn answer<P: Platform>(shared: &Shared<P>, host: &name::Host) -> Answer {
+pub(super) fn answer<P: Platform>(shared: &Shared<P>, peers: &Peers, inquiry: &Inquiry) -> Answer {
     let now = shared.now();
     let fleet = shared.fleet.borrow();
     let window = fleet.retry_window();
-    let stated = shared.accounts.borrow().get(now, window, host);
+    let stated = shared.accounts.borrow().get(now, window, &inquiry.host);
     let (age, accounts) = stated.unzip();
-    let has_run_long = uptime(shared) >= window;
+    let own = shared.settings.control;
+    let keepers = peers.ranked_for(&inquiry.host, &inquiry.zone, own, COPIES);
+    let has_run_long = uptime(shared) >= window || shared.settings.is_first_start;
     Answer {
         accounts: accounts.unwrap_or_default(),
         age_ms: age.map(|age| age.as_millis() as u32),
-        is_complete: has_run_long || shared.settings.is_first_start,
+        is_complete: has_run_long && keepers.contains(&own),
+        keepers,
         routers: u32::try_from(fleet.routers()).unwrap_or(u32::MAX),
     }
 }
--- a/crates/edge/tests/peers.rs
+++ b/crates/edge/tests/peers.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 
 use rstest::rstest;
+use snipeusher::hash;
 use snipeusher::kv::Revision;
 use snipeusher::name;
 use snipeusher::poison;
@@ -33,21 +34,29 @@
         heard_ms: 0,
     });
     let digest = Digest {
-        host: host(1),
         zone: zone(1, zones),
+        ..digest(members.collect())
+    };
+    peers.record(Time::from_millis(1_000), &digest);
+    peers
+}
+
+/// A digest of router 1.
+fn digest(members: Vec<Member>) -> Digest {
+    Digest {
+        host: name::Host::from("host-1"),
+        zone: name::Zone::from("zone-1"),
         address: address(1),
         configuration: None,
         upstreams: Revision::new(0),
         loads: Vec::new(),
         readers: Vec::new(),
-        members: members.collect(),
+        members,
         poison: poison::Report::default(),
         rate_limits: Vec::new(),
         unreachable: Vec::new(),
         decline_limits: Vec::new(),
-    };
-    peers.record(Time::from_millis(1_000), &digest);
-    peers
+    }
 }
 
 /// Number of exchanges with each peer.
@@ -108,6 +117,32 @@
     }
 }
 
+/// Guards against a router that has started and asks peers which do not keep what it stated before:
+/// it knows few others, so that those have to name the same keepers as it did.
+#[rstest]
+#[case(7, 3)]
+#[case(70, 4)]
+fn all_routers_name_the_same_keepers(#[case] routers: u16, #[case] zones: u16) {
+    let (host, of_zone) = (name::Host::from("host-0"), zone(0, zones));
+    let own = peers(routers, zones, &[]).ranked(hash::bytes(b"host-0"), 4);
+    assert_eq!(own.len(), 4);
+    for other in 1..routers {
+        // Each other router knows all but itself.
+        let known = name::Host::from(format!("host-{other}"));
+        let mut peers = Peers::new(known, zone(other, zones), address(other), &[]);
+        let all = (0..routers).filter(|index| *index != other);
+        let members = all.map(|index| Member {
+            host: name::Host::from(format!("host-{index}")),
+            zone: zone(index, zones),
+            address: address(index),
+            heard_ms: 0,
+        });
+        peers.record(Time::from_millis(1_000), &digest(members.collect()));
+        let named = peers.ranked_for(&host, &of_zone, address(other), 4);
+        assert_eq!(named, own, "router {other}");
+    }
+}
+
 /// Guards against a router of the release before, whose messages have another form, that disturbs
 /// the routers of this one.
 #[actix_rt::test]
--- a/crates/snipeusher/src/fleet.rs
+++ b/crates/snipeusher/src/fleet.rs
@@ -34,6 +34,7 @@
 pub use self::account::Accounts;
 pub use self::account::Answer;
 pub use self::account::Conclusion;
+pub use self::account::Inquiry;
 pub use self::account::Statement;
 pub use self::account::conclude;
 pub use self::budget::Budget;
--- a/crates/snipeusher/src/fleet/account.rs
+++ b/crates/snipeusher/src/fleet/account.rs
@@ -5,6 +5,7 @@
 //! `docs/design/retry-budget.md`.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -34,6 +35,16 @@
     pub accounts: Vec<Account>,
 }
 
+/// A question for what the earlier process of a router spent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Inquiry {
+    /// Host of the router.
+    pub host: name::Host,
+    /// Availability zone of the router.
+    pub zone: name::Zone,
+}
+
 /// What a peer knows of the earlier process of a router that has started.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -44,6 +55,9 @@
     pub age_ms: Option<u32>,
     /// Whether the peer would know of all statements within the window.
     pub is_complete: bool,
+    /// The peers that keep the statements of the router, as far as the peer knows. A router that has
+    /// just started knows few others.
+    pub keepers: Vec<SocketAddr>,
     /// Routers that share the budgets, as far as the peer knows.
     pub routers: u32,
 }
--- a/crates/snipeusher/tests/retries.rs
+++ b/crates/snipeusher/tests/retries.rs
@@ -24,9 +24,8 @@
 const STEP_MS: u64 = 50;
 /// How often a router states its spending.
 const STATEMENT_MS: u64 = 250;
-/// Peers that keep it, and peers that are asked for it.
+/// Peers that keep it.
 const COPIES: usize = 4;
-const ASKED: usize = 6;
 /// Time that a process takes to start.
 const START_MS: u64 = 550;
 /// Length of a run, and when upstreams begin to fail.
@@ -154,12 +153,15 @@
         if !router.fleet.are_past_retries_unknown(local) {
             return;
         }
-        let peers = self.ranked(index, ASKED).into_iter();
+        let peers = self.ranked(index, COPIES).into_iter();
         let peers: Vec<usize> = peers.filter(|peer| self.is_up(now, *peer)).collect();
         let answers: Vec<Answer> = peers
             .into_iter()
             .map(|peer| self.answer(now, peer, index))
             .collect();
+        // Others, which this router may know first, would not know of a statement.
+        let others: Vec<Answer> = answers.iter().cloned().map(as_of_no_keeper).collect();
+        assert_eq!(conclude(&others), Conclusion::Unknown);
         if let Conclusion::Spent(accounts) = conclude(&answers) {
             let fleet = &mut self.routers[index].fleet;
             fleet.learn_past_retries(local, &accounts);
@@ -177,6 +179,7 @@
             accounts: accounts.unwrap_or_default(),
             age_ms: age.map(|age| age.as_millis() as u32),
             is_complete: local.since(Time::default()) >= WINDOW,
+            keepers: Vec::new(),
             routers: router.fleet.routers() as u32,
         }
     }
@@ -223,6 +226,16 @@
     }
 }
 
+/// The answer of a peer that does not keep the statements.
+fn as_of_no_keeper(answer: Answer) -> Answer {
+    Answer {
+        accounts: Vec::new(),
+        age_ms: None,
+        is_complete: false,
+        ..answer
+    }
+}
+
 fn host(index: usize) -> name::Host {
     name::Host::from(format!("host-{index}"))
 }
@@ -308,6 +321,7 @@
             .collect(),
         age_ms: stated.map(|(_, age_ms)| age_ms),
         is_complete,
+        keepers: Vec::new(),
         routers: 7,
     }
 }
