--- a/crates/edge/src/peer/peers.rs
+++ b/crates/edge/src/peer/peers.rs
@@ -54,7 +54,7 @@
     /// The last member listed in a digest.
     last_listed: Option<name::Host>,
     /// Whether any peer was ever known.
-    has_had_peers: bool,
+    was_contacted: bool,
 }
 
 impl Peers {
@@ -68,13 +68,13 @@
             known: BTreeMap::new(),
             queue: VecDeque::new(),
             last_listed: None,
-            has_had_peers: false,
+            was_contacted: false,
         }
     }
 
     /// Whether there is no sign of other routers. One that has lost its peers is not alone.
     pub const fn is_alone(&self) -> bool {
-        self.seeds.is_empty() && !self.has_had_peers
+        self.seeds.is_empty() && !self.was_contacted
     }
 
     /// Number of other routers that are assumed to run, at least the number of seeds.
@@ -287,7 +287,7 @@
             }
             Some(_) => {}
             None => {
-                self.has_had_peers = true;
+                self.was_contacted = true;
                 let newer = Known {
                     address,
                     zone: zone.clone(),
--- /dev/null
+++ b/crates/snipeusher/src/fleet/view/budgets.rs
@@ -0,0 +1,63 @@
+//! Retry budgets, which all routers share.
+
+use std::time::Duration;
+
+use super::Fleet;
+use crate::fleet::Account;
+use crate::fleet::Spending;
+use crate::name;
+use crate::time::Time;
+
+impl Fleet {
+    /// Counts a caller's request to a service.
+    pub fn record_request(&mut self, now: Time, service: &name::Service) {
+        self.retries.record_request(now, service);
+    }
+
+    /// Uses up one retry of the service's budget; returns false if none remains.
+    pub fn try_retry(&mut self, now: Time, service: &name::Service) -> bool {
+        self.retries.try_retry(now, service, self.routers)
+    }
+
+    /// Records that an earlier process of this router may have spent its part of the retry budgets
+    /// until `now`. No retry is allowed until [`Self::learn_past_retries`], or until the window has
+    /// passed.
+    pub fn await_past_retries(&mut self, now: Time) {
+        self.retries.await_past(now);
+    }
+
+    /// Whether an earlier process may have spent retries that are not counted.
+    pub fn are_past_retries_unknown(&self, now: Time) -> bool {
+        self.retries.is_past_unknown(now)
+    }
+
+    /// Counts what an earlier process of this router spent, which is all of it.
+    pub fn learn_past_retries(&mut self, now: Time, accounts: &[Account]) {
+        self.retries.learn_past(now, accounts);
+    }
+
+    /// Sets the least number of routers to share retry budgets with, while this router knows few.
+    pub const fn set_routers_min(&mut self, routers: usize) {
+        self.retries.set_routers_min(routers);
+    }
+
+    /// What this router has spent of the retry budgets, to be stated to peers.
+    pub fn accounts(&mut self, now: Time) -> Vec<Account> {
+        self.retries.accounts(now)
+    }
+
+    /// Length of the window of the retry budgets.
+    pub const fn retry_window(&self) -> Duration {
+        self.settings.retries.window
+    }
+
+    /// Retries that this router may still send at `now`, by service, rounded down.
+    pub fn retries_remaining(&mut self, now: Time) -> Vec<(name::Service, u32)> {
+        self.retries.remaining(now, self.routers)
+    }
+
+    /// Requests and retries of each service within the budget's window.
+    pub fn spending(&mut self, now: Time) -> Vec<(name::Service, Spending)> {
+        self.retries.spending(now)
+    }
+}
--- /dev/null
+++ b/crates/snipeusher/src/fleet/view/versions.rs
@@ -0,0 +1,61 @@
+//! Software versions of the upstreams.
+
+use std::time::Duration;
+
+use super::Fleet;
+use crate::archive::Versions;
+use crate::name;
+use crate::time::Time;
+
+impl Fleet {
+    /// Whether upstreams of a service run several software versions or did so in the last minute.
+    pub fn has_several_builds(&self, now: Time, service: &name::Service) -> bool {
+        self.builds.has_several(now, service)
+    }
+
+    /// Whether upstreams of any service run several software versions or did so in the last minute.
+    pub fn has_any_several_builds(&self, now: Time) -> bool {
+        self.builds.has_any_several(now)
+    }
+
+    /// Learns the software versions that are recorded in the store.
+    pub fn record_versions(&mut self, now: Time, recorded: Versions) {
+        self.builds.record(now, recorded);
+    }
+
+    /// Learns the software versions of the upstreams that the store lists at present. The list of
+    /// this router may be older.
+    pub fn learn_listed_versions(&mut self, now: Time, listed: &Versions) {
+        self.builds.learn(now, listed);
+    }
+
+    /// The software versions to be recorded in the store, if the record differs from them.
+    pub fn unrecorded_versions(&self, now: Time) -> Option<Versions> {
+        if !self.builds.is_known() {
+            return None;
+        }
+        let versions = self.builds.to_record(now);
+        (versions != *self.builds.recorded()).then_some(versions)
+    }
+
+    /// Time after which [`Self::sole_build`] can tell the version, if no second one appears.
+    pub fn sole_build_in(
+        &self,
+        now: Time,
+        service: &name::Service,
+        age: Duration,
+    ) -> Option<Duration> {
+        self.builds.sole_in(now, service, age)
+    }
+
+    /// The only software version that upstreams of a service run now and ran in the last minute, if
+    /// this router has known the upstreams for `age` or the store's record shows no other version.
+    pub fn sole_build(
+        &self,
+        now: Time,
+        service: &name::Service,
+        age: Duration,
+    ) -> Option<&name::Build> {
+        self.builds.sole(now, service, age)
+    }
+}
