Stop relying on readers to which the store has fallen silent

The store was silent to all routers that read it, and these called themselves readers until both a watch (2.9 s) and a list (0.9 s) had timed out; the others, which the store would have answered, waited for them. A reader whose watch is lost now says so at once to several peers, and a router that hears that the store no longer answers a reader decides at once whether to read; a zone without a reader starts within 0.4 s.

--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -183,8 +183,10 @@
     readers.merge(now, &digest.readers);
     let mut stated = digest.readers.iter();
     if !stated.any(|reader| reader.host == digest.host) {
-        // It may have been one before a restart, which others do not know of yet.
-        readers.record_unavailable(now, &digest.host);
+        // The store no longer answers it, or it was one before a restart.
+        if readers.record_unavailable(now, &digest.host) {
+            shared.reader_lost.notify_one();
+        }
     }
     drop(readers);
     if let Some(position) = digest.configuration
--- a/crates/edge/src/peer/client.rs
+++ b/crates/edge/src/peer/client.rs
@@ -103,7 +103,7 @@
         in_progress: RefCell::default(),
         readers_checked_at: Cell::default(),
     });
-    let mut sent = (shared.revisions(), shared.poison.borrow().news());
+    let mut sent = news(&shared);
     let mut interval = Duration::ZERO;
     loop {
         let has_changed = timeout(interval, shared.changed.notified()).await.is_ok();
@@ -114,7 +114,7 @@
             // Some of them may be down, and a connection attempt to one takes long.
             addresses.extend(peers.borrow().unknown_seeds());
         }
-        let current = (shared.revisions(), shared.poison.borrow().news());
+        let current = news(&shared);
         if sent != current {
             sent = current;
             addresses.extend(peers.borrow().sample(FANOUT, shared.random()));
@@ -129,6 +129,17 @@
     }
 }
 
+/// What peers are told at once when it changes: the known revisions, crashes of upstreams, and
+/// whether the store answers this router as one of its readers.
+fn news<P: Platform>(shared: &Shared<P>) -> impl PartialEq + use<P> {
+    let is_answered = shared.readers.borrow().is_answered();
+    (
+        shared.revisions(),
+        shared.poison.borrow().news(),
+        is_answered,
+    )
+}
+
 fn next_interval<P: Platform>(shared: &Shared<P>, peers: &Peers) -> Duration {
     if shared.is_loaded() {
         interval(peers.len(shared.now()))
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -81,6 +81,11 @@
             Ok(()) => info!(shared.log, "store: read by other routers"),
             Err(Error::Watch(fault)) => {
                 info!(shared.log, "store: watch lost"; "cause" => cause(fault));
+                if matches!(fault, Fault::Lost | Fault::NotSent) {
+                    // Others must not rely on this reader until the store has answered it again.
+                    shared.readers.borrow_mut().record_loss();
+                    shared.changed.notify_one();
+                }
                 delay_ms = RETRY_DELAY_MS;
                 if fault == Fault::Restored {
                     let spread = shared.random() % RESTORE_SPREAD_MS;
--- a/crates/edge/tests/common/store.rs
+++ b/crates/edge/tests/common/store.rs
@@ -25,6 +25,8 @@
 
 /// Time after which the client of a real store gives up a call that is not answered.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+/// The same of a watch, which waits for changes.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(2_900);
 /// How often a waiting watch checks for changes.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -288,6 +290,10 @@
                 if !store.reachable.get() || from.era != store.state.era.get() {
                     return Some((Err(Fault::Lost), (store, from)));
                 }
+                if !store.answers.get() {
+                    sleep(WATCH_TIMEOUT).await;
+                    return Some((Err(Fault::Lost), (store, from)));
+                }
                 let next = store
                     .state
                     .changes
--- a/crates/edge/tests/propagation.rs
+++ b/crates/edge/tests/propagation.rs
@@ -21,6 +21,8 @@
 
 /// Time after its confirmation in which a configuration has to be in force everywhere.
 const IN_FORCE: std::time::Duration = std::time::Duration::from_secs(2);
+/// The same in a large fleet.
+const IN_FORCE_LARGE: std::time::Duration = std::time::Duration::from_secs(3);
 const CHANGED: &str = "2\n/new/ idempotent 1 1000 public\n";
 
 fn version(node: &Node) -> Option<u64> {
@@ -236,6 +238,40 @@
     }
 }
 
+/// Guards against routers that rely on readers of the store to which it has fallen silent, although
+/// it would answer them: a change just after that has to be in force in the time of a large fleet.
+#[actix_rt::test]
+async fn a_store_silent_to_all_readers_does_not_delay_a_change() {
+    let store = Store::new();
+    store.configure(DEFAULT);
+    let mut nodes: Vec<Node> = Vec::new();
+    let mut clients = Vec::new();
+    for index in 0..5 {
+        let seeds = nodes.first().map(|node| node.control).into_iter().collect();
+        let client = store.other_client();
+        nodes.push(start(&format!("host-{index}"), &client, seeds).await);
+        clients.push(client);
+    }
+    actix_rt::time::sleep(std::time::Duration::from_secs(4)).await;
+    let is_reading = |node: &Node| node.shared.readers.borrow().is_reading();
+    let (readers, others): (Vec<usize>, Vec<usize>) =
+        (0..nodes.len()).partition(|index| is_reading(&nodes[*index]));
+    assert!(!readers.is_empty() && !others.is_empty());
+    for reader in readers {
+        clients[reader].silence(true);
+    }
+    actix_rt::time::sleep(std::time::Duration::from_millis(900)).await;
+    store.configure(CHANGED);
+    let changed = std::time::Instant::now();
+    until("the change is in force", || {
+        let mut others = others.iter().map(|index| &nodes[*index]);
+        others.all(|node| version(node) == Some(2))
+    })
+    .await;
+    let elapsed = changed.elapsed();
+    assert!(elapsed < IN_FORCE_LARGE, "{elapsed:?}");
+}
+
 /// Guards against copies of a large configuration that fill the links of the routers which have it
 /// first, and against ones that a router of the build before, which accepts no encoding, cannot
 /// decode.
--- a/crates/snipeusher/src/reader.rs
+++ b/crates/snipeusher/src/reader.rs
@@ -110,6 +110,11 @@
         known.answered_at = now;
     }
 
+    /// Whether the store has answered this router, and not failed to since.
+    pub fn is_answered(&self) -> bool {
+        self.known.contains_key(&self.host)
+    }
+
     /// Records that the store no longer answers this router.
     pub fn record_loss(&mut self) {
         self.known.remove(&self.host);
@@ -217,11 +222,12 @@
         };
         let ahead = local.iter().filter(|known| known.rank < self.rank).count();
         let is_short = local.len() < wanted;
-        let are_all_lost = local.is_empty() && remote.is_empty() && !self.lost_at.is_empty();
-        let spread = if are_all_lost {
-            START_SPREAD_LOST
-        } else {
-            start_spread(routers)
+        let has_lost_any = !self.lost_at.is_empty();
+        let spread = match (local.is_empty(), remote.is_empty()) {
+            (true, true) if has_lost_any => START_SPREAD_LOST,
+            // The store may be silent to the readers of the other zones as well.
+            (true, false) if has_lost_any => START_SPREAD_MIN,
+            _ => start_spread(routers),
         };
         if self.reading {
             self.reading = ahead < wanted;
