Find routers by records in the store while all seeds are down

Cause: a router learned of others only from the seeds that the process read at its start and from peers; SIGHUP only checked the settings, and nothing in the store told it that it was not alone.

While none of its seeds is known to run, the first reader of each zone now writes its address to the store under a lease of a minute; readers of the store see it with their watch and contact it. SIGHUP replaces the seeds. A fleet whose seeds run, or whose settings name no other router, writes nothing.

--- a/crates/edge/src/archive.rs
+++ b/crates/edge/src/archive.rs
@@ -318,6 +318,10 @@
     }
     let now = shared.now();
     shared.origins.borrow_mut().merge(now, records.streams);
+    if !records.routers.is_empty() {
+        shared.discovery.record(records.routers);
+        shared.changed.notify_one();
+    }
     if let Some((revision, versions)) = records.versions {
         apply_versions(shared, revision, versions);
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod connection;
 mod crash;
 pub mod dialect;
+pub mod discovery;
 mod evacuation;
 mod events;
 mod exchange;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -20,6 +20,7 @@
 
 use crate::archive;
 use crate::dialect::Platform;
+use crate::discovery;
 use crate::exchange::Proxy;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Exposition;
@@ -49,6 +50,25 @@
     source: io::Error,
 }
 
+/// A running router.
+#[derive(Debug)]
+pub struct Node<P> {
+    shared: Rc<Shared<P>>,
+    peers: Rc<RefCell<Peers>>,
+}
+
+impl<P: Platform> Node<P> {
+    /// Replaces the seeds, for example since those of the start are down. They are contacted at
+    /// once; peers that are known stay so.
+    pub fn set_seeds(&self, seeds: &[SocketAddr]) {
+        let shared = &self.shared;
+        self.peers
+            .borrow_mut()
+            .set_seeds(shared.settings.control, seeds);
+        shared.changed.notify_one();
+    }
+}
+
 /// Readiness check of the balancer.
 struct Readiness<P> {
     shared: Rc<Shared<P>>,
@@ -77,7 +97,7 @@
 }
 
 /// Starts all tasks of the process. Must be called within an actix system.
-pub async fn spawn<P, S>(shared: &Rc<Shared<P>>, store: S) -> Result<(), Error>
+pub async fn spawn<P, S>(shared: &Rc<Shared<P>>, store: S) -> Result<Node<P>, Error>
 where
     P: Platform,
     S: Store + 'static,
@@ -108,8 +128,15 @@
     let store = Rc::new(store);
     supervise_store(shared, &store);
     supervise_peers(shared, &peers, &streams);
+    let (state, others) = (Rc::clone(shared), Rc::clone(&peers));
+    supervise(&shared.log, "discovery", move || {
+        discovery::announce(Rc::clone(&state), Rc::clone(&others), Rc::clone(&store))
+    });
     info!(shared.log, "node: started"; "front" => %settings.front);
-    Ok(())
+    Ok(Node {
+        shared: Rc::clone(shared),
+        peers,
+    })
 }
 
 /// Runs the tasks that use the store.
--- a/crates/edge/src/peer/client.rs
+++ b/crates/edge/src/peer/client.rs
@@ -108,6 +108,7 @@
     loop {
         let has_changed = timeout(interval, shared.changed.notified()).await.is_ok();
         interval = next_interval(&shared, &peers.borrow());
+        contact_discovered(&shared, &mut peers.borrow_mut());
         let mut addresses = BTreeSet::new();
         addresses.extend(peers.borrow_mut().next(shared.random()));
         if !shared.is_loaded() {
@@ -129,6 +130,17 @@
     }
 }
 
+/// Has the routers contacted that were found by their records in the store.
+fn contact_discovered<P: Platform>(shared: &Shared<P>, peers: &mut Peers) {
+    let now = shared.now();
+    for router in shared.discovery.take() {
+        if peers.introduce(now, &router.host, router.address) {
+            info!(shared.log, "discovery: router found";
+                "host" => router.host.as_str(), "address" => %router.address);
+        }
+    }
+}
+
 /// What peers are told at once when it changes: the known revisions, crashes of upstreams, and
 /// whether the store answers this router as one of its readers.
 fn news<P: Platform>(shared: &Shared<P>) -> impl PartialEq + use<P> {
--- a/crates/edge/src/peer/peers.rs
+++ b/crates/edge/src/peer/peers.rs
@@ -21,6 +21,9 @@
 /// Time after its last digest for which a peer counts as reaching the services that the digest did
 /// not list as unreachable.
 const REACH_FOR: Duration = Duration::from_secs(2);
+/// Time for which a router that was found by its record is contacted. Its record may be older than
+/// its end.
+const INTRODUCED_FOR: Duration = Duration::from_secs(10);
 /// Maximum number of members listed in a digest; the next digest lists the next ones.
 const MEMBERS_MAX: usize = 8;
 /// Exchanges within the own availability zone for each one with another zone. Traffic between zones
@@ -49,6 +52,8 @@
     host: name::Host,
     zone: name::Zone,
     seeds: Vec<SocketAddr>,
+    /// Routers that were found by their records, and when.
+    introduced: BTreeMap<SocketAddr, Time>,
     known: BTreeMap<name::Host, Known>,
     queue: VecDeque<SocketAddr>,
     /// The last member listed in a digest.
@@ -60,11 +65,11 @@
 impl Peers {
     /// Starts with seed addresses, whose routers are not known yet.
     pub fn new(host: name::Host, zone: name::Zone, own: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        let others = seeds.iter().filter(|seed| **seed != own);
         Self {
             host,
             zone,
-            seeds: others.copied().collect(),
+            seeds: without(seeds, own),
+            introduced: BTreeMap::new(),
             known: BTreeMap::new(),
             queue: VecDeque::new(),
             last_listed: None,
@@ -72,6 +77,35 @@
         }
     }
 
+    /// Replaces the seeds; peers that are known stay so.
+    pub fn set_seeds(&mut self, own: SocketAddr, seeds: &[SocketAddr]) {
+        self.seeds = without(seeds, own);
+        self.queue.extend(self.unknown_seeds());
+    }
+
+    /// Whether the settings name other routers and none of them is known to run.
+    pub fn lacks_seeds(&self, now: Time) -> bool {
+        let mut running = self.running(now);
+        let knows_any = running.any(|(_, known)| self.seeds.contains(&known.address));
+        !self.seeds.is_empty() && !knows_any
+    }
+
+    /// Has a router contacted that was found by its record. Returns whether it is not known yet.
+    pub fn introduce(&mut self, now: Time, host: &name::Host, address: SocketAddr) -> bool {
+        self.introduced
+            .retain(|_, at| now.since(*at) < INTRODUCED_FOR);
+        let is_known = self
+            .known
+            .get(host)
+            .is_some_and(|known| known.address == address);
+        if is_known || self.host == *host {
+            return false;
+        }
+        self.introduced.insert(address, now);
+        self.prefer(address);
+        true
+    }
+
     /// Whether there is no sign of other routers. One that has lost its peers is not alone.
     pub const fn is_alone(&self) -> bool {
         self.seeds.is_empty() && !self.was_contacted
@@ -84,9 +118,12 @@
 
     /// The other routers that are known to run.
     pub fn hosts(&self, now: Time) -> impl Iterator<Item = &name::Host> {
+        self.running(now).map(|(host, _)| host)
+    }
+
+    fn running(&self, now: Time) -> impl Iterator<Item = (&name::Host, &Known)> {
         let known = self.known.iter();
-        let counted = known.filter(move |(_, known)| now.since(known.last_seen) < COUNTED_FOR);
-        counted.map(|(host, _)| host)
+        known.filter(move |(_, known)| now.since(known.last_seen) < COUNTED_FOR)
     }
 
     /// The next members to list in a digest.
@@ -208,6 +245,8 @@
         }
         self.known
             .retain(|_, known| now.since(known.last_seen) < EXPIRY);
+        self.introduced
+            .retain(|_, at| now.since(*at) < INTRODUCED_FOR);
     }
 
     /// The next peer to exchange with; each round starts at a random peer given by `random`.
@@ -218,7 +257,7 @@
         self.queue.pop_front()
     }
 
-    /// Moves a peer to the front of the queue, such as one with newer data.
+    /// Moves a peer to the front of the queue, such as one with newer data or one just found.
     pub fn prefer(&mut self, address: SocketAddr) {
         if self.queue.front() != Some(&address) {
             self.queue.push_front(address);
@@ -245,15 +284,22 @@
             }
         }
         round.extend(self.unknown_seeds());
+        round.extend(self.unknown(self.introduced.keys().copied()));
         round
     }
 
     /// Seeds from which no digest was received yet.
     pub fn unknown_seeds(&self) -> Vec<SocketAddr> {
-        let addresses = || self.known.values().map(|known| known.address);
-        let is_known = |seed: &SocketAddr| addresses().any(|address| address == *seed);
-        let seeds = self.seeds.iter().copied();
-        seeds.filter(|seed| !is_known(seed)).collect()
+        self.unknown(self.seeds.iter().copied()).collect()
+    }
+
+    /// The addresses at which no router is known.
+    fn unknown(
+        &self,
+        addresses: impl Iterator<Item = SocketAddr>,
+    ) -> impl Iterator<Item = SocketAddr> {
+        let is_known = |address| self.known.values().any(|known| known.address == address);
+        addresses.filter(move |address| !is_known(*address))
     }
 
     /// Addresses of the peers in the own zone and of the others, each rotated by `random`.
@@ -300,6 +346,12 @@
     }
 }
 
+/// The seeds other than the router itself.
+fn without(seeds: &[SocketAddr], own: SocketAddr) -> Vec<SocketAddr> {
+    let others = seeds.iter().filter(|seed| **seed != own);
+    others.copied().collect()
+}
+
 /// Key by which routers rank for a host.
 pub(super) fn host_key(host: &name::Host) -> u64 {
     hash::bytes(host.as_str().as_bytes())
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -32,6 +32,7 @@
 use crate::clock::Clock;
 use crate::crash;
 use crate::dialect::Platform;
+use crate::discovery::Discovery;
 use crate::evacuation;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
@@ -116,6 +117,8 @@
     pub new_origins: Notify,
     /// Records of this router and others in the store.
     pub archive: Archive,
+    /// Routers that were found by their records.
+    pub discovery: Discovery,
     /// What peers have spent of the retry budgets.
     pub accounts: RefCell<fleet::Accounts>,
     /// Prompt parts that crash upstreams.
@@ -175,6 +178,7 @@
             origins: RefCell::default(),
             new_origins: Notify::new(),
             archive,
+            discovery: Discovery::default(),
             accounts: RefCell::default(),
             poison: RefCell::new(poison),
             lost: crash::Unverified::default(),
--- a/crates/edge/tests/common/engine.rs
+++ b/crates/edge/tests/common/engine.rs
@@ -237,7 +237,12 @@
 
 /// One event in a separate chunk.
 pub fn event(number: u32) -> Act {
-    chunk(&format!("id: {number}\ndata: part {number}\n\n"))
+    chunk(&event_text(number))
+}
+
+/// The same as callers receive it.
+pub fn event_text(number: u32) -> String {
+    format!("id: {number}\ndata: part {number}\n\n")
 }
 
 /// Bytes of a body as one chunk.
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -16,7 +16,9 @@
 use slog::o;
 use snipeusher::fleet;
 use snipeusher::name;
+use snipeusher::poison::Report;
 use snipeusher_edge::node;
+use snipeusher_edge::peer::Digest;
 use snipeusher_edge::shared::Settings;
 use snipeusher_edge::shared::Shared;
 use snipeusher_fakes::address::free_address;
@@ -30,6 +32,7 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     pub control: SocketAddr,
+    pub running: node::Node<TestPlatform>,
 }
 
 /// Starts a router.
@@ -67,7 +70,7 @@
     let (front, ready, control) = (settings.front, settings.ready, settings.control);
     let log = Logger::root(slog::Discard, o!());
     let shared = Shared::open(TestPlatform, settings, log);
-    node::spawn(&shared, store.clone())
+    let running = node::spawn(&shared, store.clone())
         .await
         .expect("its addresses are free");
     Node {
@@ -75,6 +78,7 @@
         front,
         ready,
         control,
+        running,
     }
 }
 
@@ -103,15 +107,62 @@
     (nodes.remove(0), store)
 }
 
-/// Starts routers of one availability zone, whose store lists one service with the given engines,
-/// each with the version of its software.
-pub async fn zone(routers: usize, engines: &[(&engine::Engine, &str)]) -> (Vec<Node>, Store) {
+/// Starts a router with a store of its own, which lists one service with the given engines as
+/// upstreams.
+pub async fn single_named(name: &str, engines: &[(&engine::Engine, &str)]) -> Node {
+    let store = listing(engines);
+    let node = start(name, &store, Vec::new()).await;
+    until("the upstreams are known", || node.shared.is_loaded()).await;
+    node
+}
+
+/// Makes a router know another one, which reaches all upstreams.
+pub async fn introduce(node: &Node, peer: &Node) {
+    let settings = &peer.shared.settings;
+    introduce_as(node, settings.host.clone(), peer.control).await;
+}
+
+/// Makes a router know a peer at an address, which reaches all upstreams.
+pub async fn introduce_as(node: &Node, host: name::Host, address: SocketAddr) {
+    let (configuration, upstreams) = node.shared.revisions();
+    let digest = Digest {
+        host,
+        zone: node.shared.settings.fleet.zone.clone(),
+        address,
+        configuration,
+        upstreams,
+        loads: Vec::new(),
+        readers: Vec::new(),
+        members: Vec::new(),
+        poison: Report::default(),
+        rate_limits: Vec::new(),
+        unreachable: Vec::new(),
+        decline_limits: Vec::new(),
+    };
+    let body = rmp_serde::to_vec(&digest).expect("it can be encoded");
+    let length = body.len();
+    let head =
+        format!("POST /fleet/v6/exchange HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n");
+    let mut caller = caller::Caller::connect(node.control).await;
+    caller.write_bytes(&[head.as_bytes(), &body].concat()).await;
+    assert_eq!(caller.read().await.expect("a response").status, 200);
+}
+
+/// A store that lists one service with the given engines as upstreams.
+fn listing(engines: &[(&engine::Engine, &str)]) -> Store {
     let store = Store::new();
     store.configure(platform::DEFAULT);
     for (index, (engine, build)) in engines.iter().enumerate() {
         let id = format!("e{index}");
         store.upstream_of_build(&id, "letters", engine.address, "ready", build);
     }
+    store
+}
+
+/// Starts routers of one availability zone, whose store lists one service with the given engines,
+/// each with the version of its software.
+pub async fn zone(routers: usize, engines: &[(&engine::Engine, &str)]) -> (Vec<Node>, Store) {
+    let store = listing(engines);
     let mut nodes: Vec<Node> = Vec::new();
     for index in 1..=routers {
         let seeds = nodes.first().map(|first| first.control);
--- a/crates/edge/tests/cut_off.rs
+++ b/crates/edge/tests/cut_off.rs
@@ -23,6 +23,7 @@
 use common::engine::response;
 use common::engine::response_with;
 use common::engine::stream;
+use common::introduce;
 use common::link::Cut;
 use common::link::Link;
 use common::platform::DEFAULT;
@@ -31,8 +32,6 @@
 use common::until;
 use rstest::rstest;
 use snipeusher::name;
-use snipeusher::poison::Report;
-use snipeusher_edge::peer::Digest;
 
 const ENGINES: usize = 9;
 const ZONES: usize = 3;
@@ -106,29 +105,7 @@
     /// Makes the first router know the others, of which its exchanges tell the rest.
     async fn introduce(&self) {
         for node in &self.nodes[1..] {
-            let (configuration, upstreams) = node.shared.revisions();
-            let digest = Digest {
-                host: node.shared.settings.host.clone(),
-                zone: node.shared.settings.fleet.zone.clone(),
-                address: node.control,
-                configuration,
-                upstreams,
-                loads: Vec::new(),
-                readers: Vec::new(),
-                members: Vec::new(),
-                poison: Report::default(),
-                rate_limits: Vec::new(),
-                unreachable: Vec::new(),
-                decline_limits: Vec::new(),
-            };
-            let body = rmp_serde::to_vec(&digest).expect("it can be encoded");
-            let head = format!(
-                "POST /fleet/v6/exchange HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n",
-                body.len()
-            );
-            let mut caller = Caller::connect(self.nodes[0].control).await;
-            caller.write_bytes(&[head.as_bytes(), &body].concat()).await;
-            assert_eq!(caller.read().await.expect("a response").status, 200);
+            introduce(&self.nodes[0], node).await;
         }
     }
 
--- a/crates/edge/tests/truncated.rs
+++ b/crates/edge/tests/truncated.rs
@@ -2,46 +2,17 @@
 
 mod common;
 
-use common::Node;
-use common::caller::Caller;
 use common::caller::Response;
 use common::caller::call;
 use common::caller::post;
 use common::engine::Act;
 use common::engine::Engine;
+use common::introduce_as;
 use common::single;
 use rstest::rstest;
 use snipeusher::name;
-use snipeusher::poison::Report;
-use snipeusher_edge::peer::Digest;
 use snipeusher_fakes::address::free_address;
 
-/// Makes a router know a peer that reaches all upstreams.
-async fn introduce(node: &Node, peer: &Engine) {
-    let (configuration, upstreams) = node.shared.revisions();
-    let digest = Digest {
-        host: name::Host::from("peer"),
-        zone: node.shared.settings.fleet.zone.clone(),
-        address: peer.address,
-        configuration,
-        upstreams,
-        loads: Vec::new(),
-        readers: Vec::new(),
-        members: Vec::new(),
-        poison: Report::default(),
-        rate_limits: Vec::new(),
-        unreachable: Vec::new(),
-        decline_limits: Vec::new(),
-    };
-    let body = rmp_serde::to_vec(&digest).expect("it can be encoded");
-    let length = body.len();
-    let head =
-        format!("POST /fleet/v6/exchange HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n");
-    let mut caller = Caller::connect(node.control).await;
-    caller.write_bytes(&[head.as_bytes(), &body].concat()).await;
-    assert_eq!(caller.read().await.expect("a response").status, 200);
-}
-
 /// The response to a request that is relayed to a peer, which sends some bytes and then closes the
 /// connection.
 async fn relayed(path: &str, bytes: &'static str) -> Response {
@@ -54,7 +25,7 @@
     .await;
     let gone = Engine::at(free_address());
     let (node, _store) = single(&[&gone]).await;
-    introduce(&node, &peer).await;
+    introduce_as(&node, name::Host::from("peer"), peer.address).await;
     let answered = call(node.front, &post(path, "r1", "x")).await;
     let seen = peer.seen();
     let relays = seen.iter().filter(|seen| seen.head.contains("/relay/"));
--- a/crates/snipeusher/src/archive.rs
+++ b/crates/snipeusher/src/archive.rs
@@ -1,15 +1,18 @@
 //! What has to outlive a loss of all routers, as records in the platform's store.
 //!
-//! Two kinds of records are kept: which software versions the upstreams of each service run or ran
-//! shortly before, and, only while a service runs several, which version began a stream. A router
+//! Three kinds of records are kept: the addresses of routers that find none of the peers which their
+//! settings name, so that routers discover each other there; which software versions the upstreams of each service run or ran
+//! shortly before; and, only while a service runs several, which version began a stream. A router
 //! that starts after all others were lost can then resume a stream at the version that began it, or
-//! knows that only one version can have begun it. A record that is missing or cannot be decoded
-//! only makes a router refuse. See `docs/design/archive.md`.
+//! knows that only one version can have begun it. A record of versions or streams that is missing or
+//! cannot be decoded only makes a router refuse. See `docs/design/archive.md`.
 
+mod announcer;
 mod writer;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -18,6 +21,7 @@
 use snafu::Snafu;
 use snafu::ensure;
 
+pub use self::announcer::Announcer;
 pub use self::writer::Writer;
 use crate::kv;
 use crate::kv::Revision;
@@ -30,6 +34,8 @@
 pub const VERSIONS_KEY: &str = "snipeusher/versions";
 /// Prefix of the keys with origins of streams.
 const STREAMS_PREFIX: &str = "snipeusher/streams/";
+/// Prefix of the keys with addresses of routers, followed by the name of the host.
+const ROUTERS_PREFIX: &str = "snipeusher/routers/";
 /// Largest value that is read or written. A segment of streams and the versions of some hundred
 /// services stay below it.
 const VALUE_BYTES_MAX: usize = 256 << 10;
@@ -57,6 +63,12 @@
         /// Why not.
         source: rmp_serde::decode::Error,
     },
+    /// It holds no address of a router.
+    #[snafu(display("the address of a router cannot be decoded: {source}"))]
+    Router {
+        /// Why not.
+        source: serde_json::Error,
+    },
     /// It was written by another release.
     #[snafu(display("format {format} is not {FORMAT}"))]
     Format {
@@ -104,6 +116,16 @@
     }
 }
 
+/// A router that can be found by its record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Router {
+    /// Its host.
+    pub host: name::Host,
+    /// Its address for exchanges between routers.
+    pub address: SocketAddr,
+}
+
 /// A record that is ignored.
 #[derive(Debug)]
 pub struct Unusable {
@@ -120,6 +142,8 @@
     pub versions: Option<(Revision, Versions)>,
     /// Origins of streams.
     pub streams: Vec<Group>,
+    /// Routers that announced themselves.
+    pub routers: Vec<Router>,
     /// Records that are ignored.
     pub unusable: Vec<Unusable>,
 }
@@ -146,6 +170,9 @@
             let versions = Versions::decode(&entry.value);
             self.versions = Some((entry.modified, Versions::default()));
             self.versions = Some((entry.modified, versions?));
+        } else if entry.key.starts_with(ROUTERS_PREFIX) {
+            let router = serde_json::from_slice(&entry.value).context(RouterSnafu)?;
+            self.routers.push(router);
         } else {
             let key = entry.key.strip_prefix(STREAMS_PREFIX);
             key.context(KeySnafu)?;
