Lose no event that arrived together with a malformed one

Streams that were resumed lacked events (ORDER): an upstream that sent events 1 and 2 and then, in the same read, one that is out of order, had its read discarded as a whole, but the identifiers of the good events were taken as passed on, so that the next upstream went on after event 2 and the caller got event 3 first. Cause: the parser updated its state while it checked, before it knew whether the events are passed on. It now does so only once all of them are in order.

--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -79,37 +79,44 @@
         Ok(Some(events))
     }
 
-    /// Checks that identifiers increase by one and stores the last.
+    /// Checks that identifiers increase by one and stores the last. If they do not, none of the events
+    /// counts, since none is passed on.
     fn check_ids(&mut self, events: &[u8]) -> Result<(), Malformed> {
+        let mut last_id: Option<&str> = None;
+        let (mut count, mut unidentified) = (self.count, self.unidentified);
         let mut rest = events;
         while let Some(end) = memmem::find(rest, END) {
             let event = &rest[..end];
             rest = &rest[end + END.len()..];
-            self.count += 1;
+            count += 1;
+            let before = last_id.or(self.last_id.as_deref());
             let Some(id) = event_id(event) else {
-                self.unidentified += event.len();
-                if self.unidentified > EVENT_BYTES_MAX {
+                unidentified += event.len();
+                if unidentified > EVENT_BYTES_MAX {
                     return Err(Malformed);
                 }
                 continue;
             };
-            self.unidentified = 0;
-            let number = id.parse::<u64>().ok();
-            let before = self
-                .last_id
-                .as_deref()
-                .and_then(|last| last.parse::<u64>().ok());
-            if let (Some(number), Some(before)) = (number, before)
-                && before.checked_add(1) != Some(number)
-            {
+            unidentified = 0;
+            if before.is_some_and(|before| !follows(id, before)) {
                 return Err(Malformed);
             }
-            self.last_id = Some(id.to_owned());
+            last_id = Some(id);
         }
+        (self.count, self.unidentified) = (count, unidentified);
+        self.last_id = last_id.map(str::to_owned).or(self.last_id.take());
         Ok(())
     }
 }
 
+/// Whether an identifier may come after another one. Those that are no numbers have no order.
+fn follows(id: &str, before: &str) -> bool {
+    match (id.parse::<u64>(), before.parse::<u64>()) {
+        (Ok(id), Ok(before)) => before.checked_add(1) == Some(id),
+        _ => true,
+    }
+}
+
 /// Whether complete events hold data. Blocks without it, such as comments, are no events to callers.
 pub(crate) fn has_data(events: &[u8]) -> bool {
     events.starts_with(DATA) || memmem::find(events, DATA_LINE).is_some()
--- a/crates/edge/tests/stream.rs
+++ b/crates/edge/tests/stream.rs
@@ -3,6 +3,8 @@
 
 mod common;
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -192,6 +194,35 @@
     assert_eq!(engines[0].count() + engines[1].count(), 2);
 }
 
+/// Guards against an event that is missing after a resumption, since it arrived together with one
+/// that is out of order.
+#[rstest]
+#[case::out_of_order("id: 9\ndata: part 9\n\n")]
+#[case::repeated("id: 2\ndata: part 2\n\n")]
+#[actix_rt::test]
+async fn events_before_a_malformed_one_are_not_lost(#[case] malformed: &'static str) {
+    let is_first = Rc::new(Cell::new(true));
+    let script = move |seen: &Seen| {
+        if is_first.take() {
+            let events = format!("{}{malformed}", text(2));
+            return vec![stream(seen.id()), chunk(&events), Act::Close];
+        }
+        let last = seen.header("t-last").unwrap_or("0");
+        let last: u32 = last.parse().expect("a number");
+        let rest = (last + 1..=3).map(event);
+        let begun = [stream(seen.id())].into_iter().chain(rest);
+        begun.chain([end()]).collect()
+    };
+    let engines = [
+        Engine::start(script.clone()).await,
+        Engine::start(script).await,
+    ];
+    let (node, _store) = single(&[&engines[0], &engines[1]]).await;
+    let answered = call(node.front, &post("/chat/", "r1", "x")).await;
+    assert_eq!((answered.status, answered.complete), (200, true));
+    assert_eq!(answered.body, text(3));
+}
+
 /// Head of a stream that ends when its connection is closed.
 fn unframed(seen: &Seen) -> Act {
     let id = seen.id();
