Pass on no error text within a stream and end none that was not resumed

Causes: a block without identifier was accepted anywhere in a stream, and the check for a stream that breaks off before its first event counted the events of all upstreams. Now a block without identifier that follows an identified event has to be a comment, and the events of each upstream are counted. A stream that a caller takes up and that ends in this way is refused as lost; before, it was complete.

--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -26,8 +26,8 @@
     unidentified: usize,
 }
 
-/// An event is too large, too many events have no identifier, or the identifiers are not
-/// consecutive.
+/// An event is too large, too many events have no identifier, an event without one follows one that
+/// has it, or the identifiers are not consecutive.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Malformed;
 
@@ -92,7 +92,7 @@
             let before = last_id.or(self.last_id.as_deref());
             let Some(id) = event_id(event) else {
                 unidentified += event.len();
-                if unidentified > EVENT_BYTES_MAX {
+                if unidentified > EVENT_BYTES_MAX || before.is_some() && !is_comment(event) {
                     return Err(Malformed);
                 }
                 continue;
@@ -117,6 +117,12 @@
     }
 }
 
+/// Whether a block is no event to callers: it has only comments and times for reconnecting.
+fn is_comment(block: &[u8]) -> bool {
+    let mut lines = block.split(|byte| *byte == b'\n');
+    lines.all(|line| line.is_empty() || line.starts_with(b":") || line.starts_with(b"retry:"))
+}
+
 /// Whether complete events hold data. Blocks without it, such as comments, are no events to callers.
 pub(crate) fn has_data(events: &[u8]) -> bool {
     events.starts_with(DATA) || memmem::find(events, DATA_LINE).is_some()
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -68,6 +68,7 @@
                 "build" => self.build.as_ref().map(name::Build::as_str),
                 "after" => self.events.last_id());
         }
+        let events_before = self.events.count();
         let mut began: Option<Instant> = None;
         let mut is_proven = false;
         let mut timer = stall::Timer::start(&self.admitted.route);
@@ -81,7 +82,7 @@
                     guard.record_activity();
                     bytes
                 }
-                Next::End if self.is_whole(&connection) => {
+                Next::End if self.is_whole(&connection, events_before) => {
                     if !is_proven {
                         self.record_served();
                     }
@@ -160,9 +161,9 @@
     }
 
     /// Whether a stream that has ended is complete as far as can be told. One without a length that
-    /// ends before its first event was broken off.
-    fn is_whole(&self, connection: &Connection) -> bool {
-        let is_empty = self.events.last_id().is_none() && self.events.count() == 0;
+    /// ends before its upstream has sent an event was broken off, also if another one had sent some.
+    fn is_whole(&self, connection: &Connection, events_before: u64) -> bool {
+        let is_empty = self.events.count() == events_before;
         self.events.is_complete() && !(is_empty && connection.ended_by_close())
     }
 
--- a/crates/edge/tests/stream.rs
+++ b/crates/edge/tests/stream.rs
@@ -195,10 +195,11 @@
 }
 
 /// Guards against an event that is missing after a resumption, since it arrived together with one
-/// that is out of order.
+/// that is out of order or none at all.
 #[rstest]
 #[case::out_of_order("id: 9\ndata: part 9\n\n")]
 #[case::repeated("id: 2\ndata: part 2\n\n")]
+#[case::no_event("no room\n\n")]
 #[actix_rt::test]
 async fn events_before_a_malformed_one_are_not_lost(#[case] malformed: &'static str) {
     let is_first = Rc::new(Cell::new(true));
