Refuse late in a shutdown what may run once and not end before the exit

Streams are refused from the time on at which the balancer sends no more; requests that may run once now are as well if their time limit ends after the exit, and their callers learn that they have not run.

requests_at_each_moment_of_a_shutdown_are_served_or_not_run sends requests of all kinds each 350 ms of the grace period, on new and on kept connections. It failed before (504 for one that arrived 6.5 s after SIGTERM and takes 1.4 s of 3 s); no request that was passed on went without any answer, before or now.

--- a/crates/edge/src/exchange/admit.rs
+++ b/crates/edge/src/exchange/admit.rs
@@ -160,9 +160,10 @@
         }
     };
     let route = admission.route;
-    // The process may exit before a stream that starts now is complete.
-    let is_late_stream = shared.lifecycle.is_deregistered() && route.kind.is_stream();
-    if is_late_stream || shared.is_about_to_exit() {
+    let time_limit = request
+        .deadline
+        .map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    if is_too_late(shared, route.kind, time_limit) {
         let refusal = Refusal::NotRun {
             cause: "leaving",
             retry_after: RETRY_AFTER_LEAVING,
@@ -173,9 +174,6 @@
             revision,
         });
     }
-    let time_limit = request
-        .deadline
-        .map_or(route.timeout, |deadline| deadline.min(route.timeout));
     // A request that takes a stream up goes to the service of the one that began it.
     let began = request.resumes.as_deref().or(request.id.as_deref());
     let point = hash::bytes(began.unwrap_or_default().as_bytes());
@@ -211,6 +209,20 @@
     })
 }
 
+/// Whether the process may exit before a request that arrives now has ended.
+///
+/// While the balancer may still send requests here, all are accepted but those just before the exit.
+/// Later, streams are refused, and requests that may run once unless they end within their time limit:
+/// a caller could not tell whether a request ran that the exit cuts short, and may not repeat it.
+fn is_too_late<P: Platform>(shared: &Shared<P>, kind: Kind, time_limit: Duration) -> bool {
+    let outlasts = || match kind {
+        Kind::Stream { .. } => true,
+        Kind::NonIdempotent => shared.time_to_exit().is_some_and(|left| time_limit > left),
+        Kind::Idempotent => false,
+    };
+    shared.is_about_to_exit() || shared.lifecycle.is_deregistered() && outlasts()
+}
+
 struct Admission {
     table: Rc<Table>,
     route: Arc<Route>,
--- a/crates/edge/src/shared.rs
+++ b/crates/edge/src/shared.rs
@@ -262,10 +262,17 @@
         self.lifecycle.shutdown_elapsed(limit).await;
     }
 
+    /// Time until requests in flight have to end; `None` unless the process shuts down.
+    pub fn time_to_exit(&self) -> Option<Duration> {
+        let limit = self.shutdown_limit().saturating_sub(LAST_RESPONSE);
+        let leaving_for = self.lifecycle.leaving_for()?;
+        Some(limit.saturating_sub(leaving_for))
+    }
+
     /// Whether the process may exit before a request that arrives now is answered.
     pub fn is_about_to_exit(&self) -> bool {
-        let leaving_for = self.lifecycle.leaving_for();
-        leaving_for.is_some_and(|time| time + LAST_ACCEPTED >= self.shutdown_limit())
+        let left = self.time_to_exit();
+        left.is_some_and(|left| left + LAST_RESPONSE <= LAST_ACCEPTED)
     }
 
     /// Records that the configuration or the upstreams changed, so that peers are informed.
--- a/crates/edge/tests/common/caller.rs
+++ b/crates/edge/tests/common/caller.rs
@@ -55,6 +55,11 @@
         written.expect("the router reads");
     }
 
+    /// Writes to a router that may have closed the connection. Returns whether it had not.
+    pub async fn try_write(&mut self, text: &str) -> bool {
+        self.stream.write_all(text.as_bytes()).await.is_ok()
+    }
+
     /// Reads one response; `None` if the connection is closed before.
     pub async fn read(&mut self) -> Option<Response> {
         let read = timeout(TIMEOUT, self.response()).await;
--- a/crates/edge/tests/shutdown.rs
+++ b/crates/edge/tests/shutdown.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +15,12 @@
 use common::caller::post;
 use common::engine::Act;
 use common::engine::Engine;
+use common::engine::Seen;
+use common::engine::end;
+use common::engine::event;
 use common::engine::response;
+use common::engine::stream;
+use common::platform::DEFAULT;
 use common::single;
 use common::store::Store;
 use rstest::rstest;
@@ -121,3 +128,113 @@
     assert_eq!(answered.expect("a response").status, 504);
     stop.await.expect("it ends");
 }
+
+/// Routes of all kinds: path, time that the upstream takes for a request, or for each event.
+const KINDS: [(&str, u64); 4] = [
+    ("/read/", 250),
+    ("/write/", 250),
+    ("/slow-write/", 1_400),
+    ("/review/", 250),
+];
+/// Time between the requests of a kind.
+const STEP: Duration = Duration::from_millis(350);
+
+/// Runs a request as its path asks.
+fn run_kind(seen: &Seen) -> Vec<Act> {
+    let kind = KINDS.iter().find(|(path, _)| seen.head.contains(path));
+    let run = Act::Pause(kind.expect("a known path").1);
+    if seen.head.contains("/review/") {
+        return vec![
+            stream(seen.id()),
+            event(1),
+            run.clone(),
+            event(2),
+            run,
+            end(),
+        ];
+    }
+    vec![run, response(seen.id(), "200 OK", "done")]
+}
+
+/// Sends a request after a delay, on a connection that was used before or on a new one.
+async fn send_later(
+    front: SocketAddr,
+    delay: Duration,
+    is_kept: bool,
+    request: String,
+) -> Option<Response> {
+    let mut caller = None;
+    if is_kept {
+        let mut kept = Caller::connect(front).await;
+        kept.write(&post("/read/", "first", "x")).await;
+        assert_eq!(kept.read().await.expect("a response").status, 200);
+        caller = Some(kept);
+    }
+    sleep(delay).await;
+    let mut caller = match caller {
+        Some(kept) => kept,
+        None => Caller::connect(front).await,
+    };
+    caller.try_write(&request).await.then_some(())?;
+    caller.read().await
+}
+
+/// Guards against requests that are passed on in a planned shutdown and get no answer, or one that
+/// leaves open whether they ran: at each moment, on new and on kept connections, of all kinds.
+#[actix_rt::test]
+async fn requests_at_each_moment_of_a_shutdown_are_served_or_not_run() {
+    let engine = Engine::start(run_kind).await;
+    let (node, store) = single(&[&engine]).await;
+    store.configure(&format!("{DEFAULT}/slow-write/ once 1 3000 public\n").replacen('1', "2", 1));
+    common::until("the route is known", || {
+        let table = node.shared.table();
+        table.is_some_and(|table| table.version() == 2)
+    })
+    .await;
+    let limit = node.shared.shutdown_limit();
+    let mut sent = Vec::new();
+    for (path, _) in KINDS {
+        for step in 0.. {
+            let delay = STEP * step;
+            if delay >= limit {
+                break;
+            }
+            for is_kept in [false, true] {
+                let id = format!("{}-{}-{is_kept}", path.trim_matches('/'), delay.as_millis());
+                let request = post(path, &id, "x");
+                let sending = send_later(node.front, delay, is_kept, request);
+                sent.push((id, actix_rt::spawn(sending)));
+            }
+        }
+    }
+    // Kept connections are used once before the shutdown.
+    sleep(PART * 2).await;
+    let shared = Rc::clone(&node.shared);
+    let stop = actix_rt::spawn(async move { node::stop(&*shared).await });
+    stop.await.expect("it ends");
+    let seen: BTreeSet<String> = engine
+        .seen()
+        .iter()
+        .map(|seen| seen.id().to_owned())
+        .collect();
+    let mut served = 0;
+    for (id, sending) in sent {
+        if !sending.is_finished() {
+            assert!(!seen.contains(&id), "{id} was passed on and got no answer");
+            sending.abort();
+            continue;
+        }
+        match sending.await.expect("no panic") {
+            Some(response) if seen.contains(&id) => {
+                assert!(
+                    response.status == 200 && response.complete,
+                    "{id}: {response:?}"
+                );
+                served += 1;
+            }
+            Some(response) => assert_eq!(response.status, 503, "{id}"),
+            None => assert!(!seen.contains(&id), "{id} was passed on and got no answer"),
+        }
+    }
+    assert!(served > 60, "{served} requests were served");
+}
