Hand over retries beyond a router's part when its callers move

Upstreams got more retries than the fleet may send (BUDGET) beside a planned restart, although each router counted what its earlier process had spent. Cause, the users' lead, shown in the simulation without any fault: load that moves from routers which have spent their part to others counts twice within a window, at the former by the retries and at the latter by the requests that earn new ones.

A router that has spent more than 1.25 times its present part now hands the retries beyond that to peers, which count them with their age and send none until they are within their part. Each retry counts at one router, so the parts stay a sum.

--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -13,6 +13,7 @@
 mod gzip;
 mod link;
 mod outage;
+mod overdraft;
 mod peers;
 mod relay;
 mod server;
@@ -72,6 +73,8 @@
 const SPENDING_PATH: &str = "/fleet/v6/spending";
 /// Path of questions for what an earlier process spent.
 const SPENT_PATH: &str = "/fleet/v6/spent";
+/// Path to which routers hand over what they spent beyond their part of the retry budgets.
+const OVERDRAFT_PATH: &str = "/fleet/v6/overdraft";
 /// Largest body of a request or response between routers.
 const BYTES_MAX: usize = 4 << 20;
 
--- /dev/null
+++ b/crates/edge/src/peer/overdraft.rs
@@ -0,0 +1,79 @@
+//! Retries beyond a router's part of a retry budget, handed over to peers.
+//!
+//! The callers of a router that is drained, or whose zone the balancer avoids, move to others, which
+//! earn retries by the same requests again. What the router has spent then exceeds its part, and
+//! would be spent twice within one window. See `docs/design/retry-budget.md`.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use slog::debug;
+use slog::info;
+use snafu::ResultExt as _;
+use snipeusher::fleet::Account;
+
+use super::OVERDRAFT_PATH;
+use super::client::DecodeSnafu;
+use super::client::Error;
+use super::link::Call;
+use super::link::Links;
+use super::spending::CALL_TIMEOUT;
+use crate::dialect::Platform;
+use crate::shared::Shared;
+
+/// The response to retries that are handed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Taken {
+    /// How many of them the peer counts from now on.
+    retries: u32,
+}
+
+/// Hands over what this router spent beyond its parts to some peers, until one has taken all of it.
+pub(super) async fn hand_over<P: Platform>(
+    shared: &Shared<P>,
+    links: &Links,
+    peers: impl Iterator<Item = SocketAddr>,
+) {
+    for peer in peers {
+        let overdrafts = shared.fleet.borrow_mut().overdrafts(shared.now());
+        for account in overdrafts {
+            match try_hand_over(shared, links, peer, &account).await {
+                Ok(taken) => release(shared, peer, &account, taken),
+                // The retries count here for as long as it is not known that they do there.
+                Err(error) => debug!(shared.log, "peer: retries not handed over";
+                    "peer" => %peer, "error" => %error),
+            }
+        }
+    }
+}
+
+async fn try_hand_over<P: Platform>(
+    shared: &Shared<P>,
+    links: &Links,
+    peer: SocketAddr,
+    account: &Account,
+) -> Result<Taken, Error> {
+    let call = Call::post(OVERDRAFT_PATH, account)?;
+    let body = links.call(peer, &shared.http, call, CALL_TIMEOUT).await?;
+    rmp_serde::from_slice(&body).context(DecodeSnafu)
+}
+
+fn release<P: Platform>(shared: &Shared<P>, peer: SocketAddr, account: &Account, taken: Taken) {
+    let offered = account.spans.iter().map(|span| span.spending.retries);
+    let retries = taken.retries.min(offered.sum());
+    if retries > 0 {
+        info!(shared.log, "retries: handed over";
+            "service" => account.service.as_str(), "peer" => %peer, "retries" => retries);
+        let mut fleet = shared.fleet.borrow_mut();
+        fleet.release_retries(&account.service, retries);
+    }
+}
+
+/// Counts retries of a peer in its place, as far as this router has credit.
+pub(super) fn take_over<P: Platform>(shared: &Shared<P>, account: &Account) -> Taken {
+    let now = shared.now();
+    let retries = shared.fleet.borrow_mut().take_over_retries(now, account);
+    Taken { retries }
+}
--- a/crates/edge/src/peer/server.rs
+++ b/crates/edge/src/peer/server.rs
@@ -28,6 +28,7 @@
 use super::ORIGIN_PATH;
 use super::ORIGINS_PATH;
 use super::OUTAGE_PATH;
+use super::OVERDRAFT_PATH;
 use super::OutageReport;
 use super::Peers;
 use super::Question;
@@ -39,6 +40,7 @@
 use super::gzip;
 use super::merge;
 use super::outage;
+use super::overdraft;
 use super::relay;
 use super::spending;
 use super::streams;
@@ -119,6 +121,11 @@
         self.encode(&spending::answer(&self.shared, &peers, &inquiry))
     }
 
+    fn overdraft(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
+        let account = self.decode(body)?;
+        self.encode(&overdraft::take_over(&self.shared, &account))
+    }
+
     fn exchange(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
         let received: Digest = self.decode(body)?;
         let own = digest(&self.shared, &mut self.peers.borrow_mut());
@@ -271,6 +278,7 @@
             ORIGIN_PATH => self.origin(&request.body),
             SPENDING_PATH => self.spending(&request.body),
             SPENT_PATH => self.spent(&request.body),
+            OVERDRAFT_PATH => self.overdraft(&request.body),
             _ => Err(StatusCode::NOT_FOUND),
         };
         match body {
--- a/crates/edge/tests/retry.rs
+++ b/crates/edge/tests/retry.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use common::Node;
 use common::caller::call;
 use common::caller::get;
 use common::caller::post;
@@ -14,6 +15,10 @@
 use common::engine::response;
 use common::single;
 use rstest::rstest;
+use snipeusher::fleet::Account;
+use snipeusher::fleet::Span;
+use snipeusher::fleet::Spending;
+use snipeusher::name;
 use snipeusher_fakes::address::free_address;
 
 fn failing(failure: &'static str) -> impl Fn(&common::engine::Seen) -> Vec<Act> {
@@ -249,3 +254,36 @@
         200
     );
 }
+
+/// Guards against retries that count nowhere, or twice, when the callers of a router move to others:
+/// what it has spent beyond its part is counted there.
+#[actix_rt::test]
+async fn retries_beyond_the_part_of_a_router_count_at_its_peers() {
+    const SPENT: u32 = 40;
+    let (nodes, _store) = common::zone(2, &[]).await;
+    let spending = Spending {
+        requests: 0,
+        retries: SPENT,
+    };
+    let account = Account {
+        service: name::Service::from("letters"),
+        spans: vec![Span {
+            age_ms: 0,
+            spending,
+        }],
+    };
+    let now = nodes[0].shared.now();
+    let fleet = &nodes[0].shared.fleet;
+    fleet.borrow_mut().learn_past_retries(now, &[account]);
+    let retries = |node: &Node| {
+        let now = node.shared.now();
+        let spending = node.shared.fleet.borrow_mut().spending(now);
+        let retries = spending.iter().map(|(_, spending)| spending.retries);
+        retries.sum::<u32>()
+    };
+    common::until("a peer counts some of them", || retries(&nodes[1]) > 0).await;
+    common::until("each counts once", || {
+        nodes.iter().map(retries).sum::<u32>() == SPENT
+    })
+    .await;
+}
--- a/crates/snipeusher/src/fleet/budget.rs
+++ b/crates/snipeusher/src/fleet/budget.rs
@@ -15,6 +15,11 @@
 /// the others don't count yet.
 const USABLE_FRACTION: f64 = 0.85;
 
+/// Share of its part by which a router may exceed it before others count what is beyond. Routers that
+/// get the callers of another one use up what they earn by them at once, so they take its retries over
+/// ahead of that.
+const OVERDRAFT_MAX: f64 = 0.25;
+
 /// Limits of the retries that all routers together send to one service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
@@ -68,12 +73,21 @@
     fn age(&self, now: Time) -> Duration {
         now.since(self.since) + self.age_before
     }
+
+    fn span(&self, now: Time, spending: Spending) -> Span {
+        Span {
+            age_ms: u32::try_from(self.age(now).as_millis()).unwrap_or(u32::MAX),
+            spending,
+        }
+    }
 }
 
 /// Budget of the retries that this router may send to one service.
 ///
 /// Each router may use the ratio of its own requests and an equal share of the slack. So the total
-/// over all routers stays within the limits, although no router counts the retries of the others.
+/// over all routers stays within the limits, although no router counts the retries of the others. If
+/// the callers of a router move to others, which then earn retries by the same requests, it hands the
+/// retries beyond its part over to them.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
     buckets: VecDeque<Bucket>,
@@ -103,10 +117,62 @@
 
     /// Retries remaining at `now`.
     pub fn remaining(&mut self, now: Time, limits: &Limits, routers: usize) -> f64 {
-        let Spending { requests, retries } = self.spending(now, limits.window);
+        let part = self.part(now, limits, routers);
+        (part - self.retries(now, limits)).max(0.0)
+    }
+
+    /// Retries within the window too far beyond the part of this router, rounded down. It exceeds its
+    /// part without a further retry once the requests that it earned it by have left the window.
+    pub fn overdraft(&mut self, now: Time, limits: &Limits, routers: usize) -> u32 {
+        let part = self.part(now, limits, routers);
+        let overdraft = self.retries(now, limits) - part * (1.0 + OVERDRAFT_MAX);
+        overdraft.max(0.0) as u32
+    }
+
+    /// Retries of others that this router can count, rounded down, so that it is not too far beyond its
+    /// part itself. It sends none until it is within it.
+    pub fn credit(&mut self, now: Time, limits: &Limits, routers: usize) -> u32 {
+        let part = self.part(now, limits, routers);
+        let credit = part * (1.0 + OVERDRAFT_MAX) - self.retries(now, limits);
+        credit.max(0.0) as u32
+    }
+
+    /// What this router may spend in the window that ends at `now`.
+    fn part(&mut self, now: Time, limits: &Limits, routers: usize) -> f64 {
+        let requests = self.spending(now, limits.window).requests;
         let slack = limits.slack / routers.max(1) as f64;
-        let allowed = USABLE_FRACTION * (limits.ratio * f64::from(requests) + slack);
-        (allowed - f64::from(retries)).max(0.0)
+        USABLE_FRACTION * (limits.ratio * f64::from(requests) + slack)
+    }
+
+    fn retries(&mut self, now: Time, limits: &Limits) -> f64 {
+        f64::from(self.spending(now, limits.window).retries)
+    }
+
+    /// The newest retries, without the requests beside them: as many as are asked for and counted.
+    pub fn newest_retries(&self, now: Time, count: u32) -> Vec<Span> {
+        let mut left = count;
+        let newest = self.buckets.iter().rev().map(|bucket| {
+            let retries = bucket.spending.retries.min(left);
+            left -= retries;
+            bucket.span(
+                now,
+                Spending {
+                    requests: 0,
+                    retries,
+                },
+            )
+        });
+        newest.filter(|span| span.spending.retries > 0).collect()
+    }
+
+    /// Counts the newest retries no longer, since another router does.
+    pub fn release(&mut self, count: u32) {
+        let mut left = count;
+        for bucket in self.buckets.iter_mut().rev() {
+            let released = bucket.spending.retries.min(left);
+            bucket.spending.retries -= released;
+            left -= released;
+        }
     }
 
     /// Requests and retries within the window that ends at `now`.
@@ -124,14 +190,12 @@
         if self.spending(now, window).retries == 0 {
             return Vec::new();
         }
-        let buckets = self.buckets.iter().map(|bucket| Span {
-            age_ms: u32::try_from(bucket.age(now).as_millis()).unwrap_or(u32::MAX),
-            spending: bucket.spending,
-        });
-        buckets.collect()
+        let buckets = self.buckets.iter();
+        let spans = buckets.map(|bucket| bucket.span(now, bucket.spending));
+        spans.collect()
     }
 
-    /// Adds what an earlier process of this router has spent.
+    /// Adds what an earlier process of this router, or another one, has spent.
     pub fn add_earlier(&mut self, now: Time, spans: &[Span]) {
         let earlier = spans.iter().map(|span| Bucket {
             since: now,
--- a/crates/snipeusher/src/fleet/retries.rs
+++ b/crates/snipeusher/src/fleet/retries.rs
@@ -1,13 +1,15 @@
 //! The retry budgets of all services, and what was spent of them before this process started.
 //!
 //! A router that starts may take the place of one that has just spent its part of a budget. It sends
-//! no retries until it knows what that one spent, or until all of that has left the window. See
+//! no retries until it knows what that one spent, or until all of that has left the window. A router
+//! whose callers move to others hands over what it has spent beyond its part. See
 //! `docs/design/retry-budget.md`.
 
 use std::collections::BTreeMap;
 
 use super::Budget;
 use super::Limits;
+use super::Span;
 use super::Spending;
 use super::account::Account;
 use crate::name;
@@ -123,6 +125,57 @@
             .collect()
     }
 
+    /// Retries beyond this router's parts, by service, for others to count in its place.
+    pub(super) fn overdrafts(&mut self, now: Time, routers: usize) -> Vec<Account> {
+        let (limits, routers) = (self.limits, routers.max(self.routers_min));
+        let budgets = self.budgets.iter_mut();
+        let overdrafts = budgets.map(|(service, budget)| {
+            let overdraft = budget.overdraft(now, &limits, routers);
+            Account {
+                service: service.clone(),
+                spans: budget.newest_retries(now, overdraft),
+            }
+        });
+        overdrafts
+            .filter(|account| !account.spans.is_empty())
+            .collect()
+    }
+
+    /// Counts some retries no longer, since another router does.
+    pub(super) fn release(&mut self, service: &name::Service, count: u32) {
+        self.budget(service).release(count);
+    }
+
+    /// Counts retries of another router as far as this one has credit. Returns how many it does; the
+    /// other router goes on counting the rest.
+    pub(super) fn take_over(&mut self, now: Time, account: &Account, routers: usize) -> u32 {
+        if self.is_past_unknown(now) {
+            return 0;
+        }
+        let (limits, routers) = (self.limits, routers.max(self.routers_min));
+        let budget = self.budget(&account.service);
+        let credit = budget.credit(now, &limits, routers);
+        let mut left = credit;
+        let mut taken = Vec::new();
+        // The newest come first.
+        for span in &account.spans {
+            let retries = span.spending.retries.min(left);
+            if left == 0 {
+                break;
+            }
+            left -= retries;
+            taken.push(Span {
+                age_ms: span.age_ms,
+                spending: Spending {
+                    requests: 0,
+                    retries,
+                },
+            });
+        }
+        budget.add_earlier(now, &taken);
+        credit - left
+    }
+
     fn budget(&mut self, service: &name::Service) -> &mut Budget {
         if !self.budgets.contains_key(service) {
             self.budgets.insert(service.clone(), Budget::default());
--- a/crates/snipeusher/src/fleet/view/budgets.rs
+++ b/crates/snipeusher/src/fleet/view/budgets.rs
@@ -46,6 +46,23 @@
         self.retries.accounts(now)
     }
 
+    /// Retries beyond this router's parts of the budgets, the newest first, for others to count in its
+    /// place. Its callers have moved to others, which earn retries by the same requests.
+    pub fn overdrafts(&mut self, now: Time) -> Vec<Account> {
+        self.retries.overdrafts(now, self.routers)
+    }
+
+    /// Counts some of these retries no longer, since another router does.
+    pub fn release_retries(&mut self, service: &name::Service, count: u32) {
+        self.retries.release(service, count);
+    }
+
+    /// Counts retries of another router, as far as this one has credit. Returns how many it
+    /// does.
+    pub fn take_over_retries(&mut self, now: Time, account: &Account) -> u32 {
+        self.retries.take_over(now, account, self.routers)
+    }
+
     /// Length of the window of the retry budgets.
     pub const fn retry_window(&self) -> Duration {
         self.settings.retries.window
--- a/crates/snipeusher/tests/retries.rs
+++ b/crates/snipeusher/tests/retries.rs
@@ -31,6 +31,10 @@
 /// Length of a run, and when upstreams begin to fail.
 const RUN_MS: u64 = 40_000;
 const FAILING_MS: u64 = 12_000;
+/// When callers move to other routers, in the runs in which they do.
+const MOVE_MS: u64 = 14_000;
+/// Requests of the callers of one router in each step.
+const REQUESTS: u32 = 2;
 /// Routers that a router knows at its start, and each quarter of a second more.
 const MEMBERS: u64 = 8;
 
@@ -53,6 +57,8 @@
     Rolling(usize, usize),
     /// Some of every hundred at once.
     Herd(usize),
+    /// None, but the callers of some of every hundred routers move to the others.
+    Move(usize),
 }
 
 struct Simulation {
@@ -86,12 +92,14 @@
             if now % STATEMENT_MS == 0 {
                 for index in 0..count {
                     self.state(now, index);
+                    self.hand_over(now, index);
                 }
             }
             let mut step = (0, 0);
             for index in 0..count {
                 self.learn(now, index);
-                self.serve(now, index, &mut step);
+                let requests = self.requests(now, index, plan);
+                self.serve(now, index, requests, &mut step);
             }
             self.steps.push(step);
         }
@@ -141,6 +149,26 @@
         }
     }
 
+    /// Hands what a router has spent beyond its part to two others, which change each time.
+    fn hand_over(&mut self, now: u64, index: usize) {
+        let count = self.routers.len();
+        let turn = (now / STATEMENT_MS) as usize;
+        for offset in [turn, turn + 1] {
+            let peer = (index + 1 + offset % (count - 1)) % count;
+            if !self.is_up(now, index) || !self.is_up(now, peer) {
+                continue;
+            }
+            let (local, of_peer) = (self.local(now, index), self.local(now, peer));
+            for account in self.routers[index].fleet.overdrafts(local) {
+                let taken = self.routers[peer]
+                    .fleet
+                    .take_over_retries(of_peer, &account);
+                let fleet = &mut self.routers[index].fleet;
+                fleet.release_retries(&account.service, taken);
+            }
+        }
+    }
+
     fn learn(&mut self, now: u64, index: usize) {
         if !self.is_up(now, index) {
             return;
@@ -184,16 +212,36 @@
         }
     }
 
-    /// Serves two requests, the first of which fails once upstreams do.
-    fn serve(&mut self, now: u64, index: usize, step: &mut (u32, u32)) {
+    /// Requests to a router in a step. Callers that leave some routers are spread over the others.
+    fn requests(&self, now: u64, index: usize, plan: Plan) -> u32 {
+        let Plan::Move(percent) = plan else {
+            return REQUESTS;
+        };
+        let count = self.routers.len();
+        let left = (count * percent).div_ceil(100);
+        match index.checked_sub(left) {
+            _ if now < MOVE_MS => REQUESTS,
+            None => 0,
+            Some(place) => {
+                let moved = REQUESTS as usize * left;
+                let share = moved / (count - left);
+                let extra = usize::from(place < moved % (count - left));
+                REQUESTS + (share + extra) as u32
+            }
+        }
+    }
+
+    /// Serves requests, the first half of which fails once upstreams do.
+    fn serve(&mut self, now: u64, index: usize, requests: u32, step: &mut (u32, u32)) {
         // Callers of a router that is down reach the others; here their requests just count.
-        step.0 += 2;
+        step.0 += requests;
         if !self.is_up(now, index) {
             return;
         }
         let local = self.local(now, index);
         let fleet = &mut self.routers[index].fleet;
-        for is_failing in [now >= FAILING_MS, false] {
+        for number in 0..requests {
+            let is_failing = now >= FAILING_MS && number < requests.div_ceil(2);
             fleet.record_request(local, &service());
             if is_failing && fleet.try_retry(local, &service()) {
                 step.1 += 1;
@@ -260,7 +308,7 @@
 fn restarts(plan: Plan, count: usize) -> Vec<(u64, usize)> {
     let begin = FAILING_MS + 3_000;
     match plan {
-        Plan::None => Vec::new(),
+        Plan::None | Plan::Move(_) => Vec::new(),
         Plan::Rolling(percent, at_a_time) => (0..(count * percent).div_ceil(100))
             .map(|index| (begin + 1_300 * (index / at_a_time) as u64, index))
             .collect(),
@@ -300,6 +348,26 @@
     }
 }
 
+/// Guards against load that counts twice in the retry budget, since it moved from routers that had
+/// spent their part to others; and against a budget that this makes unusable.
+#[rstest]
+fn load_that_moves_keeps_the_retry_budget(
+    #[values((6, 52.0), (7, 54.0), (70, 180.0))] (count, slack): (usize, f64),
+    #[values(15, 30, 45, 60)] percent: usize,
+) {
+    let mut simulation = Simulation::new(count, slack);
+    simulation.run(Plan::Move(percent));
+    let (retries, allowed) = simulation.worst_window();
+    assert!(
+        f64::from(retries) <= allowed,
+        "{retries} retries, {allowed:.0} allowed"
+    );
+    let mut undisturbed = Simulation::new(count, slack);
+    undisturbed.run(Plan::None);
+    let (sent, usual) = (simulation.retries(), undisturbed.retries());
+    assert!(10 * sent >= 9 * usual, "{sent} retries instead of {usual}");
+}
+
 fn account(retries: u32, age_ms: u32) -> Account {
     Account {
         service: service(),
