Name queries, updates and replies by the field's terms

`ask`, `news` and `answered` had come back as names between routers; they are query, update and reply now. Names that leave the process are unchanged.

--- a/crates/edge/src/exchange/resume.rs
+++ b/crates/edge/src/exchange/resume.rs
@@ -124,7 +124,7 @@
             service: self.admitted.target.service.clone(),
             age_ms: age.as_millis() as u64,
         };
-        match self.streams.ask(self.shared, question).await {
+        match self.streams.query(self.shared, question).await {
             Answer::Recorded(origin) => Some((origin, Source::Peer)),
             // A peer may not have heard of a second version that this router knows.
             Answer::Sole(origin) => {
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -74,9 +74,9 @@
         let mut timer = stall::Timer::start(&self.admitted.route);
         let mut backlog = Backlog::default();
         loop {
-            let asked = Instant::now();
+            let waiting_since = Instant::now();
             let next = self.next(&mut connection, &mut timer).await;
-            backlog.record_wait(asked.elapsed());
+            backlog.record_wait(waiting_since.elapsed());
             let bytes = match next {
                 Next::Bytes(bytes) => {
                     guard.record_activity();
--- a/crates/edge/src/peer/client.rs
+++ b/crates/edge/src/peer/client.rs
@@ -103,7 +103,7 @@
         in_progress: RefCell::default(),
         readers_checked_at: Cell::default(),
     });
-    let mut sent = news(&shared);
+    let mut sent = updates(&shared);
     let mut interval = Duration::ZERO;
     loop {
         let has_changed = timeout(interval, shared.changed.notified()).await.is_ok();
@@ -115,7 +115,7 @@
             // Some of them may be down, and a connection attempt to one takes long.
             addresses.extend(peers.borrow().unknown_seeds());
         }
-        let current = news(&shared);
+        let current = updates(&shared);
         if sent != current {
             sent = current;
             addresses.extend(peers.borrow().sample(FANOUT, shared.random()));
@@ -143,12 +143,12 @@
 
 /// What peers are told at once when it changes: the known revisions, crashes of upstreams, and
 /// whether the store answers this router as one of its readers.
-fn news<P: Platform>(shared: &Shared<P>) -> impl PartialEq + use<P> {
-    let is_answered = shared.readers.borrow().is_answered();
+fn updates<P: Platform>(shared: &Shared<P>) -> impl PartialEq + use<P> {
+    let has_reply = shared.readers.borrow().has_reply();
     (
         shared.revisions(),
-        shared.poison.borrow().news(),
-        is_answered,
+        shared.poison.borrow().updates(),
+        has_reply,
     )
 }
 
--- a/crates/edge/src/peer/spending.rs
+++ b/crates/edge/src/peer/spending.rs
@@ -1,8 +1,8 @@
-//! What routers have spent of the retry budgets, stated to peers and asked for after a restart.
+//! What routers have spent of the retry budgets, stated to peers and queried after a restart.
 //!
 //! Nothing on a host outlives its process, so a router that is replaced, planned or not, would spend
 //! its part of a budget again. While it sends retries, it therefore states its spending to a few
-//! peers, chosen by rendezvous hashing of its host name, and a process that starts asks them. See
+//! peers, chosen by rendezvous hashing of its host name, and a process that starts queries them. See
 //! `docs/design/retry-budget.md`.
 
 use std::cell::RefCell;
@@ -42,12 +42,12 @@
 /// How often a router states its spending while it sends retries. What it sent since is unknown
 /// after a kill.
 const INTERVAL: Duration = Duration::from_millis(250);
-/// Peers that are asked after a restart, before any has told which ones keep the statements.
-const ASKED: usize = 6;
-/// Keepers that are asked at most. Peers that disagree on the fleet name different ones.
+/// Peers that are queried after a restart, before any has told which ones keep the statements.
+const QUERIED: usize = 6;
+/// Keepers that are queried at most. Peers that disagree on the fleet name different ones.
 const KEEPERS_MAX: usize = 12;
-/// Pause before they are asked again.
-const ASK_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause before they are queried again.
+const QUERY_INTERVAL: Duration = Duration::from_millis(100);
 /// Time limit of a call.
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest number of routers that a peer can state.
@@ -101,17 +101,19 @@
     };
     let mut keepers = BTreeSet::new();
     while is_unknown() {
-        let mut asked = keepers.clone();
-        asked.extend(ranked(&shared, &peers, ASKED));
-        let asks = asked.iter().map(|address| ask(&shared, &links, *address));
-        let answers: Vec<Answer> = join_all(asks).await.into_iter().flatten().collect();
+        let mut addresses = keepers.clone();
+        addresses.extend(ranked(&shared, &peers, QUERIED));
+        let queries = addresses
+            .iter()
+            .map(|address| query(&shared, &links, *address));
+        let answers: Vec<Answer> = join_all(queries).await.into_iter().flatten().collect();
         let stated = answers.iter().flat_map(|answer| &answer.keepers);
         keepers = stated.copied().take(KEEPERS_MAX).collect();
         match conclude(&answers) {
             Conclusion::Spent(accounts) if is_unknown() => apply(&shared, &accounts, &answers),
-            // This router did not know yet whom to ask.
-            _ if !keepers.is_subset(&asked) => {}
-            _ => sleep(ASK_INTERVAL).await,
+            // This router did not know yet whom to query.
+            _ if !keepers.is_subset(&addresses) => {}
+            _ => sleep(QUERY_INTERVAL).await,
         }
     }
     // By then the exchanges have told of all routers.
@@ -161,14 +163,14 @@
     Ok(())
 }
 
-/// Asks a peer for the spending of an earlier process; `None` if it does not answer. A router of the
+/// Queries a peer for the spending of an earlier process; `None` if it does not answer. A router of the
 /// build before does not.
-async fn ask<P: Platform>(
+async fn query<P: Platform>(
     shared: &Shared<P>,
     links: &Links,
     address: SocketAddr,
 ) -> Option<Answer> {
-    match try_ask(shared, links, address).await {
+    match try_query(shared, links, address).await {
         Ok(answer) => Some(answer),
         Err(error) => {
             debug!(shared.log, "peer: spending not received";
@@ -178,7 +180,7 @@
     }
 }
 
-async fn try_ask<P: Platform>(
+async fn try_query<P: Platform>(
     shared: &Shared<P>,
     links: &Links,
     address: SocketAddr,
--- a/crates/edge/src/peer/streams.rs
+++ b/crates/edge/src/peer/streams.rs
@@ -40,9 +40,9 @@
 
 /// Peers to which the origin of a stream is copied.
 const COPIES: usize = 2;
-/// Peers that are asked for the origin of a stream. One more than there are copies, since the
-/// router that began the stream and the one that asks rank different peers.
-const ASKED: usize = COPIES + 1;
+/// Peers that are queried for the origin of a stream. One more than there are copies, since the
+/// router that began the stream and the one that queries them rank different peers.
+const QUERIED: usize = COPIES + 1;
 /// Time for which new origins are collected. Streams that began since the last copy cannot be
 /// resumed if their router is killed.
 const COLLECT_TIME: Duration = Duration::from_millis(50);
@@ -51,7 +51,7 @@
 /// Time limit of sending origins to a peer.
 const SEND_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time limit of a question for an origin, while a caller waits.
-const ASK_TIMEOUT: Duration = Duration::from_millis(150);
+const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// A question for the origin of a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -151,7 +151,7 @@
     /// does not receive it.
     async fn send_copies<P: Platform>(&self, shared: &Shared<P>, unsent: Vec<(Id, Origin)>) {
         let failed = self.send_to_ranked(shared, unsent, 0..COPIES).await;
-        self.send_to_ranked(shared, failed, COPIES..ASKED).await;
+        self.send_to_ranked(shared, failed, COPIES..QUERIED).await;
     }
 
     /// Sends each stream to the peers of these ranks; returns those that a peer did not receive.
@@ -196,15 +196,19 @@
         Ok(())
     }
 
-    /// Asks the peers that should have a copy for the origin of a stream.
-    pub(crate) async fn ask<P: Platform>(&self, shared: &Shared<P>, question: Question) -> Answer {
+    /// Queries the peers that should have a copy for the origin of a stream.
+    pub(crate) async fn query<P: Platform>(
+        &self,
+        shared: &Shared<P>,
+        question: Question,
+    ) -> Answer {
         if self.peers.borrow().is_alone() {
             return Answer::Alone;
         }
-        let addresses = self.peers.borrow().ranked(question.stream.0, ASKED);
+        let addresses = self.peers.borrow().ranked(question.stream.0, QUERIED);
         let questions = addresses
             .into_iter()
-            .map(|address| self.ask_peer(shared, address, &question));
+            .map(|address| self.query_peer(shared, address, &question));
         let mut questions: FuturesUnordered<_> = questions.collect();
         let mut soles = Vec::new();
         let mut is_doubtful = false;
@@ -226,7 +230,7 @@
         }
     }
 
-    async fn ask_peer<P: Platform>(
+    async fn query_peer<P: Platform>(
         &self,
         shared: &Shared<P>,
         address: SocketAddr,
@@ -235,7 +239,7 @@
         let call = Call::post(ORIGIN_PATH, question)?;
         let answer = self
             .links
-            .call(address, &shared.http, call, ASK_TIMEOUT)
+            .call(address, &shared.http, call, QUERY_TIMEOUT)
             .await?;
         rmp_serde::from_slice(&answer).context(DecodeSnafu)
     }
@@ -264,9 +268,9 @@
 /// Records the origins that a peer sent, also in the store if this router does so for its zone.
 pub(super) fn merge<P: Platform>(shared: &Shared<P>, groups: Vec<Group>) {
     let now = shared.now();
-    let news = shared.origins.borrow_mut().merge(now, groups);
+    let added = shared.origins.borrow_mut().merge(now, groups);
     let readers = shared.readers.borrow();
     if readers.first_of_zone(now) == Some(&shared.settings.host) {
-        shared.archive.write(news);
+        shared.archive.write(added);
     }
 }
--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -129,7 +129,7 @@
 /// Records that the store responded.
 fn record_response<P: Platform>(shared: &Shared<P>) {
     shared.set_store_reachable(true, "");
-    shared.readers.borrow_mut().record_answer(shared.now());
+    shared.readers.borrow_mut().record_reply(shared.now());
 }
 
 /// Reads the configuration, all entries of upstreams and the records of routers.
--- a/crates/snipeusher/src/fleet/view/warming.rs
+++ b/crates/snipeusher/src/fleet/view/warming.rs
@@ -55,11 +55,11 @@
             return Vec::new();
         }
         let upstreams = self.upstreams.iter_mut();
-        let news = upstreams.filter_map(|upstream| {
+        let started = upstreams.filter_map(|upstream| {
             let remaining = upstream.warmup.take_news(now)?;
             Some((upstream.entry.id.clone(), remaining))
         });
-        news.collect()
+        started.collect()
     }
 
     /// Determines this router's part of the limits of upstreams that are warming up.
--- a/crates/snipeusher/src/poison.rs
+++ b/crates/snipeusher/src/poison.rs
@@ -75,10 +75,10 @@
     blocked: BTreeMap<Cause, Block>,
     /// Successful answers by service.
     answers: BTreeMap<name::Service, u64>,
-    news: u64,
+    updates: u64,
     /// When the blocks were last brought up to date, and with which news.
     updated_at: Time,
-    updated_news: u64,
+    updates_checked: u64,
 }
 
 impl Tracker {
@@ -90,15 +90,15 @@
             served: BTreeMap::new(),
             blocked: BTreeMap::new(),
             answers: BTreeMap::new(),
-            news: 0,
+            updates: 0,
             updated_at: Time::default(),
-            updated_news: 0,
+            updates_checked: 0,
         }
     }
 
     /// A number that grows with whatever peers should hear of at once.
-    pub const fn news(&self) -> u64 {
-        self.news
+    pub const fn updates(&self) -> u64 {
+        self.updates
     }
 
     /// Records requests that were lost in a crash; returns what is newly blocked.
@@ -222,7 +222,7 @@
         }
         let answers_before = self.answer_count(&loss.service);
         self.losses.insert(loss, Seen { at, answers_before });
-        self.news += 1;
+        self.updates += 1;
         if self.losses.len() > LOSSES_MAX {
             let oldest = self.losses.iter().min_by_key(|(_, seen)| seen.at);
             let oldest = oldest.map(|(loss, _)| loss.clone());
@@ -232,7 +232,7 @@
 
     /// Records that a part was in a successful answer. A block ends when all its parts were since.
     fn insert_served(&mut self, at: Time, part: Part) {
-        self.news += u64::from(!self.served.contains_key(&part));
+        self.updates += u64::from(!self.served.contains_key(&part));
         self.served.insert(part, at);
         let served = &self.served;
         self.blocked
@@ -248,10 +248,10 @@
             && self.block(since, blocked.cause.clone(), blocked.count)
     }
 
-    /// Blocks what explains the known losses. Without news, only time can make a difference.
+    /// Blocks what explains the known losses. Without an update, only time can make a difference.
     fn update(&mut self, now: Time) -> Vec<Cause> {
         let is_due = now.since(self.updated_at) >= UPDATE_INTERVAL;
-        if self.updated_news == self.news && !is_due {
+        if self.updates_checked == self.updates && !is_due {
             return Vec::new();
         }
         self.expire(now);
@@ -265,7 +265,7 @@
             blocked.push(cause);
         }
         self.updated_at = now;
-        self.updated_news = self.news;
+        self.updates_checked = self.updates;
         blocked
     }
 
@@ -286,7 +286,7 @@
             count,
         };
         self.blocked.insert(cause, block);
-        self.news += 1;
+        self.updates += 1;
         true
     }
 
--- a/crates/snipeusher/src/reader.rs
+++ b/crates/snipeusher/src/reader.rs
@@ -52,7 +52,7 @@
     pub host: name::Host,
     /// Availability zone of the router.
     pub zone: name::Zone,
-    /// Milliseconds since the store last answered the router.
+    /// Milliseconds since the last reply of the store to the router.
     pub age_ms: u64,
     /// Milliseconds for which the store has answered the router without interruption.
     pub steady_ms: u64,
@@ -62,7 +62,7 @@
 struct Known {
     zone: name::Zone,
     rank: u64,
-    answered_at: Time,
+    replied_at: Time,
     /// Since when the store has answered it without interruption.
     steady_since: Time,
 }
@@ -99,19 +99,19 @@
         }
     }
 
-    /// Records that the store answered this router.
-    pub fn record_answer(&mut self, now: Time) {
+    /// Records that the store replied to this router.
+    pub fn record_reply(&mut self, now: Time) {
         let known = self.known.entry(self.host.clone()).or_insert(Known {
             zone: self.zone.clone(),
             rank: self.rank,
-            answered_at: now,
+            replied_at: now,
             steady_since: now,
         });
-        known.answered_at = now;
+        known.replied_at = now;
     }
 
-    /// Whether the store has answered this router, and not failed to since.
-    pub fn is_answered(&self) -> bool {
+    /// Whether the store has replied to this router, and not failed to since.
+    pub fn has_reply(&self) -> bool {
         self.known.contains_key(&self.host)
     }
 
@@ -150,23 +150,23 @@
     pub fn merge(&mut self, now: Time, readers: &[Reader]) {
         for reader in readers.iter().filter(|reader| reader.host != self.host) {
             let ago = |ms: u64| Time(now.0.saturating_sub(ms.saturating_mul(1_000)));
-            let (answered_at, steady_since) = (ago(reader.age_ms), ago(reader.steady_ms));
+            let (replied_at, steady_since) = (ago(reader.age_ms), ago(reader.steady_ms));
             let lost_at = self.lost_at.get(&reader.host);
-            if lost_at.is_some_and(|lost_at| answered_at <= *lost_at) {
+            if lost_at.is_some_and(|lost_at| replied_at <= *lost_at) {
                 continue;
             }
             let known = self.known.entry(reader.host.clone()).or_insert(Known {
                 zone: reader.zone.clone(),
                 rank: rank(&reader.host),
-                answered_at,
+                replied_at,
                 steady_since,
             });
-            if known.answered_at < answered_at {
-                (known.answered_at, known.steady_since) = (answered_at, steady_since);
+            if known.replied_at < replied_at {
+                (known.replied_at, known.steady_since) = (replied_at, steady_since);
             }
         }
         self.known
-            .retain(|_, known| now.since(known.answered_at) < FRESH_FOR);
+            .retain(|_, known| now.since(known.replied_at) < FRESH_FOR);
         self.lost_at
             .retain(|_, lost_at| now.since(*lost_at) < FRESH_FOR);
     }
@@ -178,7 +178,7 @@
             let reader = Reader {
                 host: host.clone(),
                 zone: known.zone.clone(),
-                age_ms: now.since(known.answered_at).as_millis() as u64,
+                age_ms: now.since(known.replied_at).as_millis() as u64,
                 steady_ms: now.since(known.steady_since).as_millis() as u64,
             };
             zones
@@ -275,7 +275,7 @@
 
     fn fresh(&self, now: Time) -> impl Iterator<Item = (&name::Host, &Known)> {
         let known = self.known.iter();
-        known.filter(move |(_, known)| now.since(known.answered_at) < FRESH_FOR)
+        known.filter(move |(_, known)| now.since(known.replied_at) < FRESH_FOR)
     }
 }
 
--- a/crates/snipeusher/src/stream.rs
+++ b/crates/snipeusher/src/stream.rs
@@ -96,15 +96,15 @@
 
     /// Records streams that other routers began. Returns those that were not known.
     pub fn merge(&mut self, now: Time, groups: Vec<Group>) -> Vec<(Id, Origin)> {
-        let mut news = Vec::new();
+        let mut added = Vec::new();
         for group in groups {
             for id in group.streams {
                 if self.insert(now, id, group.origin.clone()) {
-                    news.push((id, group.origin.clone()));
+                    added.push((id, group.origin.clone()));
                 }
             }
         }
-        news
+        added
     }
 
     /// What began a stream, if it is known.
--- a/crates/snipeusher/tests/reader.rs
+++ b/crates/snipeusher/tests/reader.rs
@@ -144,7 +144,7 @@
             router.progress < Progress::Upstreams && router.readers.must_list(now, has_peers);
         if must_list && !is_isolated {
             router.progress = Progress::Upstreams;
-            router.readers.record_answer(now);
+            router.readers.record_reply(now);
             self.lists += 1;
         }
         let knows_upstreams = router.progress == Progress::Upstreams;
@@ -156,7 +156,7 @@
             self.watches += 1;
         } else if router.next_answer.is_some_and(|at| at <= now) {
             if !is_isolated {
-                router.readers.record_answer(now);
+                router.readers.record_reply(now);
             }
             router.next_answer = Some(now + WATCH_INTERVAL);
         }
@@ -443,9 +443,9 @@
         "no other router reads"
     );
     for ms in [0, 2_000, 4_000, 6_000] {
-        steady.record_answer(Time::from_millis(ms));
+        steady.record_reply(Time::from_millis(ms));
     }
-    cut.record_answer(Time::from_millis(1_000));
+    cut.record_reply(Time::from_millis(1_000));
     cut.record_loss();
     let lost = Time::from_millis(3_000);
     let now = Time::from_millis(6_500);
@@ -456,7 +456,7 @@
     );
     // The other router loses the store as well, and both reconnect.
     steady.record_loss();
-    steady.record_answer(Time::from_millis(9_000));
+    steady.record_reply(Time::from_millis(9_000));
     let now = Time::from_millis(9_100);
     cut.merge(now, &steady.list(now));
     assert!(!cut.is_store_up_elsewhere(now, lost), "the store was down");
