Test announcements of routers and retries out of range

Guards against a router that is announced too early, never, or without a pause at a failing store; a malformed address that hides the other records; and a peer that hands over more retries than there can be.

--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -117,7 +117,7 @@
     }
 }
 
-/// Whether a block is no event to callers: it has only comments and times for reconnecting.
+/// Whether a block has only comments and times for reconnecting, which are no event to callers.
 fn is_comment(block: &[u8]) -> bool {
     let mut lines = block.split(|byte| *byte == b'\n');
     lines.all(|line| line.is_empty() || line.starts_with(b":") || line.starts_with(b"retry:"))
--- a/crates/edge/src/exchange/admit.rs
+++ b/crates/edge/src/exchange/admit.rs
@@ -211,9 +211,9 @@
 
 /// Whether the process may exit before a request that arrives now has ended.
 ///
-/// While the balancer may still send requests here, all are accepted but those just before the exit.
-/// Later, streams are refused, and requests that may run once unless they end within their time limit:
-/// a caller could not tell whether a request ran that the exit cuts short, and may not repeat it.
+/// Once the balancer sends no more connections, streams are refused, and requests that may run once if
+/// their time limit ends after the exit: a caller could not tell whether one that the exit cuts short
+/// has run. Just before the exit all requests are refused.
 fn is_too_late<P: Platform>(shared: &Shared<P>, kind: Kind, time_limit: Duration) -> bool {
     let outlasts = || match kind {
         Kind::Stream { .. } => true,
--- a/crates/edge/src/peer/peers.rs
+++ b/crates/edge/src/peer/peers.rs
@@ -90,7 +90,8 @@
         !self.seeds.is_empty() && !knows_any
     }
 
-    /// Has a router contacted that was found by its record. Returns whether it is not known yet.
+    /// Has a router contacted next that was found by its record, unless it is known. Returns whether it
+    /// is contacted.
     pub fn introduce(&mut self, now: Time, host: &name::Host, address: SocketAddr) -> bool {
         self.introduced
             .retain(|_, at| now.since(*at) < INTRODUCED_FOR);
--- a/crates/edge/src/peer/spending.rs
+++ b/crates/edge/src/peer/spending.rs
@@ -46,16 +46,15 @@
 const QUERIED: usize = 6;
 /// Keepers that are queried at most. Peers that disagree on the fleet name different ones.
 const KEEPERS_MAX: usize = 12;
-/// Pause before they are queried again.
+/// Peers to which a router hands over what it spent beyond its part, each time.
+const TAKERS: usize = 2;
+/// Pause before the keepers are queried again.
 const QUERY_INTERVAL: Duration = Duration::from_millis(100);
 /// Time limit of a call.
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest number of routers that a peer can state.
 const ROUTERS_MAX: u32 = 100_000;
 
-/// Peers to which a router hands over what it spent beyond its part, each time.
-const TAKERS: usize = 2;
-
 /// States what this router spends, and hands over what is beyond its part. Never returns.
 pub async fn state_spending<P: Platform>(shared: Rc<Shared<P>>, peers: Rc<RefCell<Peers>>) {
     let links = Links::default();
--- a/crates/snipeusher/tests/archive.rs
+++ b/crates/snipeusher/tests/archive.rs
@@ -1,7 +1,9 @@
 //! Records in the store of what has to outlive a loss of all routers.
 
 use rstest::rstest;
+use snipeusher::archive::Announcer;
 use snipeusher::archive::Records;
+use snipeusher::archive::Router;
 use snipeusher::archive::VERSIONS_KEY;
 use snipeusher::archive::Versions;
 use snipeusher::archive::Writer;
@@ -215,3 +217,65 @@
     let records = Records::decode(&[entry(VERSIONS_KEY, &value)]);
     assert_eq!(records.versions, Some((Revision::new(7), versions)));
 }
+
+/// Delay of the announcer in the tests.
+const DELAY: std::time::Duration = std::time::Duration::from_secs(2);
+
+fn router() -> Router {
+    Router {
+        host: name::Host::from("host-1"),
+        address: std::net::SocketAddr::from(([10, 0, 0, 1], 8_229)),
+    }
+}
+
+/// Makes the calls that are due until none is. Returns their number.
+fn announce(announcer: &mut Announcer, store: &mut Store, ms: u64) -> usize {
+    let before = store.calls;
+    while let Some(call) = announcer.next(at(ms), true, DELAY) {
+        let reply = store.call(&call);
+        announcer.handle(at(ms), &Ok(reply));
+    }
+    store.calls - before
+}
+
+/// Guards against a router that is not found, one that is announced before it had time to reach its
+/// seeds, and a record that the store drops while it is needed.
+#[rstest]
+fn a_router_is_announced_for_as_long_as_that_is_needed() {
+    let (mut announcer, mut store) = (Announcer::new(router()), Store::default());
+    assert_eq!(announce(&mut announcer, &mut store, 0), 0);
+    assert_eq!(announce(&mut announcer, &mut store, 1_900), 0);
+    assert_eq!(announce(&mut announcer, &mut store, 2_000), 2);
+    let records = Records::decode(store.entries.values());
+    assert_eq!(records.routers, [router()]);
+    assert_eq!(announce(&mut announcer, &mut store, 46_000), 0);
+    assert_eq!(announce(&mut announcer, &mut store, 47_000), 2);
+    // Once the seeds are back nothing is written, and the delay begins anew.
+    assert_eq!(announcer.next(at(100_000), false, DELAY), None);
+    assert_eq!(announce(&mut announcer, &mut store, 101_000), 0);
+}
+
+/// Guards against a router that is never announced since one call failed, and against one that calls
+/// a failing store without a pause.
+#[rstest]
+fn a_failed_announcement_is_repeated_after_a_pause() {
+    let (mut announcer, mut store) = (Announcer::new(router()), Store::default());
+    assert_eq!(announcer.next(at(0), true, DELAY), None);
+    assert!(announcer.next(at(2_000), true, DELAY).is_some());
+    assert!(!announcer.handle(at(2_000), &Err(Fault::Lost)));
+    assert_eq!(announce(&mut announcer, &mut store, 2_500), 0);
+    assert_eq!(announce(&mut announcer, &mut store, 3_000), 2);
+}
+
+/// Guards against a malformed address of a router that hides the other records.
+#[rstest]
+#[case(b"")]
+#[case(b"[1]")]
+#[case(br#"{"host":"h","address":"10.0.0.1:70000"}"#)]
+#[case(br#"{"host":"h","address":"10.0.0.1:7","more":1}"#)]
+fn a_malformed_address_is_ignored(#[case] value: &[u8]) {
+    let versions = entry(VERSIONS_KEY, br#"{"letters":["v1"]}"#);
+    let records = Records::decode(&[entry("snipeusher/routers/h", value), versions]);
+    assert!(records.routers.is_empty() && records.versions.is_some());
+    assert_eq!(records.unusable.len(), 1);
+}
--- a/crates/snipeusher/tests/retries.rs
+++ b/crates/snipeusher/tests/retries.rs
@@ -432,3 +432,21 @@
     assert!(!fleet.try_retry(Time::from_millis(200), &service()));
     assert!(fleet.try_retry(Time::from_millis(3_000), &service()));
 }
+
+/// Guards against a peer whose numbers are out of range and that has this router retry more, or never
+/// again.
+#[rstest]
+#[case(account(u32::MAX, 0))]
+#[case(account(u32::MAX, u32::MAX))]
+#[case(Account { service: service(), spans: Vec::new() })]
+fn retries_of_others_are_counted_within_the_credit(#[case] stated: Account) {
+    let mut fleet = fleet(6, 52.0);
+    let taken = fleet.take_over_retries(Time::from_millis(1_000), &stated);
+    assert!(taken <= 9, "{taken} are beyond 1.25 times its part");
+    let mut sent = 0;
+    while fleet.try_retry(Time::from_millis(1_000), &service()) {
+        sent += 1;
+    }
+    assert!(sent <= 7, "{sent} are beyond its part");
+    assert!(fleet.try_retry(Time::from_millis(12_000), &service()));
+}
