Start to read the store at the planned time

What callers saw: after readers of the store were lost, a change was in force up to 250 ms later than it could have been (CONFIG where little time is left).

Cause: routers that find too few readers start one after another, within 0.4 s in a small fleet, in the order of a hash. But a router that does not read checked for its turn only every 250 ms, so most starts were late, and several routers of a zone could start with the same check.

Change: Readers state when this router's turn comes, and the check is made then.

--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -56,13 +56,8 @@
     let mut needs_list = true;
     loop {
         if !must_read(&shared) {
-            let interval = if knows_upstreams(&shared) {
-                CHECK_INTERVAL
-            } else {
-                CHECK_INTERVAL_START
-            };
             // The loss of a reader may make this router one.
-            let _elapsed = timeout(interval, shared.reader_lost.notified()).await;
+            let _elapsed = timeout(next_check(&shared), shared.reader_lost.notified()).await;
             continue;
         }
         let listed = if needs_list {
@@ -122,6 +117,17 @@
     readers.update_role(now, routers)
 }
 
+/// Time until a router that does not read the store has to check again whether it has to.
+fn next_check<P: Platform>(shared: &Shared<P>) -> Duration {
+    if !knows_upstreams(shared) {
+        return CHECK_INTERVAL_START;
+    }
+    let start_at = shared.readers.borrow().start_at();
+    start_at.map_or(CHECK_INTERVAL, |start_at| {
+        start_at.since(shared.now()).min(CHECK_INTERVAL)
+    })
+}
+
 fn knows_upstreams<P: Platform>(shared: &Shared<P>) -> bool {
     !shared.fleet.borrow().roster().is_unsynced()
 }
--- a/crates/snipeusher/src/reader.rs
+++ b/crates/snipeusher/src/reader.rs
@@ -80,6 +80,8 @@
     reading: bool,
     /// Since when the zone has had too few readers.
     shortage_since: Option<Time>,
+    /// When this router starts to read if the zone still has too few readers.
+    start_at: Option<Time>,
     /// Since when this router has waited for its first list of upstreams.
     waiting_since: Option<Time>,
 }
@@ -95,6 +97,7 @@
             lost_at: BTreeMap::new(),
             reading: false,
             shortage_since: None,
+            start_at: None,
             waiting_since: None,
         }
     }
@@ -229,18 +232,27 @@
             (true, false) if has_lost_any => START_SPREAD_MIN,
             _ => start_spread(routers),
         };
+        self.start_at = None;
         if self.reading {
             self.reading = ahead < wanted;
             self.shortage_since = None;
         } else if is_short {
             let since = *self.shortage_since.get_or_insert(now);
-            self.reading = now.since(since) >= self.start_delay(spread);
+            let start_at = since + self.start_delay(spread);
+            self.reading = now >= start_at;
+            self.start_at = (!self.reading).then_some(start_at);
         } else {
             self.shortage_since = None;
         }
         self.reading
     }
 
+    /// When the decision is due again at the latest, although no reader is lost until then; `None`
+    /// if nothing is planned.
+    pub const fn start_at(&self) -> Option<Time> {
+        self.start_at
+    }
+
     /// The first fresh reader of this router's availability zone, which records streams in the store
     /// for the others of the zone.
     pub fn first_of_zone(&self, now: Time) -> Option<&name::Host> {
--- a/crates/snipeusher/tests/reader.rs
+++ b/crates/snipeusher/tests/reader.rs
@@ -472,3 +472,17 @@
         assert!(readers.must_list(Time::from_millis(100), false));
     }
 }
+
+/// Guards against a router that starts to read later than its turn, since nobody asks it then.
+#[rstest]
+fn the_time_of_a_planned_start_is_known() {
+    for index in 0..50 {
+        let host = name::Host::from(format!("host-{index}"));
+        let mut readers = Readers::new(host, name::Zone::from("here"));
+        assert!(!readers.update_role(Time::from_millis(0), 6));
+        let start_at = readers.start_at().expect("no other router reads");
+        assert!(start_at <= Time::from_millis(400), "{start_at:?}");
+        assert!(readers.update_role(start_at, 6));
+        assert_eq!(readers.start_at(), None, "it reads");
+    }
+}
