Let the watch calls of readers end evenly spaced

What callers saw: when the store fell silent to all of its readers just before a change, a configuration was in force up to 3.1 s after its confirmation, also at routers to which the store would have answered (CONFIG, where 2 s are allowed).

Cause: a change ends the watch calls of all readers at once, and all then call again for 2 s. So all of them wait for the same 2.9 s before the first one notices the silence, and only then does another router start to read.

Change: after a call with changes, the next one of each reader is held open for a different part of the 2 s, by its rank among the readers. Later calls last 2 s again. The store gets up to one call more for each reader and change, none in quiet times.

--- a/crates/edge/src/watch.rs
+++ b/crates/edge/src/watch.rs
@@ -223,7 +223,9 @@
 /// Applies changes until the watch fails or other routers read the store.
 async fn watch<P: Platform, S: Store>(shared: &Shared<P>, store: &S) -> Result<(), Error> {
     let from = shared.fleet.borrow().roster().revision();
-    let changes = store.watch(ALL_KEYS, from).ready_chunks(CHANGES_MAX);
+    let hold = |longest| shared.readers.borrow().watch_hold(shared.now(), longest);
+    let changes = store.watch(ALL_KEYS, from, hold);
+    let changes = changes.ready_chunks(CHANGES_MAX);
     let mut changes = std::pin::pin!(changes);
     let mut has_changes = false;
     while must_read(shared) {
--- a/crates/edge/tests/common/store.rs
+++ b/crates/edge/tests/common/store.rs
@@ -280,7 +280,12 @@
         Ok(reply)
     }
 
-    fn watch(&self, prefix: &str, from: Revision) -> impl Stream<Item = Result<Change, Fault>> {
+    fn watch(
+        &self,
+        prefix: &str,
+        from: Revision,
+        _hold: impl Fn(Duration) -> Duration,
+    ) -> impl Stream<Item = Result<Change, Fault>> {
         assert!(prefix.is_empty(), "one watch covers all keys");
         self.state.calls.set(self.state.calls.get() + 1);
         let store = self.clone();
--- a/crates/edge/tests/extremes.rs
+++ b/crates/edge/tests/extremes.rs
@@ -305,8 +305,13 @@
         self.store.call(call).await
     }
 
-    fn watch(&self, prefix: &str, from: Revision) -> impl Stream<Item = Result<Change, Fault>> {
-        self.store.watch(prefix, from)
+    fn watch(
+        &self,
+        prefix: &str,
+        from: Revision,
+        hold: impl Fn(Duration) -> Duration,
+    ) -> impl Stream<Item = Result<Change, Fault>> {
+        self.store.watch(prefix, from, hold)
     }
 }
 
--- a/crates/snipeusher/src/reader.rs
+++ b/crates/snipeusher/src/reader.rs
@@ -275,6 +275,18 @@
         fresh.filter(|(host, _)| self.reading || **host != self.host)
     }
 
+    /// How long the store may hold open the watch call of this router after one that returned
+    /// changes, at most `longest`.
+    ///
+    /// A change ends the calls of all readers at once. If the next ones were all held open for the
+    /// same time, a store that falls silent to all readers just after they began would be noticed by
+    /// none of them until the end of that time. So they end evenly spaced, in the order of the hash.
+    pub fn watch_hold(&self, now: Time, longest: Duration) -> Duration {
+        let readers = self.fresh_readers(now).count().max(1);
+        let ahead = self.position(now).unwrap_or(0).min(readers - 1);
+        longest.mul_f64((readers - ahead) as f64 / readers as f64)
+    }
+
     /// Whether this router reads the store, as last decided.
     pub const fn is_reading(&self) -> bool {
         self.reading
--- a/crates/snipeusher/tests/reader.rs
+++ b/crates/snipeusher/tests/reader.rs
@@ -486,3 +486,17 @@
         assert_eq!(readers.start_at(), None, "it reads");
     }
 }
+
+/// Guards against readers whose calls all end at the same time, so that none of them soon notices
+/// that the store does not answer any.
+#[rstest]
+fn calls_of_readers_end_evenly_spaced() {
+    let mut fleet = Fleet::new(6, 2, 1);
+    fleet.run(Duration::from_secs(20));
+    let (now, routers) = (fleet.now, fleet.routers.iter());
+    let reading = routers.filter(|router| router.is_reading);
+    let holds = reading.map(|router| router.readers.watch_hold(now, WATCH_INTERVAL));
+    let mut holds: Vec<u128> = holds.map(|hold| hold.as_millis()).collect();
+    holds.sort_unstable();
+    assert_eq!(holds, [500, 1_000, 1_500, 2_000]);
+}
--- a/crates/store/src/gateway.rs
+++ b/crates/store/src/gateway.rs
@@ -234,7 +234,13 @@
         }
     }
 
-    fn watch(&self, prefix: &str, from: Revision) -> impl Stream<Item = Result<Change, Fault>> {
+    /// The service sends all changes in one response, so `_hold` is never called.
+    fn watch(
+        &self,
+        prefix: &str,
+        from: Revision,
+        _hold: impl Fn(Duration) -> Duration,
+    ) -> impl Stream<Item = Result<Change, Fault>> {
         let opening = async move { self.open_watch(prefix, from).await };
         stream::once(opening).flat_map(|result| match result {
             Ok(changes) => changes.left_stream(),
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,6 +6,8 @@
 mod message;
 mod watch;
 
+use std::time::Duration;
+
 use futures_util::Stream;
 use snipeusher::kv::Call;
 use snipeusher::kv::Entry;
@@ -36,6 +38,13 @@
 
     /// Streams the changes under a prefix, starting at a revision, until the watch is lost.
     ///
-    /// An open watch counts as one concurrent call.
-    fn watch(&self, prefix: &str, from: Revision) -> impl Stream<Item = Result<Change, Fault>>;
+    /// An open watch counts as one concurrent call. A service whose watch is a series of calls, each
+    /// held open for a limited time, calls `hold` with the longest such time after each call that
+    /// returned changes; the next call is held open for the result.
+    fn watch(
+        &self,
+        prefix: &str,
+        from: Revision,
+        hold: impl Fn(Duration) -> Duration,
+    ) -> impl Stream<Item = Result<Change, Fault>>;
 }
