Confirm the only software version with another zone

A stream that began at a new software version through a router outside was taken up in a zone that was cut off from the other zones and the store, and went on at the old version.

Cause: a router that has no record of a stream takes the version that all peers which answer know as the only one. It asked the peers of its own zone only, all of which lag behind in such a cut.

Change: two peers of other zones are asked besides. If the fleet has other zones, at least one of them has to know the same version; otherwise the store is read, and if that does not answer either, the request is refused as not run.

The tests' digests of peers are built in one place now instead of three.

--- a/crates/edge/src/peer/peers.rs
+++ b/crates/edge/src/peer/peers.rs
@@ -60,6 +60,8 @@
     last_listed: Option<name::Host>,
     /// Whether any peer was ever known.
     was_contacted: bool,
+    /// Whether a peer in another availability zone was ever known.
+    has_other_zones: bool,
 }
 
 impl Peers {
@@ -74,6 +76,7 @@
             queue: VecDeque::new(),
             last_listed: None,
             was_contacted: false,
+            has_other_zones: false,
         }
     }
 
@@ -112,6 +115,11 @@
         self.seeds.is_empty() && !self.was_contacted
     }
 
+    /// Whether the fleet has routers in other availability zones, even if all of them are lost.
+    pub const fn has_other_zones(&self) -> bool {
+        self.has_other_zones
+    }
+
     /// Number of other routers that are assumed to run, at least the number of seeds.
     pub fn len(&self, now: Time) -> usize {
         self.hosts(now).count().max(self.seeds.len())
@@ -170,6 +178,14 @@
         rank(candidates, &self.zone, key, count)
     }
 
+    /// The first peers of other availability zones by rendezvous hashing of a key.
+    pub fn ranked_elsewhere(&self, key: u64, count: usize) -> Vec<SocketAddr> {
+        let known = self.known.iter();
+        let elsewhere = known.filter(|(_, known)| !self.is_local(&known.zone));
+        let candidates = elsewhere.map(|(host, known)| (host, &known.zone, known.address));
+        rank(candidates, &self.zone, key, count)
+    }
+
     /// The routers that rank first for the host of another router, by the host's name and zone. Here
     /// `own` is the address of this router, which may be one of them.
     pub fn ranked_for(
@@ -335,6 +351,7 @@
             Some(_) => {}
             None => {
                 self.was_contacted = true;
+                self.has_other_zones |= !self.is_local(zone);
                 let newer = Known {
                     address,
                     zone: zone.clone(),
--- a/crates/edge/src/peer/streams.rs
+++ b/crates/edge/src/peer/streams.rs
@@ -43,6 +43,9 @@
 /// Peers that are queried for the origin of a stream. One more than there are copies, since the
 /// router that began the stream and the one that queries them rank different peers.
 const QUERIED: usize = COPIES + 1;
+/// Peers of other zones that are queried besides. One is enough for an answer; others take its place
+/// if it is lost.
+const QUERIED_ELSEWHERE: usize = 2;
 /// Time for which new origins are collected. Streams that began since the last copy cannot be
 /// resumed if their router is killed.
 const COLLECT_TIME: Duration = Duration::from_millis(50);
@@ -81,9 +84,11 @@
 pub(crate) enum Answer {
     /// A peer has a record of it.
     Recorded(Origin),
-    /// No peer that answered has one, and all of them know the same version of the service only.
+    /// No peer that answered has one, and all of them know the same version of the service only. At
+    /// least one of them is in another zone, if the fleet has several.
     Sole(Origin),
-    /// No peer answered, or one that did has no record and cannot tell the version.
+    /// No peer answered, or one that did has no record and cannot tell the version, or only those of
+    /// the own zone did.
     Unknown,
     /// This router is the only one.
     Alone,
@@ -196,7 +201,10 @@
         Ok(())
     }
 
-    /// Queries the peers that should have a copy for the origin of a stream.
+    /// Queries the peers that should have a copy for the origin of a stream, and some of other zones.
+    ///
+    /// All routers of a zone that is cut off, from the store too, know the same old list of upstreams,
+    /// so that their agreement on one version says nothing about upstreams that have joined since.
     pub(crate) async fn query<P: Platform>(
         &self,
         shared: &Shared<P>,
@@ -205,17 +213,27 @@
         if self.peers.borrow().is_alone() {
             return Answer::Alone;
         }
-        let addresses = self.peers.borrow().ranked(question.stream.0, QUERIED);
-        let questions = addresses
-            .into_iter()
-            .map(|address| self.query_peer(shared, address, &question));
+        let key = question.stream.0;
+        let elsewhere = self.peers.borrow().ranked_elsewhere(key, QUERIED_ELSEWHERE);
+        let mut addresses = self.peers.borrow().ranked(key, QUERIED);
+        addresses.retain(|address| !elsewhere.contains(address));
+        addresses.extend(&elsewhere);
+        let question = &question;
+        let questions = addresses.into_iter().map(|address| async move {
+            let answer = self.query_peer(shared, address, question).await;
+            (address, answer)
+        });
         let mut questions: FuturesUnordered<_> = questions.collect();
         let mut soles = Vec::new();
         let mut is_doubtful = false;
-        while let Some(answer) = questions.next().await {
+        let mut is_confirmed = !self.peers.borrow().has_other_zones();
+        while let Some((address, answer)) = questions.next().await {
             match answer {
                 Ok(Some(known)) if known.recorded => return Answer::Recorded(known.origin),
-                Ok(Some(known)) => soles.push(known.origin),
+                Ok(Some(known)) => {
+                    is_confirmed |= elsewhere.contains(&address);
+                    soles.push(known.origin);
+                }
                 // It may know of several versions, which the others have not heard of.
                 Ok(None) => is_doubtful = true,
                 Err(error) => {
@@ -225,7 +243,9 @@
         }
         soles.dedup();
         match soles.pop() {
-            Some(origin) if soles.is_empty() && !is_doubtful => Answer::Sole(origin),
+            Some(origin) if soles.is_empty() && !is_doubtful && is_confirmed => {
+                Answer::Sole(origin)
+            }
             _ => Answer::Unknown,
         }
     }
--- a/crates/edge/tests/builds.rs
+++ b/crates/edge/tests/builds.rs
@@ -13,12 +13,17 @@
 use common::builds::take_up_unnamed;
 use common::caller::call;
 use common::caller::post;
+use common::digest;
 use common::engine::Act;
 use common::engine::Engine;
+use common::exchange;
 use common::start;
+use common::start_in;
 use common::until;
 use common::zone;
 use rstest::rstest;
+use snipeusher::fleet::Regions;
+use snipeusher::name;
 use snipeusher_fakes::address::free_address;
 
 /// Time for which the route lets a stream last; from then on a router infers the only version.
@@ -182,3 +187,48 @@
     assert_eq!(engines.builds("r1"), Vec::<&str>::new());
     assert_eq!(take_up(&nodes[1], "r2-b", "r2-a").await.status, 200);
 }
+
+/// Guards against a stream that joins the only version known to the routers of a zone which is cut
+/// off from the other zones and the store, where upstreams of a second one may have joined, and
+/// against one that is refused although the store or a router of another zone answers.
+#[rstest]
+#[case::cut_off(false, false, 503)]
+#[case::the_store_answers(true, false, 200)]
+#[case::another_zone_answers(false, true, 200)]
+#[actix_rt::test]
+async fn a_zone_that_is_cut_off_infers_no_version(
+    #[values(true, false)] is_named: bool,
+    #[case] store_answers: bool,
+    #[case] other_zone_answers: bool,
+    #[case] status: u16,
+) {
+    let engines = Engines::start(Act::Hang).await;
+    let [(first, _), (second, _), ..] = engines.with_builds();
+    let (nodes, store) = zone(2, &[(first, "v1"), (second, "v1")]).await;
+    let other_zone = name::Zone::from("there");
+    let regions = Regions::default();
+    let other = start_in(
+        "host-3",
+        &store.other_client(),
+        Vec::new(),
+        "there",
+        regions,
+    )
+    .await;
+    until("the upstreams are known", || other.shared.is_loaded()).await;
+    sleep(INFERENCE_TIME).await;
+    let address = if other_zone_answers {
+        other.control
+    } else {
+        free_address()
+    };
+    let host = name::Host::from("host-3");
+    exchange(&nodes[0], &digest(&other, host, other_zone, address)).await;
+    store.silence(!store_answers);
+    let answered = if is_named {
+        take_up(&nodes[0], "r1-b", "r1-a").await
+    } else {
+        take_up_unnamed(&nodes[0], "r1-b").await
+    };
+    assert_eq!(answered.status, status);
+}
--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -124,10 +124,16 @@
 
 /// Makes a router know a peer at an address, which reaches all upstreams.
 pub async fn introduce_as(node: &Node, host: name::Host, address: SocketAddr) {
+    let zone = node.shared.settings.fleet.zone.clone();
+    exchange(node, &digest(node, host, zone, address)).await;
+}
+
+/// The digest of a peer that knows as much as a router and reaches all upstreams.
+pub fn digest(node: &Node, host: name::Host, zone: name::Zone, address: SocketAddr) -> Digest {
     let (configuration, upstreams) = node.shared.revisions();
-    let digest = Digest {
+    Digest {
         host,
-        zone: node.shared.settings.fleet.zone.clone(),
+        zone,
         address,
         configuration,
         upstreams,
@@ -138,8 +144,12 @@
         rate_limits: Vec::new(),
         unreachable: Vec::new(),
         decline_limits: Vec::new(),
-    };
-    let body = rmp_serde::to_vec(&digest).expect("it can be encoded");
+    }
+}
+
+/// Sends a digest to a router.
+pub async fn exchange(node: &Node, digest: &Digest) {
+    let body = rmp_serde::to_vec(digest).expect("it can be encoded");
     let length = body.len();
     let head =
         format!("POST /fleet/v6/exchange HTTP/1.1\r\nHost: h\r\nContent-Length: {length}\r\n\r\n");
--- a/crates/edge/tests/extremes.rs
+++ b/crates/edge/tests/extremes.rs
@@ -41,7 +41,6 @@
 use snipeusher::kv::Revision;
 use snipeusher::name;
 use snipeusher::poison;
-use snipeusher::poison::Report;
 use snipeusher::reader::Reader;
 use snipeusher::route::Limits;
 use snipeusher_edge::lifecycle::Lifecycle;
@@ -66,21 +65,8 @@
 }
 
 fn digest(node: &Node) -> Digest {
-    let (configuration, upstreams) = node.shared.revisions();
-    Digest {
-        host: name::Host::from("peer"),
-        zone: node.shared.settings.fleet.zone.clone(),
-        address: free_address(),
-        configuration,
-        upstreams,
-        loads: Vec::new(),
-        readers: Vec::new(),
-        members: Vec::new(),
-        poison: Report::default(),
-        rate_limits: Vec::new(),
-        unreachable: Vec::new(),
-        decline_limits: Vec::new(),
-    }
+    let zone = node.shared.settings.fleet.zone.clone();
+    common::digest(node, name::Host::from("peer"), zone, free_address())
 }
 
 /// Sends a message to the control address of a router and returns the status of the response.
--- a/crates/edge/tests/homes.rs
+++ b/crates/edge/tests/homes.rs
@@ -10,10 +10,10 @@
 use std::time::Instant;
 
 use common::Node;
-use common::caller::Caller;
 use common::caller::call;
 use common::caller::get;
 use common::caller::post;
+use common::digest;
 use common::engine::Act;
 use common::engine::Engine;
 use common::engine::Seen;
@@ -21,6 +21,7 @@
 use common::engine::event;
 use common::engine::response;
 use common::engine::stream;
+use common::exchange;
 use common::platform::TestPlatform;
 use common::start_in;
 use common::store::Store;
@@ -33,8 +34,6 @@
 use snipeusher::fleet::Regions;
 use snipeusher::kv::Revision;
 use snipeusher::name;
-use snipeusher::poison::Report;
-use snipeusher_edge::peer::Digest;
 use snipeusher_edge::shared::Settings;
 use snipeusher_edge::shared::Shared;
 use snipeusher_fakes::address::free_address;
@@ -272,29 +271,9 @@
 
 /// Sends a router the digest of another.
 async fn introduce(to: &Node, from: &Node) {
-    let (configuration, upstreams) = from.shared.revisions();
-    let digest = Digest {
-        host: from.shared.settings.host.clone(),
-        zone: from.shared.settings.fleet.zone.clone(),
-        address: from.control,
-        configuration,
-        upstreams,
-        loads: Vec::new(),
-        readers: Vec::new(),
-        members: Vec::new(),
-        poison: Report::default(),
-        rate_limits: Vec::new(),
-        unreachable: Vec::new(),
-        decline_limits: Vec::new(),
-    };
-    let body = rmp_serde::to_vec(&digest).expect("it can be encoded");
-    let head = format!(
-        "POST /fleet/v6/exchange HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n",
-        body.len()
-    );
-    let mut caller = Caller::connect(to.control).await;
-    caller.write_bytes(&[head.as_bytes(), &body].concat()).await;
-    assert_eq!(caller.read().await.expect("a response").status, 200);
+    let settings = &from.shared.settings;
+    let (host, zone) = (settings.host.clone(), settings.fleet.zone.clone());
+    exchange(to, &digest(from, host, zone, from.control)).await;
 }
 
 /// Guards against a body that is relayed to a router in a third region or in a zone without one,
