Hand over retries beside the statements of spending

Cause: one loop offered the retries beyond a router's parts to two peers and then stated its spending to its keepers. What is not stated is lost with the process.

Change: the offers are a task of their own, and those of all services to one peer are made at once.

--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -187,6 +187,10 @@
     supervise(&shared.log, "spending", move || {
         peer::state_spending(Rc::clone(&state), Rc::clone(&others))
     });
+    let (state, others) = context.clone();
+    supervise(&shared.log, "overdrafts", move || {
+        peer::hand_over_overdrafts(Rc::clone(&state), Rc::clone(&others))
+    });
     actix_rt::spawn(peer::learn_spending(Rc::clone(shared), Rc::clone(peers)));
     let (state, others) = context.clone();
     supervise(&shared.log, "outages", move || {
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -43,6 +43,7 @@
 pub use self::fetch::fetch_configurations;
 pub use self::fetch::fetch_rosters;
 pub use self::outage::report_outages;
+pub use self::overdraft::hand_over_overdrafts;
 pub use self::peers::Peers;
 pub(crate) use self::relay::relay_uri;
 pub use self::server::Control;
--- a/crates/edge/src/peer/overdraft.rs
+++ b/crates/edge/src/peer/overdraft.rs
@@ -4,16 +4,22 @@
 //! earn retries by the same requests again. What the router has spent then exceeds its part, and
 //! would be spent twice within one window. See `docs/design/retry-budget.md`.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
 
+use futures_util::future::join_all;
 use serde::Deserialize;
 use serde::Serialize;
 use slog::debug;
 use slog::info;
 use snafu::ResultExt as _;
 use snipeusher::fleet::Account;
+use tokio::time::sleep;
 
 use super::OVERDRAFT_PATH;
+use super::Peers;
 use super::client::DecodeSnafu;
 use super::client::Error;
 use super::link::Call;
@@ -22,6 +28,11 @@
 use crate::dialect::Platform;
 use crate::shared::Shared;
 
+/// How often this router checks whether it is beyond its part of a budget.
+const INTERVAL: Duration = Duration::from_millis(250);
+/// Peers to which it hands over what is beyond, each time.
+const TAKERS: usize = 2;
+
 /// The response to retries that are handed over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -30,22 +41,35 @@
     retries: u32,
 }
 
-/// Hands over what this router spent beyond its parts to some peers, until one has taken all of it.
-pub(super) async fn hand_over<P: Platform>(
+/// Hands over what this router spends beyond its parts. Never returns.
+pub async fn hand_over_overdrafts<P: Platform>(shared: Rc<Shared<P>>, peers: Rc<RefCell<Peers>>) {
+    let links = Links::default();
+    loop {
+        sleep(INTERVAL).await;
+        let takers = peers.borrow().sample(TAKERS, shared.random());
+        // One after another, since each is offered what those before have not taken.
+        for taker in takers {
+            let overdrafts = shared.fleet.borrow_mut().overdrafts(shared.now());
+            let offers = overdrafts
+                .iter()
+                .map(|account| hand_over(&shared, &links, taker, account));
+            join_all(offers).await;
+        }
+    }
+}
+
+/// Hands over the retries of one service as far as a peer takes them.
+async fn hand_over<P: Platform>(
     shared: &Shared<P>,
     links: &Links,
-    peers: impl Iterator<Item = SocketAddr>,
+    peer: SocketAddr,
+    account: &Account,
 ) {
-    for peer in peers {
-        let overdrafts = shared.fleet.borrow_mut().overdrafts(shared.now());
-        for account in overdrafts {
-            match try_hand_over(shared, links, peer, &account).await {
-                Ok(taken) => release(shared, peer, &account, taken),
-                // The retries count here for as long as it is not known that they do there.
-                Err(error) => debug!(shared.log, "peer: retries not handed over";
-                    "peer" => %peer, "error" => %error),
-            }
-        }
+    match try_hand_over(shared, links, peer, account).await {
+        Ok(taken) => release(shared, peer, account, taken),
+        // The retries count here for as long as it is not known that they do there.
+        Err(error) => debug!(shared.log, "peer: retries not handed over";
+            "peer" => %peer, "error" => %error),
     }
 }
 
--- a/crates/edge/src/peer/spending.rs
+++ b/crates/edge/src/peer/spending.rs
@@ -32,7 +32,6 @@
 use super::client::Error;
 use super::link::Call;
 use super::link::Links;
-use super::overdraft;
 use super::peers::host_key;
 use crate::dialect::Platform;
 use crate::shared::Shared;
@@ -46,8 +45,6 @@
 const QUERIED: usize = 6;
 /// Keepers that are queried at most. Peers that disagree on the fleet name different ones.
 const KEEPERS_MAX: usize = 12;
-/// Peers to which a router hands over what it spent beyond its part, each time.
-const TAKERS: usize = 2;
 /// Pause before the keepers are queried again.
 const QUERY_INTERVAL: Duration = Duration::from_millis(100);
 /// Time limit of a call.
@@ -55,14 +52,12 @@
 /// Largest number of routers that a peer can state.
 const ROUTERS_MAX: u32 = 100_000;
 
-/// States what this router spends, and hands over what is beyond its part. Never returns.
+/// States what this router spends. Never returns.
 pub async fn state_spending<P: Platform>(shared: Rc<Shared<P>>, peers: Rc<RefCell<Peers>>) {
     let links = Links::default();
     let mut last = Vec::new();
     loop {
         sleep(INTERVAL).await;
-        let takers = peers.borrow().sample(TAKERS, shared.random());
-        overdraft::hand_over(&shared, &links, takers.into_iter()).await;
         let spending = shared.fleet.borrow_mut().spending(shared.now());
         if spending == last {
             continue;
--- a/crates/edge/tests/retry.rs
+++ b/crates/edge/tests/retry.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::net::TcpListener;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -255,26 +256,31 @@
     );
 }
 
+/// What was spent just now beyond any part of a budget.
+fn account(service: &str, retries: u32) -> Account {
+    Account {
+        service: name::Service::from(service),
+        spans: vec![Span {
+            age_ms: 0,
+            spending: Spending {
+                requests: 0,
+                retries,
+            },
+        }],
+    }
+}
+
 /// Guards against retries that count nowhere, or twice, when the callers of a router move to others:
 /// what it has spent beyond its part is counted there.
 #[actix_rt::test]
 async fn retries_beyond_the_part_of_a_router_count_at_its_peers() {
     const SPENT: u32 = 40;
     let (nodes, _store) = common::zone(2, &[]).await;
-    let spending = Spending {
-        requests: 0,
-        retries: SPENT,
-    };
-    let account = Account {
-        service: name::Service::from("letters"),
-        spans: vec![Span {
-            age_ms: 0,
-            spending,
-        }],
-    };
     let now = nodes[0].shared.now();
     let fleet = &nodes[0].shared.fleet;
-    fleet.borrow_mut().learn_past_retries(now, &[account]);
+    fleet
+        .borrow_mut()
+        .learn_past_retries(now, &[account("letters", SPENT)]);
     let retries = |node: &Node| {
         let now = node.shared.now();
         let spending = node.shared.fleet.borrow_mut().spending(now);
@@ -287,3 +293,37 @@
     })
     .await;
 }
+
+/// Guards against spending that is stated late, and lost with the router, while peers do not answer
+/// to the retries that it hands over to them.
+#[actix_rt::test]
+async fn silent_peers_delay_no_statement_of_spending() {
+    const SERVICES: usize = 8;
+    let (nodes, _store) = common::zone(2, &[]).await;
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = silent.local_addr().expect("it is bound");
+    for index in 1..=2 {
+        let host = name::Host::from(format!("silent-{index}"));
+        common::introduce_as(&nodes[0], host, address).await;
+    }
+    let services = (0..SERVICES).map(|index| account(&format!("s{index}"), 100));
+    let accounts: Vec<Account> = services.collect();
+    let (first, second) = (&nodes[0].shared, &nodes[1].shared);
+    let began = Instant::now();
+    first
+        .fleet
+        .borrow_mut()
+        .learn_past_retries(first.now(), &accounts);
+    common::until("the spending of each service is stated", || {
+        let (now, window) = (second.now(), Duration::from_secs(10));
+        let stated = second.accounts.borrow();
+        let stated = stated.get(now, window, &first.settings.host);
+        stated.is_some_and(|(_, accounts)| accounts.len() == SERVICES)
+    })
+    .await;
+    assert!(
+        began.elapsed() < Duration::from_secs(1),
+        "{:?}",
+        began.elapsed()
+    );
+}
