--- a/crates/snipeusher/tests/load_bound.rs
+++ b/crates/snipeusher/tests/load_bound.rs
@@ -304,7 +304,7 @@
         let has_begun = self.now as f64 / 1e6 >= WITHHELD_S;
         let is_among = match self.withheld {
             Withheld::None => false,
-            Withheld::Resetting => index % 4 != 0,
+            Withheld::Resetting => !index.is_multiple_of(4),
             _ => index % ZONES == 1,
         };
         has_begun && is_among
