Share the set-up of two tests and the check of two others

The two tests of a silent store started their routers with the same lines, and the two simulations of the retry budget ended with the same assertion. What they check is unchanged.

--- a/crates/edge/tests/propagation.rs
+++ b/crates/edge/tests/propagation.rs
@@ -207,22 +207,31 @@
     format!("{version}\n{}", routes.collect::<String>())
 }
 
-/// Guards against a router that waits for a store which is silent to it alone, while its peers have
-/// the configuration.
-#[actix_rt::test]
-async fn a_store_silent_to_one_router_does_not_delay_a_large_configuration() {
-    let store = Store::new();
-    store.configure(&large(1));
+/// Starts routers with a client of the store for each, and waits until they agree on the readers.
+async fn start_with_clients(count: usize, store: &Store) -> (Vec<Node>, Vec<Store>) {
     let mut nodes: Vec<Node> = Vec::new();
     let mut clients = Vec::new();
-    for index in 0..4 {
+    for index in 0..count {
         let seeds = nodes.first().map(|node| node.control).into_iter().collect();
         let client = store.other_client();
         nodes.push(start(&format!("host-{index}"), &client, seeds).await);
         clients.push(client);
     }
     actix_rt::time::sleep(std::time::Duration::from_secs(4)).await;
-    let is_reading = |node: &Node| node.shared.readers.borrow().is_reading();
+    (nodes, clients)
+}
+
+fn is_reading(node: &Node) -> bool {
+    node.shared.readers.borrow().is_reading()
+}
+
+/// Guards against a router that waits for a store which is silent to it alone, while its peers have
+/// the configuration.
+#[actix_rt::test]
+async fn a_store_silent_to_one_router_does_not_delay_a_large_configuration() {
+    let store = Store::new();
+    store.configure(&large(1));
+    let (nodes, clients) = start_with_clients(4, &store).await;
     let other = nodes.iter().position(|node| !is_reading(node));
     let other = other.expect("two of four read the store");
     clients[other].silence(true);
@@ -244,16 +253,7 @@
 async fn a_store_silent_to_all_readers_does_not_delay_a_change() {
     let store = Store::new();
     store.configure(DEFAULT);
-    let mut nodes: Vec<Node> = Vec::new();
-    let mut clients = Vec::new();
-    for index in 0..5 {
-        let seeds = nodes.first().map(|node| node.control).into_iter().collect();
-        let client = store.other_client();
-        nodes.push(start(&format!("host-{index}"), &client, seeds).await);
-        clients.push(client);
-    }
-    actix_rt::time::sleep(std::time::Duration::from_secs(4)).await;
-    let is_reading = |node: &Node| node.shared.readers.borrow().is_reading();
+    let (nodes, clients) = start_with_clients(5, &store).await;
     let (readers, others): (Vec<usize>, Vec<usize>) =
         (0..nodes.len()).partition(|index| is_reading(&nodes[*index]));
     assert!(!readers.is_empty() && !others.is_empty());
--- a/crates/snipeusher/tests/retries.rs
+++ b/crates/snipeusher/tests/retries.rs
@@ -256,6 +256,14 @@
         ranked.into_iter().collect()
     }
 
+    fn assert_within_budget(&self) {
+        let (retries, allowed) = self.worst_window();
+        assert!(
+            f64::from(retries) <= allowed,
+            "{retries} retries, {allowed:.0} allowed"
+        );
+    }
+
     /// Retries of the window with the most beyond what is allowed, and how many these are.
     fn worst_window(&self) -> (u32, f64) {
         let length = (WINDOW.as_millis() as u64 / STEP_MS) as usize;
@@ -334,11 +342,7 @@
 ) {
     let mut simulation = Simulation::new(count, slack);
     simulation.run(plan);
-    let (retries, allowed) = simulation.worst_window();
-    assert!(
-        f64::from(retries) <= allowed,
-        "{retries} retries, {allowed:.0} allowed"
-    );
+    simulation.assert_within_budget();
     let mut undisturbed = Simulation::new(count, slack);
     undisturbed.run(Plan::None);
     // All routers at once know nothing of what they spent, and wait for a window.
@@ -357,11 +361,7 @@
 ) {
     let mut simulation = Simulation::new(count, slack);
     simulation.run(Plan::Move(percent));
-    let (retries, allowed) = simulation.worst_window();
-    assert!(
-        f64::from(retries) <= allowed,
-        "{retries} retries, {allowed:.0} allowed"
-    );
+    simulation.assert_within_budget();
     let mut undisturbed = Simulation::new(count, slack);
     undisturbed.run(Plan::None);
     let (sent, usual) = (simulation.retries(), undisturbed.retries());
