--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -1,8 +1,8 @@
 //! One router is killed while its callers read streams that began more than a minute ago.
 
-#[path = "../lab-2/lab.rs"]
+#[path = "../.standin-2/lab.rs"]
 mod lab;
-#[path = "../lab-2/streams.rs"]
+#[path = "../.standin-2/streams.rs"]
 mod streams;
 
 use std::sync::atomic::AtomicU32;
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,8 +1,8 @@
 //! One router loses power just before the first engines of a new version register.
 
-#[path = "../lab-2/lab.rs"]
+#[path = "../.standin-2/lab.rs"]
 mod lab;
-#[path = "../lab-2/streams.rs"]
+#[path = "../.standin-2/streams.rs"]
 mod streams;
 
 use std::time::Duration;
