--- a/crates/edge/tests/common/mod.rs
+++ b/crates/edge/tests/common/mod.rs
@@ -7,6 +7,7 @@
 pub mod link;
 pub mod platform;
 pub mod store;
+pub mod way;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/edge/tests/cut_answers.rs
+++ b/crates/edge/tests/cut_answers.rs
@@ -2,7 +2,6 @@
 
 mod common;
 
-use common::Node;
 use common::caller::Response;
 use common::caller::call;
 use common::caller::post;
@@ -14,15 +13,11 @@
 use common::engine::event;
 use common::engine::event_text;
 use common::engine::stream;
-use common::introduce;
-use common::single_named;
-use common::zone;
-use futures_util::future::join_all;
+use common::way::Way;
+use common::way::engines;
+use common::way::routers;
 use rstest::rstest;
-use snipeusher_fakes::address::free_address;
 
-/// Upstreams of a router. Each fails few of its requests, so that all are used.
-const UPSTREAMS: usize = 24;
 /// Events of a stream before it breaks.
 const EVENTS: u32 = 2;
 /// Heads by the framing of their bodies.
@@ -52,11 +47,6 @@
     cuts.collect()
 }
 
-/// Starts upstreams with the same script.
-async fn engines(script: impl Fn(&Seen) -> Vec<Act> + Copy + 'static) -> Vec<Engine> {
-    join_all((0..UPSTREAMS).map(|_| Engine::start(script))).await
-}
-
 /// Begins a stream and breaks it, or runs some acts if the caller has its first events.
 fn resumed(seen: &Seen, acts: Vec<Act>) -> Vec<Act> {
     if seen.header("t-last").is_some() {
@@ -67,33 +57,9 @@
     begun.chain([Act::Close]).collect()
 }
 
-/// How requests reach the upstreams.
-#[derive(Clone, Copy, Debug)]
-enum Way {
-    Straight,
-    /// Through a peer, since the router reaches no upstream itself.
-    Relayed,
-}
-
 /// Requests to one router, which could not send more of them again within its retry budget.
 const REQUESTS: usize = 20;
 
-/// Starts routers of which the first one gets the requests.
-async fn routers(engines: &[Engine], way: Way) -> Vec<Node> {
-    let listed: Vec<_> = engines.iter().map(|engine| (engine, "v1")).collect();
-    let (mut nodes, _store) = zone(1, &listed).await;
-    if let Way::Relayed = way {
-        let gone = engines.iter().map(|_| Engine::at(free_address()));
-        let gone: Vec<Engine> = gone.collect();
-        let gone: Vec<_> = gone.iter().map(|engine| (engine, "v1")).collect();
-        // Its store has the same revision, so neither router copies the list of the other.
-        let node = single_named("cut-off", &gone).await;
-        introduce(&node, &nodes[0]).await;
-        nodes.insert(0, node);
-    }
-    nodes
-}
-
 /// The response to each request, sent one after the other. Each may be sent `sends` times, nearly
 /// all of which have to reach an upstream, so that a refusal does not hide a failure.
 async fn responses(
@@ -105,7 +71,7 @@
 ) -> Vec<Response> {
     let mut responses = Vec::new();
     for ids in ids.chunks(REQUESTS) {
-        let routers = routers(engines, way).await;
+        let (routers, _store) = routers(engines, way).await;
         for id in ids {
             responses.push(call(routers[0].front, &post(path, id, "x")).await);
         }
--- a/crates/edge/tests/early_answers.rs
+++ b/crates/edge/tests/early_answers.rs
@@ -9,15 +9,13 @@
 use common::caller::Response;
 use common::engine::Act;
 use common::engine::Engine;
-use common::introduce;
 use common::platform::DEFAULT;
-use common::single_named;
 use common::store::Store;
 use common::until;
-use common::zone;
-use futures_util::future::join_all;
+use common::way::Way;
+use common::way::early_engines;
+use common::way::routers;
 use rstest::rstest;
-use snipeusher_fakes::address::free_address;
 
 /// Body of each request: more than the buffers of both sockets hold.
 const REQUEST_BYTES: usize = 8 << 20;
@@ -25,8 +23,6 @@
 const HALF_BYTES: usize = REQUEST_BYTES / 2;
 /// Requests of each kind.
 const REQUESTS: usize = 8;
-/// Upstreams of a router. Each fails few of its requests, so that all are used.
-const UPSTREAMS: usize = 24;
 /// Time in milliseconds in which the router reads what was sent.
 const READ_MS: u64 = 30;
 /// A time in milliseconds after which the router waits for more.
@@ -63,44 +59,19 @@
     format!("HTTP/1.1 {status}\r\nT-Id: {id}\r\nT-Signature: s\r\n{headers}\r\n")
 }
 
-/// How requests reach the upstreams.
-#[derive(Clone, Copy, Debug)]
-enum Way {
-    Straight,
-    /// Through a peer, since the router reaches no upstream itself.
-    Relayed,
-}
-
-/// Raises the limit on the bodies of requests.
-async fn allow_large_bodies(node: &Node, store: &Store) {
+/// Raises the limit on the bodies of requests, and waits until each router has copied it.
+async fn allow_large_bodies(nodes: &[Node], store: &Store) {
     let routes = DEFAULT.trim_start_matches("1\n");
     store.configure(&format!("2\n{routes}body {REQUEST_BYTES}\n"));
     until("large bodies are allowed", || {
-        node.shared.limits().body_bytes == REQUEST_BYTES
+        let limits = nodes.iter().map(|node| node.shared.limits());
+        limits
+            .into_iter()
+            .all(|limits| limits.body_bytes == REQUEST_BYTES)
     })
     .await;
 }
 
-/// Starts a router that gets requests, and the one that it relays them to.
-async fn routers(engines: &[Engine], way: Way) -> (Vec<Node>, Store) {
-    let listed: Vec<_> = engines.iter().map(|engine| (engine, "v1")).collect();
-    let (mut nodes, store) = zone(1, &listed).await;
-    allow_large_bodies(&nodes[0], &store).await;
-    if let Way::Relayed = way {
-        let gone = engines.iter().map(|_| Engine::at(free_address()));
-        let gone: Vec<Engine> = gone.collect();
-        let gone: Vec<_> = gone.iter().map(|engine| (engine, "v1")).collect();
-        let node = single_named("cut-off", &gone).await;
-        introduce(&node, &nodes[0]).await;
-        nodes.insert(0, node);
-        until("the larger limit is copied", || {
-            nodes[0].shared.limits().body_bytes == REQUEST_BYTES
-        })
-        .await;
-    }
-    (nodes, store)
-}
-
 /// Sends a request with a body of [`REQUEST_BYTES`]; `None` if the connection ends without a
 /// response.
 async fn upload(node: &Node, path: &str, id: &str) -> Option<Response> {
@@ -123,9 +94,9 @@
     way: Way,
     script: impl Fn(&str) -> Vec<Act> + Copy + 'static,
 ) -> Vec<Option<Response>> {
-    let start = |_| Engine::start_early(move |seen| script(seen.id()));
-    let engines = join_all((0..UPSTREAMS).map(start)).await;
-    let (nodes, _store) = routers(&engines, way).await;
+    let engines = early_engines(move |seen| script(seen.id())).await;
+    let (nodes, store) = routers(&engines, way).await;
+    allow_large_bodies(&nodes, &store).await;
     let mut responses = Vec::new();
     for number in 0..REQUESTS {
         responses.push(upload(&nodes[0], path, &format!("r{number}")).await);
