Reject answers with a line in their head that is no field

Cause: the codec of actix-http has its parser allow such blanks in responses, and this cannot be set from outside.

A head that fails is a failure as a whole, so that none of its fields is believed.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -27,6 +27,7 @@
 use bytes::BytesMut;
 use snafu::ResultExt as _;
 use snafu::Snafu;
+use snipeusher_http::head;
 use tokio::task::yield_now;
 use tokio_util::codec::Decoder as _;
 use tokio_util::codec::Encoder as _;
@@ -78,7 +79,13 @@
     /// The connection was closed before the response was complete.
     #[snafu(display("the connection ended before the answer did"))]
     Ended,
-    /// The response is not valid HTTP.
+    /// The head of the response is invalid.
+    #[snafu(display("the response head is invalid: {source}"))]
+    Invalid {
+        /// The cause.
+        source: head::Error,
+    },
+    /// The head of the response cannot be parsed.
     #[snafu(display("the response head cannot be parsed: {source}"))]
     Head {
         /// The cause.
@@ -269,10 +276,7 @@
     pub async fn head(&mut self) -> Result<ResponseHead, Error> {
         let mut received = 0;
         loop {
-            let Reader::Head(codec) = &mut self.reader else {
-                return EndedSnafu.fail();
-            };
-            if let Some(head) = codec.decode(&mut self.read).context(HeadSnafu)? {
+            if let Some(head) = self.next_head()? {
                 if head.status.as_u16() < STATUS_FINAL {
                     continue;
                 }
@@ -289,6 +293,18 @@
         }
     }
 
+    /// Parses the next head if it has arrived completely. The codec reads only heads that were
+    /// checked, since it accepts blanks behind the name of a field.
+    fn next_head(&mut self) -> Result<Option<ResponseHead>, Error> {
+        let Reader::Head(codec) = &mut self.reader else {
+            return EndedSnafu.fail();
+        };
+        if head::check(&self.read).context(InvalidSnafu)?.is_none() {
+            return Ok(None);
+        }
+        codec.decode(&mut self.read).context(HeadSnafu)
+    }
+
     /// Reads the next bytes of the body; `None` at its end.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, Error> {
         let mut received = 0;
--- /dev/null
+++ b/crates/edge/tests/broken_heads.rs
@@ -0,0 +1,136 @@
+//! Heads of responses that are no valid HTTP, of upstreams and through a peer.
+
+mod common;
+
+use common::caller::Response;
+use common::caller::call;
+use common::caller::post;
+use common::engine::Act;
+use common::engine::Engine;
+use common::engine::response;
+use common::single;
+use common::way::Way;
+use common::way::engines;
+use common::way::routers;
+use rstest::rstest;
+
+/// Lines that are no field of a head, each between valid ones. `ID` is the identifier of the request.
+const LINES: [&str; 19] = [
+    "X-A : 1",
+    "X-A\t: 1",
+    "Content-Length : 4",
+    "Transfer-Encoding : chunked",
+    "T-Id : ID",
+    "T-Signature : s",
+    "T-Not-Run : 1",
+    "X A: 1",
+    " X-A: 1",
+    "X-\u{1}A: 1",
+    "X-\0A: 1",
+    "X-\u{7f}A: 1",
+    "X-\u{e9}: 1",
+    ": 1",
+    "no colon",
+    "X-A: 1\r\n folded",
+    "X-A: a\u{1}b",
+    "X-A: a\0b",
+    "X-A: a\rb",
+];
+
+/// Whether a response is the router's own failure, which promises nothing.
+fn is_failure(response: &Response) -> bool {
+    response.status == 502 && response.header("t-signature").is_none() && response.body.is_empty()
+}
+
+/// A response with a line in its head, which is whole but for that.
+fn with_line(id: &str, line: &str) -> Act {
+    let line = line.replace("ID", id);
+    Act::Write(format!(
+        "HTTP/1.1 200 OK\r\nT-Id: {id}\r\nT-Signature: s\r\n{line}\r\nContent-Length: 4\r\n\r\nbody"
+    ))
+}
+
+/// Sends one request for each identifier from `0` on.
+async fn responses(
+    count: usize,
+    path: &str,
+    way: Way,
+    script: impl Fn(usize) -> Vec<Act> + Copy + 'static,
+) -> Vec<Response> {
+    let engines = engines(move |seen| {
+        let number = seen.id().parse().expect("a number");
+        script(number)
+    })
+    .await;
+    let (routers, _store) = routers(&engines, way).await;
+    let mut responses = Vec::new();
+    for number in 0..count {
+        responses.push(call(routers[0].front, &post(path, &number.to_string(), "x")).await);
+    }
+    let sent: usize = engines.iter().map(Engine::count).sum();
+    assert!(sent >= count, "{sent} of {count} were sent");
+    responses
+}
+
+/// Guards against a response with a line that is no field: such a line was passed on, or believed as
+/// the length of the body, as a signature, or as the word that the request did not run.
+#[rstest]
+#[case::once("/write/")]
+#[case::idempotent("/read/")]
+#[case::stream("/review/")]
+#[case::resumable("/chat/")]
+#[actix_rt::test]
+async fn a_line_that_is_no_field_is_a_failure(
+    #[case] path: &str,
+    #[values(Way::Straight, Way::Relayed)] way: Way,
+) {
+    let script = |number: usize| vec![with_line(&number.to_string(), LINES[number])];
+    let responses = responses(LINES.len(), path, way, script).await;
+    for (line, response) in LINES.iter().zip(responses) {
+        assert!(is_failure(&response), "{line:?}: {response:?}");
+    }
+}
+
+/// Guards against a refusal that is told to the caller as such although its line is no field, so that
+/// the caller sends a request again that may have run.
+#[rstest]
+#[case::refused("HTTP/1.1 503 Busy\r\nT-Id: ID\r\nT-Not-Run : 1\r\nContent-Length: 0\r\n\r\n")]
+#[case::refused_by_tab(
+    "HTTP/1.1 429 Busy\r\nT-Id: ID\r\nT-Not-Run\t: 1\r\nContent-Length: 0\r\n\r\n"
+)]
+#[case::misdirected("HTTP/1.1 421 Other\r\nT-Id: ID\r\nX-A : 1\r\nContent-Length: 0\r\n\r\n")]
+#[actix_rt::test]
+async fn a_refusal_with_such_a_line_says_nothing(
+    #[case] text: &'static str,
+    #[values(Way::Straight, Way::Relayed)] way: Way,
+) {
+    let script = move |number: usize| vec![Act::Write(text.replace("ID", &number.to_string()))];
+    for response in responses(4, "/write/", way, script).await {
+        assert!(is_failure(&response), "{response:?}");
+    }
+}
+
+/// Guards against facts that are taken from a head before all of it is known to be valid: its upstream
+/// would get no further requests, or one a second.
+#[rstest]
+#[case::leaving("T-Leaving: 1\r\n")]
+#[case::pause("T-Pause: 5000\r\n")]
+#[case::rate("T-Limit: 0\r\n")]
+#[case::decline("T-Decline-Limit: 0\r\n")]
+#[actix_rt::test]
+async fn nothing_of_a_broken_head_is_believed(#[case] fact: &'static str) {
+    let engine = Engine::start(move |seen| {
+        let id = seen.id();
+        if id == "sound" {
+            return vec![response(id, "200 OK", "body")];
+        }
+        let line = format!("{fact}X-A : 1");
+        vec![with_line(id, &line)]
+    })
+    .await;
+    let (node, _store) = single(&[&engine]).await;
+    let broken = call(node.front, &post("/write/", "broken", "x")).await;
+    assert!(is_failure(&broken), "{broken:?}");
+    let sound = call(node.front, &post("/write/", "sound", "x")).await;
+    assert_eq!((sound.status, sound.body.as_str()), (200, "body"));
+}
--- /dev/null
+++ b/crates/http/tests/head.rs
@@ -0,0 +1,46 @@
+//! Heads of responses that are valid, incomplete and invalid.
+
+use rstest::rstest;
+use snipeusher_http::head;
+use snipeusher_http::head::Head;
+
+const SOUND: &str = "HTTP/1.1 200 OK\r\nX-A: 1\r\nX-Empty:\r\nX-Tab:\ta\tb \r\n\r\n";
+
+/// Guards against a head that is taken for complete too early, or with bytes of the body.
+#[rstest]
+fn a_head_is_complete_at_its_empty_line() {
+    for length in 0..SOUND.len() {
+        let part = head::check(&SOUND.as_bytes()[..length]);
+        assert_eq!(part.expect("it is valid so far"), None, "{length}");
+    }
+    let bytes = format!("{SOUND}body : of the response\r\n");
+    let checked = head::check(bytes.as_bytes()).expect("it is valid");
+    let length = SOUND.len();
+    assert_eq!(checked, Some(Head { length }));
+}
+
+/// Guards against a line that passes although another recipient may read it as another field.
+#[rstest]
+#[case::blank_before_the_colon("X-A : 1")]
+#[case::tab_before_the_colon("X-A\t: 1")]
+#[case::blank_within("X A: 1")]
+#[case::blank_before(" X-A: 1")]
+#[case::control("X-\u{1}A: 1")]
+#[case::nul("X-\0A: 1")]
+#[case::delete("X-\u{7f}A: 1")]
+#[case::not_ascii("X-\u{e9}: 1")]
+#[case::no_name(": 1")]
+#[case::no_colon("X-A")]
+#[case::folded("X-A: 1\r\n 2")]
+#[case::control_in_the_value("X-A: \u{1}")]
+#[case::nul_in_the_value("X-A: \0")]
+#[case::bare_carriage_return("X-A: 1\r2")]
+fn a_line_that_is_no_field_is_invalid(#[case] line: &str) {
+    for text in [
+        format!("HTTP/1.1 200 OK\r\n{line}\r\n\r\n"),
+        format!("HTTP/1.1 200 OK\r\nX-B: 1\r\n{line}\r\nX-C: 1\r\n\r\n"),
+    ] {
+        let checked = head::check(text.as_bytes());
+        assert!(checked.is_err(), "{text:?}: {checked:?}");
+    }
+}
