Reject heads with a name that the codec cannot represent

Cause: the codec unwraps the conversion of a name, which fails from 65,536 bytes on, so the task of the caller's connection panicked. Requests are read by the same codec: a caller's own head did the same where maxHeaderBytes allows it.

Change: the check of a head counts such a name as invalid, for answers and for requests, which get 431.

--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -19,6 +19,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use snipeusher::route::Limits;
+use snipeusher_http::head;
 use tokio::net::TcpListener;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
@@ -230,6 +231,10 @@
     async fn head(&mut self, limits: &Limits) -> Result<actix_http::Request, Error> {
         loop {
             let before = self.read.len();
+            if before > head::NAME_BYTES_MAX && head::check_request(&self.read).is_err() {
+                let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+                return Err(Error::Rejected(status));
+            }
             match self.codec.decode(&mut self.read) {
                 Ok(Some(Message::Item(head))) => {
                     if before - self.read.len() > limits.head_bytes {
--- a/crates/edge/tests/broken_heads.rs
+++ b/crates/edge/tests/broken_heads.rs
@@ -8,7 +8,9 @@
 use common::engine::Act;
 use common::engine::Engine;
 use common::engine::response;
+use common::platform::DEFAULT;
 use common::single;
+use common::until;
 use common::way::Way;
 use common::way::engines;
 use common::way::routers;
@@ -134,3 +136,46 @@
     let sound = call(node.front, &post("/write/", "sound", "x")).await;
     assert_eq!((sound.status, sound.body.as_str()), (200, "body"));
 }
+
+/// Guards against a name that the codec cannot represent: it panicked, the caller's connection ended
+/// without a response, and no log line named the request.
+#[rstest]
+#[case::once("/write/")]
+#[case::idempotent("/read/")]
+#[case::stream("/review/")]
+#[case::resumable("/chat/")]
+#[actix_rt::test]
+async fn a_name_without_end_is_a_failure(
+    #[case] path: &str,
+    #[values(Way::Straight, Way::Relayed)] way: Way,
+    #[values(65_536, 70_000)] length: usize,
+) {
+    let script = move |number: usize| {
+        let line = format!("{}: 1", "x".repeat(length));
+        vec![with_line(&number.to_string(), &line)]
+    };
+    for response in responses(4, path, way, script).await {
+        assert!(is_failure(&response), "{response:?}");
+    }
+}
+
+/// The same of a request, whose caller gets the refusal.
+#[rstest]
+#[actix_rt::test]
+async fn a_name_without_end_in_a_request_is_refused() {
+    let engine = Engine::start(|seen| vec![response(seen.id(), "200 OK", "body")]).await;
+    let (node, store) = single(&[&engine]).await;
+    let routes = DEFAULT.trim_start_matches("1\n");
+    store.configure(&format!("2\n{routes}head {}\n", 1 << 20));
+    until("long heads are allowed", || {
+        node.shared.limits().head_bytes == 1 << 20
+    })
+    .await;
+    let request = |length| {
+        let name = "x".repeat(length);
+        post("/write/", "r1", "x").replace("T-Id", &format!("{name}: 1\r\nT-Id"))
+    };
+    assert_eq!(call(node.front, &request(70_000)).await.status, 431);
+    assert_eq!(call(node.front, &request(60_000)).await.status, 200);
+    assert_eq!(engine.count(), 1);
+}
--- a/crates/edge/tests/common/platform.rs
+++ b/crates/edge/tests/common/platform.rs
@@ -32,8 +32,8 @@
 
 /// Configuration: the version, then one route per line with path prefix, kind, attempts, timeout in
 /// milliseconds, access and, if any, home regions. A line `tenant` gives the tenant home regions, a
-/// line `cold PER_S SECONDS` limits upstreams that are warming up, a line `body BYTES` the bodies of
-/// requests.
+/// line `cold PER_S SECONDS` limits upstreams that are warming up, the lines `head BYTES` and `body
+/// BYTES` requests.
 pub const DEFAULT: &str = "1\n\
     /read/ idempotent 2 1000 public\n\
     /write/ once 1 1000 public\n\
@@ -148,8 +148,12 @@
                 services.for_each(|service| service.warmup = warmup(per_s, duration_s));
                 continue;
             }
-            if let ["body", bytes] = words[..] {
-                draft.limits.body_bytes = bytes.parse().map_err(|_error| invalid("no size"))?;
+            if let [part @ ("head" | "body"), bytes] = words[..] {
+                let limit = bytes.parse().map_err(|_error| invalid("no size"))?;
+                match part {
+                    "head" => draft.limits.head_bytes = limit,
+                    _ => draft.limits.body_bytes = limit,
+                }
                 continue;
             }
             if let ["tenant", regions] = words[..] {
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -4,12 +4,16 @@
 //! recipient may take the line for another field, or for none, and so see another body.
 
 use httparse::EMPTY_HEADER;
+use httparse::Header;
 use snafu::ResultExt as _;
 use snafu::Snafu;
 
 /// Fields that a head may have, the same number as the codec accepts.
 const FIELDS_MAX: usize = 96;
 
+/// Longest name of a field in bytes. The codec panics if it gets a longer one.
+pub const NAME_BYTES_MAX: usize = u16::MAX as usize;
+
 /// Why a head is invalid.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -19,6 +23,12 @@
         /// The cause.
         source: httparse::Error,
     },
+    /// The name of a field is too long.
+    #[snafu(display("the name of a field has {length} bytes"))]
+    Name {
+        /// Its length in bytes.
+        length: usize,
+    },
 }
 
 /// A head that is complete and valid.
@@ -28,7 +38,8 @@
     pub length: usize,
 }
 
-/// Checks the head at the start of some bytes; `None` if it is not complete and valid so far.
+/// Checks the head of a response at the start of some bytes; `None` if it is not complete and valid
+/// so far.
 pub fn check(bytes: &[u8]) -> Result<Option<Head>, Error> {
     let mut fields = [EMPTY_HEADER; FIELDS_MAX];
     let mut response = httparse::Response::new(&mut fields);
@@ -36,5 +47,24 @@
     let httparse::Status::Complete(length) = parsed else {
         return Ok(None);
     };
+    check_names(response.headers)?;
     Ok(Some(Head { length }))
 }
+
+/// Checks the names of the fields in the head of a request, as far as they can be parsed.
+pub fn check_request(bytes: &[u8]) -> Result<(), Error> {
+    let mut fields = [EMPTY_HEADER; FIELDS_MAX];
+    let mut request = httparse::Request::new(&mut fields);
+    match request.parse(bytes) {
+        Ok(httparse::Status::Complete(_)) => check_names(request.headers),
+        Ok(httparse::Status::Partial) | Err(_) => Ok(()),
+    }
+}
+
+fn check_names(fields: &[Header<'_>]) -> Result<(), Error> {
+    let mut lengths = fields.iter().map(|field| field.name.len());
+    match lengths.find(|length| *length > NAME_BYTES_MAX) {
+        Some(length) => NameSnafu { length }.fail(),
+        None => Ok(()),
+    }
+}
--- a/crates/http/tests/head.rs
+++ b/crates/http/tests/head.rs
@@ -44,3 +44,13 @@
         assert!(checked.is_err(), "{text:?}: {checked:?}");
     }
 }
+
+/// Guards against a name for which the codec panics.
+#[rstest]
+fn a_name_has_a_limit() {
+    let text = |length| format!("HTTP/1.1 200 OK\r\n{}: 1\r\n\r\n", "x".repeat(length));
+    let checked = head::check(text(head::NAME_BYTES_MAX).as_bytes());
+    assert!(checked.is_ok_and(|head| head.is_some()));
+    let checked = head::check(text(head::NAME_BYTES_MAX + 1).as_bytes());
+    assert!(matches!(checked, Err(head::Error::Name { length: 65_536 })));
+}
