Reject answers whose status is out of range

Callers saw: an upstream in trouble that answered 600 or 999 had this passed on as its answer.

Cause: the codec takes each number of three digits from 100 on.

Change: the check of a head refuses a status out of this range, and 101, since no request asks for another protocol.

--- a/crates/edge/tests/broken_heads.rs
+++ b/crates/edge/tests/broken_heads.rs
@@ -179,3 +179,31 @@
     assert_eq!(call(node.front, &request(60_000)).await.status, 200);
     assert_eq!(engine.count(), 1);
 }
+
+/// Guards against a status that no recipient may treat as valid (RFC 9110, section 15).
+#[rstest]
+#[case::once("/write/")]
+#[case::idempotent("/read/")]
+#[case::stream("/review/")]
+#[case::resumable("/chat/")]
+#[actix_rt::test]
+async fn a_status_out_of_range_is_a_failure(
+    #[case] path: &str,
+    #[values(Way::Straight, Way::Relayed)] way: Way,
+) {
+    const STATUSES: [&str; 14] = [
+        "000", "001", "099", "20", "2", "", "2000", "-20", "20x", "0x1", "101", "199", "600", "999",
+    ];
+    let script = |number: usize| {
+        let (id, status) = (number.to_string(), STATUSES[number]);
+        let fields = format!("T-Id: {id}\r\nT-Signature: s\r\nContent-Length: 4");
+        vec![
+            Act::Write(format!("HTTP/1.1 {status} Odd\r\n{fields}\r\n\r\nbody")),
+            Act::Close,
+        ]
+    };
+    let responses = responses(STATUSES.len(), path, way, script).await;
+    for (status, response) in STATUSES.iter().zip(responses) {
+        assert!(is_failure(&response), "{status:?}: {response:?}");
+    }
+}
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -3,10 +3,13 @@
 //! A head with a line that is no field is invalid as a whole (RFC 9112, section 5.1): another
 //! recipient may take the line for another field, or for none, and so see another body.
 
+use std::ops::RangeInclusive;
+
 use httparse::EMPTY_HEADER;
 use httparse::Header;
 use snafu::ResultExt as _;
 use snafu::Snafu;
+use snafu::ensure;
 
 /// Fields that a head may have, the same number as the codec accepts.
 const FIELDS_MAX: usize = 96;
@@ -14,6 +17,11 @@
 /// Longest name of a field in bytes. The codec panics if it gets a longer one.
 pub const NAME_BYTES_MAX: usize = u16::MAX as usize;
 
+/// The statuses that a response may have (RFC 9110, section 15).
+const STATUSES: RangeInclusive<u16> = 100..=599;
+/// Status of a response after which another protocol is spoken. No request asks for one.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Why a head is invalid.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -23,6 +31,12 @@
         /// The cause.
         source: httparse::Error,
     },
+    /// The status is out of range, or the answer to no request.
+    #[snafu(display("the status {status} is not valid"))]
+    Status {
+        /// The status.
+        status: u16,
+    },
     /// The name of a field is too long.
     #[snafu(display("the name of a field has {length} bytes"))]
     Name {
@@ -47,6 +61,7 @@
     let httparse::Status::Complete(length) = parsed else {
         return Ok(None);
     };
+    check_status(response.code.unwrap_or_default())?;
     check_names(response.headers)?;
     Ok(Some(Head { length }))
 }
@@ -61,6 +76,12 @@
     }
 }
 
+fn check_status(status: u16) -> Result<(), Error> {
+    let is_valid = STATUSES.contains(&status) && status != SWITCHING_PROTOCOLS;
+    ensure!(is_valid, StatusSnafu { status });
+    Ok(())
+}
+
 fn check_names(fields: &[Header<'_>]) -> Result<(), Error> {
     let mut lengths = fields.iter().map(|field| field.name.len());
     match lengths.find(|length| *length > NAME_BYTES_MAX) {
--- a/crates/http/tests/head.rs
+++ b/crates/http/tests/head.rs
@@ -54,3 +54,15 @@
     let checked = head::check(text(head::NAME_BYTES_MAX + 1).as_bytes());
     assert!(matches!(checked, Err(head::Error::Name { length: 65_536 })));
 }
+
+/// Guards against a status that is passed on although it is not valid.
+#[rstest]
+fn a_status_has_a_range() {
+    let is_valid = |status: &u16| {
+        let text = format!("HTTP/1.1 {status:03} Text\r\n\r\n");
+        head::check(text.as_bytes()).is_ok_and(|head| head.is_some())
+    };
+    let valid: Vec<u16> = (0..=999).filter(is_valid).collect();
+    let expected: Vec<u16> = (100..=599).filter(|status| *status != 101).collect();
+    assert_eq!(valid, expected);
+}
