Read no body behind a status that has none

Callers saw: nothing of the first answer, a 204 or 304 that states a length or chunks.

Cause: the codec frames a body by the fields of a head whatever its status.

Change: such a response ends with its head (RFC 9112, section 6.3), and its connection is not used again.

--- a/crates/edge/src/connection.rs
+++ b/crates/edge/src/connection.rs
@@ -123,6 +123,8 @@
     Framed(ClientPayloadCodec),
     /// Within a body that ends when the connection is closed.
     Unframed,
+    /// After a response that has no body by its status although its head states one.
+    Complete,
     /// After a failure, when the rest cannot be parsed.
     Failed,
 }
@@ -310,7 +312,7 @@
         let mut received = 0;
         loop {
             match &mut self.reader {
-                Reader::Head(_) => return Ok(None),
+                Reader::Head(_) | Reader::Complete => return Ok(None),
                 Reader::Failed => return EndedSnafu.fail(),
                 Reader::Framed(codec) => match codec.decode(&mut self.read).context(BodySnafu)? {
                     Some(Some(bytes)) => return Ok(Some(bytes)),
@@ -390,6 +392,8 @@
             self.is_head_request || matches!(status, STATUS_NO_CONTENT | STATUS_NOT_MODIFIED);
         self.reader = match codec.message_type() {
             MessageType::None if is_framed || is_empty => Reader::Head(codec),
+            // The codec would read the bytes behind the head as a body (RFC 9112, section 6.3).
+            MessageType::Payload if is_empty => Reader::Complete,
             // Without a length or chunks, the body ends when the connection is closed.
             MessageType::None => Reader::Unframed,
             MessageType::Payload => Reader::Framed(codec.into_payload_codec()),
@@ -398,7 +402,7 @@
         if !matches!(self.reader, Reader::Framed(_) | Reader::Head(_)) {
             self.keep_alive = false;
         }
-        if matches!(self.reader, Reader::Head(_)) {
+        if matches!(self.reader, Reader::Head(_) | Reader::Complete) {
             self.is_pending = false;
         }
         self.idle_since = Instant::now();
