Reject answers that state the end of their body in two ways

Callers saw: an answer of HTTP/1.0 with a length and chunks arrived as "4\r\nb", bytes that were not the upstream's body. One of HTTP/1.1 with both was read by its chunks and passed on; another recipient of it may read another body.

Cause: the codec takes chunks before a length in HTTP/1.1, and a length before chunks in HTTP/1.0, without a word.

Change: the check of a head refuses both together, chunks in HTTP/1.0, and a length or chunks in an informational answer, which has no body. RFC 9112 lets a proxy forward the first (6.3) but has it handled as an error as a rule, and has the framing of the second count as faulty (6.1).

--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -22,6 +22,14 @@
 /// Status of a response after which another protocol is spoken. No request asks for one.
 const SWITCHING_PROTOCOLS: u16 = 101;
 
+/// Minor number of the HTTP version that has chunks.
+const VERSION_CURRENT: u8 = 1;
+/// Lowest status that is not informational.
+const STATUS_FINAL: u16 = 200;
+
+const CONTENT_LENGTH: &str = "content-length";
+const TRANSFER_ENCODING: &str = "transfer-encoding";
+
 /// Why a head is invalid.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -43,6 +51,9 @@
         /// Its length in bytes.
         length: usize,
     },
+    /// The end of the body is stated twice, or where a response has none.
+    #[snafu(display("the end of the body is stated in two ways or by a response without one"))]
+    Framing,
 }
 
 /// A head that is complete and valid.
@@ -61,8 +72,11 @@
     let httparse::Status::Complete(length) = parsed else {
         return Ok(None);
     };
-    check_status(response.code.unwrap_or_default())?;
+    let status = response.code.unwrap_or_default();
+    check_status(status)?;
     check_names(response.headers)?;
+    let is_current = response.version == Some(VERSION_CURRENT);
+    check_framing(status, is_current, response.headers)?;
     Ok(Some(Head { length }))
 }
 
@@ -89,3 +103,22 @@
         None => Ok(()),
     }
 }
+
+/// Checks that the end of a body is stated once. A sender that states both a length and chunks may
+/// want two recipients to see two bodies, the version before 1.1 has no chunks, and an informational
+/// response has no body (RFC 9112, sections 6.1 and 6.3).
+fn check_framing(status: u16, is_current: bool, fields: &[Header<'_>]) -> Result<(), Error> {
+    let has = |name| {
+        fields
+            .iter()
+            .any(|field| field.name.eq_ignore_ascii_case(name))
+    };
+    let (is_sized, is_encoded) = (has(CONTENT_LENGTH), has(TRANSFER_ENCODING));
+    let is_certain = if status < STATUS_FINAL {
+        !is_sized && !is_encoded
+    } else {
+        !is_encoded || is_current && !is_sized
+    };
+    ensure!(is_certain, FramingSnafu);
+    Ok(())
+}
--- a/crates/http/tests/head.rs
+++ b/crates/http/tests/head.rs
@@ -66,3 +66,31 @@
     let expected: Vec<u16> = (100..=599).filter(|status| *status != 101).collect();
     assert_eq!(valid, expected);
 }
+
+/// Guards against a body whose end two recipients may see at different places.
+#[rstest]
+#[case::length("HTTP/1.1 200 OK", "Content-Length: 4", true)]
+#[case::chunks("HTTP/1.1 200 OK", "Transfer-Encoding: chunked", true)]
+#[case::both(
+    "HTTP/1.1 200 OK",
+    "Content-Length: 4\r\nTransfer-Encoding: chunked",
+    false
+)]
+#[case::other_case(
+    "HTTP/1.1 404 No",
+    "TRANSFER-ENCODING: chunked\r\ncontent-length: 4",
+    false
+)]
+#[case::old_length("HTTP/1.0 200 OK", "Content-Length: 4", true)]
+#[case::old_chunks("HTTP/1.0 200 OK", "Transfer-Encoding: chunked", false)]
+#[case::informational("HTTP/1.1 103 Early Hints", "Link: a", true)]
+#[case::informational_length("HTTP/1.1 103 Early Hints", "Content-Length: 4", false)]
+#[case::informational_chunks("HTTP/1.1 100 Continue", "Transfer-Encoding: chunked", false)]
+fn the_end_of_a_body_is_stated_once(
+    #[case] start: &str,
+    #[case] fields: &str,
+    #[case] is_valid: bool,
+) {
+    let text = format!("{start}\r\n{fields}\r\n\r\n");
+    assert_eq!(head::check(text.as_bytes()).is_ok(), is_valid);
+}
