Check the heads of all answers that a client library reads

Callers saw: through the product's own interface, a plain service's answer with "X-A : 1" in its head was passed on, one whose length or id stood like that was believed, and one with a name of 70,000 bytes ended the connection.

A router on the platform believed "Store-Era : 9" of a broken answer of the store, after which it ignores each sound one as that of an earlier era; such a name ended its reader of the store by a panic, after which it is started again.

Change: the connections that awc gets hold the head of each answer back until it is complete and has passed the same check. They are opened in one place for all clients; the module comes from crates/router, where it made the end of a connection an error. This now holds for the store and the command, too.

--- a/crates/cli/src/nodes.rs
+++ b/crates/cli/src/nodes.rs
@@ -19,7 +19,10 @@
 
 /// Fetches the status of each node; the exit code is 0 if all of them answered and are ready.
 pub(crate) async fn status(addresses: &[String]) -> Output {
-    let client = awc::Client::builder().timeout(CALL_TIMEOUT).finish();
+    let client = awc::Client::builder()
+        .connector(snipeusher_http::connector(None))
+        .timeout(CALL_TIMEOUT)
+        .finish();
     let requests = addresses.iter().map(|address| fetch(&client, address));
     let results = join_all(requests).await;
     let mut lines = Vec::new();
--- a/crates/cli/src/routers.rs
+++ b/crates/cli/src/routers.rs
@@ -60,7 +60,10 @@
 
 /// Fetches the status pages of the given routers and, transitively, of the peers that they list.
 pub(crate) async fn discover(addresses: &[String]) -> Discovery {
-    let client = awc::Client::builder().timeout(CALL_TIMEOUT).finish();
+    let client = awc::Client::builder()
+        .connector(snipeusher_http::connector(None))
+        .timeout(CALL_TIMEOUT)
+        .finish();
     let mut discovery = Discovery::default();
     let mut pending: BTreeSet<String> = addresses.iter().cloned().collect();
     while !pending.is_empty() {
--- a/crates/router/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -1,28 +1,29 @@
-//! Connections to upstreams.
+//! Connections of the client library `awc`, whose responses are checked before it reads them.
 //!
 //! The socket handles TLS, so URLs of upstreams use `http` with and without it.
 //!
 //! `awc` treats the end of a connection within a body as the end of the body. Here the end of a
-//! connection is an error, so that a truncated response is never treated as complete. A response
-//! that is delimited only by the end of the connection is therefore an error too.
+//! connection is an error, so that a truncated response is never treated as complete.
 
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use actix_rt::net::ActixStream;
 use actix_rt::net::Ready;
 use actix_rt::net::TcpStream;
+use actix_service::Service;
+use actix_service::fn_service;
 use actix_tls::connect::ConnectError;
 use actix_tls::connect::ConnectInfo;
 use actix_tls::connect::Connection;
 use actix_tls::connect::ConnectorService;
-use actix_web::dev::Service;
-use actix_web::dev::fn_service;
 use awc::Connector;
 use awc::http::Uri;
+use awc::http::uri::Scheme;
 use rustls::pki_types::ServerName;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
@@ -30,17 +31,31 @@
 use tokio_rustls::TlsConnector;
 use tokio_rustls::client::TlsStream;
 
-/// A connection that reports its end as an error.
+use crate::filter::Filter;
+
+/// Bytes that are read at once while a head arrives.
+const READ_BYTES: usize = 8 << 10;
+
+/// A connection that passes on the bytes of valid responses, and reports its end as an error.
+#[derive(Debug)]
+pub struct Socket {
+    stream: Stream,
+    /// `None` if the bytes are those of a TLS connection within this one.
+    filter: Option<Filter>,
+}
+
+/// The connection itself.
 #[derive(Debug)]
-pub(crate) enum Socket {
+enum Stream {
     /// Without TLS.
     Plain(TcpStream),
     /// With TLS.
     Tls(Box<TlsStream<TcpStream>>),
 }
 
-/// Returns a connector that opens [`Socket`]s, with TLS if a configuration is given.
-pub(crate) fn connector(
+/// Returns a connector that opens [`Socket`]s, with TLS if a configuration is given. Responses are
+/// not checked if `awc` itself speaks TLS, which it does for `https` URLs.
+pub fn connector(
     tls: Option<Arc<rustls::ClientConfig>>,
 ) -> Connector<
     impl Service<ConnectInfo<Uri>, Response = Connection<Uri, Socket>, Error = ConnectError> + Clone,
@@ -58,17 +73,19 @@
     let (stream, uri) = connection.into_parts();
     // A request consists of several small writes, which Nagle's algorithm would delay.
     stream.set_nodelay(true).map_err(ConnectError::Io)?;
-    let socket = match tls {
-        None => Socket::Plain(stream),
+    let is_encrypted = uri.scheme() == Some(&Scheme::HTTPS);
+    let stream = match tls {
+        None => Stream::Plain(stream),
         Some(config) => {
             let host = uri.host().unwrap_or_default().to_owned();
             let name = ServerName::try_from(host)
                 .map_err(|error| ConnectError::Io(io::Error::other(error)))?;
             let handshake = TlsConnector::from(config).connect(name, stream).await;
-            Socket::Tls(Box::new(handshake.map_err(ConnectError::Io)?))
+            Stream::Tls(Box::new(handshake.map_err(ConnectError::Io)?))
         }
     };
-    Ok(Connection::new(uri, socket))
+    let filter = (!is_encrypted).then(Filter::new);
+    Ok(Connection::new(uri, Socket { stream, filter }))
 }
 
 impl AsyncRead for Socket {
@@ -77,15 +94,20 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let polled = match self.get_mut() {
-            Self::Plain(stream) => Pin::new(stream).poll_read(cx, buf),
-            Self::Tls(stream) => Pin::new(stream).poll_read(cx, buf),
+        let Self { stream, filter } = self.get_mut();
+        let Some(filter) = filter else {
+            return stream.poll_some(cx, buf);
         };
-        if matches!(polled, Poll::Ready(Ok(()))) && buf.filled().len() == before {
-            return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+        let mut bytes = [0; READ_BYTES];
+        while filter.is_in_head() {
+            let mut part = ReadBuf::new(&mut bytes);
+            ready!(stream.poll_some(cx, &mut part))?;
+            filter.receive(part.filled()).map_err(io::Error::other)?;
         }
-        polled
+        if filter.pass_on(buf) {
+            return Poll::Ready(Ok(()));
+        }
+        stream.poll_some(cx, buf)
     }
 }
 
@@ -95,23 +117,25 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        match self.get_mut() {
-            Self::Plain(stream) => Pin::new(stream).poll_write(cx, buf),
-            Self::Tls(stream) => Pin::new(stream).poll_write(cx, buf),
+        let Self { stream, filter } = self.get_mut();
+        let written = ready!(stream.poll_write(cx, buf))?;
+        if let Some(filter) = filter {
+            filter.record_request();
         }
+        Poll::Ready(Ok(written))
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match self.get_mut() {
-            Self::Plain(stream) => Pin::new(stream).poll_flush(cx),
-            Self::Tls(stream) => Pin::new(stream).poll_flush(cx),
+        match &mut self.get_mut().stream {
+            Stream::Plain(stream) => Pin::new(stream).poll_flush(cx),
+            Stream::Tls(stream) => Pin::new(stream).poll_flush(cx),
         }
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        match self.get_mut() {
-            Self::Plain(stream) => Pin::new(stream).poll_shutdown(cx),
-            Self::Tls(stream) => Pin::new(stream).poll_shutdown(cx),
+        match &mut self.get_mut().stream {
+            Stream::Plain(stream) => Pin::new(stream).poll_shutdown(cx),
+            Stream::Tls(stream) => Pin::new(stream).poll_shutdown(cx),
         }
     }
 }
@@ -128,9 +152,31 @@
 
 impl Socket {
     fn tcp(&self) -> &TcpStream {
+        match &self.stream {
+            Stream::Plain(stream) => stream,
+            Stream::Tls(stream) => stream.get_ref().0,
+        }
+    }
+}
+
+impl Stream {
+    /// Reads at least one byte; the end of the connection is an error.
+    fn poll_some(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = match self {
+            Self::Plain(stream) => Pin::new(stream).poll_read(cx, buf),
+            Self::Tls(stream) => Pin::new(stream).poll_read(cx, buf),
+        };
+        if matches!(polled, Poll::Ready(Ok(()))) && buf.filled().len() == before {
+            return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+        }
+        polled
+    }
+
+    fn poll_write(&mut self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         match self {
-            Self::Plain(stream) => stream,
-            Self::Tls(stream) => stream.get_ref().0,
+            Self::Plain(stream) => Pin::new(stream).poll_write(cx, buf),
+            Self::Tls(stream) => Pin::new(stream).poll_write(cx, buf),
         }
     }
 }
--- a/crates/http/tests/head.rs
+++ b/crates/http/tests/head.rs
@@ -16,7 +16,8 @@
     let bytes = format!("{SOUND}body : of the response\r\n");
     let checked = head::check(bytes.as_bytes()).expect("it is valid");
     let length = SOUND.len();
-    assert_eq!(checked, Some(Head { length }));
+    let expected = Head { length };
+    assert_eq!(checked, Some(expected));
 }
 
 /// Guards against a line that passes although another recipient may read it as another field.
--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -24,7 +24,6 @@
 use crate::dispatch::InFlight;
 use crate::problem;
 use crate::shared::Shared;
-use crate::socket;
 
 /// Header with the attempt id, set on requests and returned with responses.
 pub(crate) const ATTEMPT: &str = "x-attempt-id";
@@ -89,7 +88,7 @@
 }
 
 fn client_with(transport: &Transport, idle_timeout: Duration) -> Client {
-    let connector = socket::connector(transport.tls.clone())
+    let connector = snipeusher_http::connector(transport.tls.clone())
         .timeout(transport.timeout)
         .conn_keep_alive(idle_timeout)
         .limit(0);
@@ -212,7 +211,7 @@
 }
 
 impl Reply {
-    /// Reads the body; returns `None` if it is truncated, see [`socket`].
+    /// Reads the body; returns `None` if it is truncated, see [`snipeusher_http`].
     pub(crate) async fn read_body(&mut self, limit: usize) -> Option<Bytes> {
         match self.body.take() {
             Some(body) => Some(body),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -33,7 +33,6 @@
 mod serve;
 mod session;
 mod shared;
-mod socket;
 mod stream;
 
 pub use crate::router::Error;
--- a/crates/store/src/gateway.rs
+++ b/crates/store/src/gateway.rs
@@ -78,6 +78,7 @@
     /// Creates a client for the current thread; it connects with the first call.
     pub fn open(self) -> Gateway {
         let client = Client::builder()
+            .connector(snipeusher_http::connector(None))
             .disable_redirects()
             .timeout(self.0.timeout)
             .finish();
--- a/crates/store/tests/gateway.rs
+++ b/crates/store/tests/gateway.rs
@@ -1,5 +1,7 @@
 //! The gateway client with a fake service on a loopback address.
 
+use std::io::Read as _;
+use std::io::Write as _;
 use std::pin::pin;
 use std::time::Duration;
 
@@ -172,6 +174,37 @@
     assert_eq!(gateway.call(put("a", "x", None)).await, Err(Fault::Lost));
 }
 
+/// Guards against a response of which not all is valid and that is believed, and against a panic of
+/// the codec.
+#[actix_rt::test]
+async fn broken_responses_count_as_lost() {
+    let long = format!("{}: 1", "x".repeat(70_000));
+    for (status, line) in [
+        ("200 OK", "X-A : 1"),
+        ("200 OK", &long),
+        ("600 OK", "X-A: 1"),
+    ] {
+        let body = r#"{"header":{"revision":"7"},"kvs":[]}"#;
+        let length = body.len();
+        let head = format!("HTTP/1.1 {status}\r\n{line}\r\nContent-Length: {length}\r\n\r\n");
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let url = format!("http://{}", listener.local_addr().unwrap());
+        std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let read = stream.read(&mut [0; 4_096]).unwrap();
+            assert!(read > 0);
+            stream
+                .write_all(format!("{head}{body}").as_bytes())
+                .unwrap();
+            // The client closes the connection.
+            let _end = stream.read(&mut [0; 4_096]);
+        });
+        let gateway = gateway(vec![url], Duration::from_secs(20));
+        let called = gateway.call(Call::Range(prefix("a/"))).await;
+        assert_eq!(called, Err(Fault::Lost), "{status}");
+    }
+}
+
 /// Guards against calls that fail although another endpoint is reachable.
 #[actix_rt::test]
 async fn calls_fail_over_to_another_endpoint() {
