Skip informational answers of plain services and engines

Callers saw: a plain service's 103 Early Hints or 100 Continue as its answer, without the one that followed.

Cause: awc takes the first head that it reads for that of the final response.

Change: informational heads are checked and then dropped before awc reads them.

Measured: the_response_after_an_informational_one_arrives (router) failed before, passes now.

--- a/crates/http/src/filter.rs
+++ b/crates/http/src/filter.rs
@@ -9,7 +9,7 @@
 
 use crate::head;
 
-/// Largest head of a response.
+/// Largest head of a response, informational ones before it included.
 const HEAD_BYTES_MAX: usize = 256 << 10;
 /// Why a response is not passed on.
 #[derive(Debug, Snafu)]
@@ -43,6 +43,8 @@
     stage: Stage,
     /// Bytes that arrived and were not passed on.
     held: BytesMut,
+    /// Bytes of the informational heads of this response.
+    skipped: usize,
 }
 
 impl Filter {
@@ -51,6 +53,7 @@
         Self {
             stage: Stage::Body,
             held: BytesMut::new(),
+            skipped: 0,
         }
     }
 
@@ -59,6 +62,7 @@
         if self.stage == Stage::Body {
             self.stage = Stage::Head;
             self.held.clear();
+            self.skipped = 0;
         }
     }
 
@@ -70,11 +74,17 @@
     /// Adds bytes that arrived within a head.
     pub(crate) fn receive(&mut self, bytes: &[u8]) -> Result<(), Error> {
         self.held.extend_from_slice(bytes);
-        if head::check(&self.held).context(InvalidSnafu)?.is_some() {
-            self.stage = Stage::Body;
-            return Ok(());
+        while let Some(head) = head::check(&self.held).context(InvalidSnafu)? {
+            if !head.is_informational() {
+                self.stage = Stage::Body;
+                return Ok(());
+            }
+            // The client takes the first head that it reads for that of the final response.
+            self.held.advance(head.length);
+            self.skipped += head.length;
         }
-        ensure!(self.held.len() <= HEAD_BYTES_MAX, TooLongSnafu);
+        let length = self.skipped + self.held.len();
+        ensure!(length <= HEAD_BYTES_MAX, TooLongSnafu);
         Ok(())
     }
 
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -61,6 +61,15 @@
 pub struct Head {
     /// Length in bytes, the empty line at the end included.
     pub length: usize,
+    /// The status.
+    pub status: u16,
+}
+
+impl Head {
+    /// Whether another head follows for the same request.
+    pub const fn is_informational(&self) -> bool {
+        self.status < STATUS_FINAL
+    }
 }
 
 /// Checks the head of a response at the start of some bytes; `None` if it is not complete and valid
@@ -77,7 +86,7 @@
     check_names(response.headers)?;
     let is_current = response.version == Some(VERSION_CURRENT);
     check_framing(status, is_current, response.headers)?;
-    Ok(Some(Head { length }))
+    Ok(Some(Head { length, status }))
 }
 
 /// Checks the names of the fields in the head of a request, as far as they can be parsed.
--- a/crates/http/tests/head.rs
+++ b/crates/http/tests/head.rs
@@ -16,7 +16,10 @@
     let bytes = format!("{SOUND}body : of the response\r\n");
     let checked = head::check(bytes.as_bytes()).expect("it is valid");
     let length = SOUND.len();
-    let expected = Head { length };
+    let expected = Head {
+        length,
+        status: 200,
+    };
     assert_eq!(checked, Some(expected));
 }
 
--- a/crates/router/tests/broken_answers.rs
+++ b/crates/router/tests/broken_answers.rs
@@ -19,7 +19,7 @@
 const TIMEOUT: Duration = Duration::from_secs(10);
 /// What a service in trouble sends, and then closes the connection. `ID` is the identifier of the
 /// attempt.
-const BROKEN: [(&str, &str); 13] = [
+const BROKEN: [(&str, &str); 14] = [
     (
         "blank before a colon",
         "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-A : 1\r\nContent-Length: 4\r\n\r\nbody",
@@ -72,6 +72,10 @@
         "part of chunks",
         "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
     ),
+    (
+        "informational and no more",
+        "HTTP/1.1 103 Early Hints\r\nX-Attempt-Id: ID\r\n\r\n",
+    ),
 ];
 
 /// A service that sends the bytes that the path of a request selects. Each response has a connection
@@ -185,3 +189,20 @@
         assert!(next.ends_with("\r\n\r\nsound"), "after {name}: {next}");
     }
 }
+
+/// Guards against an informational response that is passed on as the final one.
+#[actix_rt::test]
+async fn the_response_after_an_informational_one_arrives() {
+    let address = service(|_path, id| {
+        format!(
+            "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n\
+             HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nContent-Length: 5\r\n\r\nsound"
+        )
+    });
+    let fleet = start_fleet(address).await;
+    let text = send(&fleet, "/match", "x").await;
+    assert!(
+        text.starts_with("HTTP/1.1 200") && text.ends_with("\r\n\r\nsound"),
+        "{text}"
+    );
+}
