Reject answers without a length that awc reads as empty

Cause: awc reads no body where neither is stated, although one that ends with its connection is allowed.

Change: the head of such an answer is an error, as crates/router meant it to be since it made the end of a connection one. An answer to a HEAD request, a 204 and a 304 have no body.

Measured: a_reset_while_the_request_is_written_is_no_end (router, 8 uploads of 900 kB) got a 200 without a body before, a failure now; so with "no length" of broken_responses_are_failures.

--- a/crates/http/src/filter.rs
+++ b/crates/http/src/filter.rs
@@ -11,6 +11,9 @@
 
 /// Largest head of a response, informational ones before it included.
 const HEAD_BYTES_MAX: usize = 256 << 10;
+/// How a request starts whose response has no body even with a length.
+const HEAD_REQUEST: &[u8] = b"HEAD ";
+
 /// Why a response is not passed on.
 #[derive(Debug, Snafu)]
 pub(crate) enum Error {
@@ -23,6 +26,9 @@
     /// Its head has no end.
     #[snafu(display("the response head is larger than {HEAD_BYTES_MAX} bytes"))]
     TooLong,
+    /// Its body has neither a length nor chunks.
+    #[snafu(display("the response states no end of its body"))]
+    Unframed,
 }
 
 /// What of a response has arrived.
@@ -45,6 +51,7 @@
     held: BytesMut,
     /// Bytes of the informational heads of this response.
     skipped: usize,
+    is_head_request: bool,
 }
 
 impl Filter {
@@ -54,15 +61,17 @@
             stage: Stage::Body,
             held: BytesMut::new(),
             skipped: 0,
+            is_head_request: false,
         }
     }
 
     /// Records that bytes of a request were written.
-    pub(crate) fn record_request(&mut self) {
+    pub(crate) fn record_request(&mut self, bytes: &[u8]) {
         if self.stage == Stage::Body {
             self.stage = Stage::Head;
             self.held.clear();
             self.skipped = 0;
+            self.is_head_request = bytes.starts_with(HEAD_REQUEST);
         }
     }
 
@@ -76,6 +85,7 @@
         self.held.extend_from_slice(bytes);
         while let Some(head) = head::check(&self.held).context(InvalidSnafu)? {
             if !head.is_informational() {
+                ensure!(self.is_head_request || head.is_framed(), UnframedSnafu);
                 self.stage = Stage::Body;
                 return Ok(());
             }
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -27,6 +27,11 @@
 /// Lowest status that is not informational.
 const STATUS_FINAL: u16 = 200;
 
+/// Status of a response without a body.
+const STATUS_NO_CONTENT: u16 = 204;
+/// Status of a response without a body, since the caller has the content cached.
+const STATUS_NOT_MODIFIED: u16 = 304;
+
 const CONTENT_LENGTH: &str = "content-length";
 const TRANSFER_ENCODING: &str = "transfer-encoding";
 
@@ -63,6 +68,8 @@
     pub length: usize,
     /// The status.
     pub status: u16,
+    /// Whether it states a length or chunks.
+    pub states_end: bool,
 }
 
 impl Head {
@@ -70,6 +77,11 @@
     pub const fn is_informational(&self) -> bool {
         self.status < STATUS_FINAL
     }
+
+    /// Whether the end of the body is known without the end of the connection.
+    pub const fn is_framed(&self) -> bool {
+        self.states_end || matches!(self.status, STATUS_NO_CONTENT | STATUS_NOT_MODIFIED)
+    }
 }
 
 /// Checks the head of a response at the start of some bytes; `None` if it is not complete and valid
@@ -85,8 +97,12 @@
     check_status(status)?;
     check_names(response.headers)?;
     let is_current = response.version == Some(VERSION_CURRENT);
-    check_framing(status, is_current, response.headers)?;
-    Ok(Some(Head { length, status }))
+    let states_end = check_framing(status, is_current, response.headers)?;
+    Ok(Some(Head {
+        length,
+        status,
+        states_end,
+    }))
 }
 
 /// Checks the names of the fields in the head of a request, as far as they can be parsed.
@@ -115,8 +131,8 @@
 
 /// Checks that the end of a body is stated once. A sender that states both a length and chunks may
 /// want two recipients to see two bodies, the version before 1.1 has no chunks, and an informational
-/// response has no body (RFC 9112, sections 6.1 and 6.3).
-fn check_framing(status: u16, is_current: bool, fields: &[Header<'_>]) -> Result<(), Error> {
+/// response has no body (RFC 9112, sections 6.1 and 6.3). Returns whether it is stated.
+fn check_framing(status: u16, is_current: bool, fields: &[Header<'_>]) -> Result<bool, Error> {
     let has = |name| {
         fields
             .iter()
@@ -129,5 +145,5 @@
         !is_encoded || is_current && !is_sized
     };
     ensure!(is_certain, FramingSnafu);
-    Ok(())
+    Ok(is_sized || is_encoded)
 }
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -3,7 +3,8 @@
 //! The socket handles TLS, so URLs of upstreams use `http` with and without it.
 //!
 //! `awc` treats the end of a connection within a body as the end of the body. Here the end of a
-//! connection is an error, so that a truncated response is never treated as complete.
+//! connection is an error, so that a truncated response is never treated as complete. It takes a body
+//! that is delimited only by the end of the connection for none, so that is an error, too.
 
 use std::io;
 use std::pin::Pin;
@@ -120,7 +121,7 @@
         let Self { stream, filter } = self.get_mut();
         let written = ready!(stream.poll_write(cx, buf))?;
         if let Some(filter) = filter {
-            filter.record_request();
+            filter.record_request(&buf[..written]);
         }
         Poll::Ready(Ok(written))
     }
--- a/crates/http/tests/head.rs
+++ b/crates/http/tests/head.rs
@@ -19,6 +19,7 @@
     let expected = Head {
         length,
         status: 200,
+        states_end: false,
     };
     assert_eq!(checked, Some(expected));
 }
--- a/crates/router/tests/broken_answers.rs
+++ b/crates/router/tests/broken_answers.rs
@@ -17,9 +17,11 @@
 
 /// Limit on the time of a response.
 const TIMEOUT: Duration = Duration::from_secs(10);
+/// Body of an upload: more than is forwarded at once.
+const UPLOAD_BYTES: usize = 900_000;
 /// What a service in trouble sends, and then closes the connection. `ID` is the identifier of the
 /// attempt.
-const BROKEN: [(&str, &str); 14] = [
+const BROKEN: [(&str, &str); 15] = [
     (
         "blank before a colon",
         "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-A : 1\r\nContent-Length: 4\r\n\r\nbody",
@@ -60,6 +62,10 @@
         "chunks of the older version",
         "HTTP/1.0 200 OK\r\nX-Attempt-Id: ID\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
     ),
+    (
+        "no length",
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n\r\nbody",
+    ),
     (
         "no length, older version",
         "HTTP/1.0 200 OK\r\nX-Attempt-Id: ID\r\n\r\nbody",
@@ -206,3 +212,20 @@
         "{text}"
     );
 }
+
+/// Guards against a part of a body that looks complete, since the connection was reset while the
+/// upload was written.
+#[actix_rt::test]
+async fn a_reset_while_the_request_is_written_is_no_end() {
+    let address = service(|_path, id| {
+        // The upload is not read, so the close resets the connection.
+        thread::sleep(Duration::from_millis(20));
+        format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n\r\npart")
+    });
+    let fleet = start_fleet(address).await;
+    for _ in 0..8 {
+        let fleet = &fleet;
+        let text = send(fleet, "/match", &"x".repeat(UPLOAD_BYTES)).await;
+        assert!(!text.starts_with("HTTP/1.1 2"), "{text}");
+    }
+}
