Pass on no body of a status that has none at the other interface

Callers saw: through the product's own interface, the bytes behind a 204 or 304 that states a length followed it on the caller's connection, where the next answer is due.

The 15 kinds of broken answers are now also sent by an engine, to calls with and without a stream.

--- a/crates/router/src/attempt.rs
+++ b/crates/router/src/attempt.rs
@@ -210,11 +210,18 @@
     header_text(response.headers(), CACHED_TOKENS)?.parse().ok()
 }
 
+/// Whether a response with this status has a body. The client reads one wherever a length or chunks
+/// are stated.
+pub(crate) fn has_body(status: StatusCode) -> bool {
+    !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
 impl Reply {
     /// Reads the body; returns `None` if it is truncated, see [`snipeusher_http`].
     pub(crate) async fn read_body(&mut self, limit: usize) -> Option<Bytes> {
         match self.body.take() {
             Some(body) => Some(body),
+            None if !has_body(self.response.status()) => Some(Bytes::new()),
             None => self.response.body().limit(limit).await.ok(),
         }
     }
--- a/crates/router/src/plain.rs
+++ b/crates/router/src/plain.rs
@@ -326,7 +326,7 @@
 }
 
 /// Forwards the head of a response at once and its body as it arrives.
-fn respond(session: Session, dispatch: &Dispatch, reply: Reply) -> HttpResponse {
+fn respond(mut session: Session, dispatch: &Dispatch, reply: Reply) -> HttpResponse {
     let Reply {
         response,
         body: read,
@@ -335,6 +335,10 @@
     for (name, value) in end_to_end(response.headers()) {
         head.append_header((name.clone(), value.clone()));
     }
+    if !attempt::has_body(response.status()) {
+        session.finish(Outcome::Complete);
+        return head.finish();
+    }
     if let Some(length) = header_text(response.headers(), "content-length")
         && let Ok(length) = length.parse()
     {
--- a/crates/router/tests/broken_answers.rs
+++ b/crates/router/tests/broken_answers.rs
@@ -13,12 +13,15 @@
 use common::Fleet;
 use common::KEY;
 use common::Plan;
+use common::chat_body;
 use common::upstream;
 
 /// Limit on the time of a response.
 const TIMEOUT: Duration = Duration::from_secs(10);
 /// Body of an upload: more than is forwarded at once.
 const UPLOAD_BYTES: usize = 900_000;
+/// Path of an engine's status.
+const STATUS_PATH: &str = "/engine/v1/status";
 /// What a service in trouble sends, and then closes the connection. `ID` is the identifier of the
 /// attempt.
 const BROKEN: [(&str, &str); 15] = [
@@ -115,15 +118,48 @@
         let count = stream.read(&mut part).ok().filter(|count| *count > 0)?;
         read.extend_from_slice(&part[..count]);
         let text = String::from_utf8_lossy(&read);
-        // The body is a single letter, or is not waited for.
+        // No body is longer than one read, or is waited for.
         if let Some((head, body)) = text.split_once("\r\n\r\n")
-            && !body.is_empty()
+            && (head.starts_with("GET ") || !body.is_empty())
         {
             return Some(head.to_owned());
         }
     }
 }
 
+/// An engine whose status is that of a sound one.
+fn engine(
+    sound: SocketAddr,
+    script: impl Fn(&str, &str) -> String + Clone + Send + 'static,
+) -> SocketAddr {
+    service(move |path, id| {
+        if path != STATUS_PATH {
+            return script(path, id);
+        }
+        let mut stream = TcpStream::connect(sound).expect("the engine listens");
+        let request = format!("GET {path} HTTP/1.1\r\nHost: e\r\nConnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).expect("it reads");
+        let mut status = String::new();
+        stream.read_to_string(&mut status).expect("it is text");
+        status
+    })
+}
+
+/// Starts a router in front of such an engine.
+async fn start_before_engine(
+    script: impl Fn(&str, &str) -> String + Clone + Send + 'static,
+) -> Fleet {
+    Fleet::start(Plan {
+        engines: 1,
+        settings: Box::new(move |settings| {
+            let listed = &mut settings.upstreams[0];
+            listed.address = engine(listed.address, script.clone());
+        }),
+        ..Plan::default()
+    })
+    .await
+}
+
 /// Starts a router in front of a service.
 async fn start_fleet(address: SocketAddr) -> Fleet {
     Fleet::start(Plan {
@@ -196,6 +232,40 @@
     }
 }
 
+/// The same of an engine.
+#[actix_rt::test]
+async fn broken_responses_of_an_engine_are_failures() {
+    for (name, text) in BROKEN {
+        for is_stream in [false, true] {
+            let fleet = start_before_engine(move |_path, id| {
+                let text = text.replace("LONG", &"x".repeat(70_000));
+                text.replace("ID", id)
+            })
+            .await;
+            let body = chat_body("A letter", is_stream, 4).to_string();
+            let text = send(&fleet, "/v1/chat/completions", &body).await;
+            assert!(is_failure(&text), "{name}: {text}");
+        }
+    }
+}
+
+/// Guards against the bytes behind an engine's response without a body.
+#[actix_rt::test]
+async fn a_status_of_an_engine_without_a_body_has_none() {
+    for is_stream in [false, true] {
+        let fleet = start_before_engine(|_path, id| {
+            format!(
+                "HTTP/1.1 204 No Content\r\nX-Attempt-Id: {id}\r\nContent-Length: 4\r\n\r\nbody"
+            )
+        })
+        .await;
+        let body = chat_body("A letter", is_stream, 4).to_string();
+        let text = send(&fleet, "/v1/chat/completions", &body).await;
+        let is_empty = text.ends_with("\r\n\r\n");
+        assert!(text.starts_with("HTTP/1.1 204") && is_empty, "{text}");
+    }
+}
+
 /// Guards against an informational response that is passed on as the final one.
 #[actix_rt::test]
 async fn the_response_after_an_informational_one_arrives() {
@@ -213,6 +283,24 @@
     );
 }
 
+/// Guards against the bytes behind a response without a body, which would follow it on the caller's
+/// connection.
+#[actix_rt::test]
+async fn a_status_without_a_body_has_none() {
+    for status in ["204 No Content", "304 Not Modified"] {
+        let address = service(move |_path, id| {
+            format!("HTTP/1.1 {status}\r\nX-Attempt-Id: {id}\r\nContent-Length: 4\r\n\r\nbody")
+        });
+        let fleet = start_fleet(address).await;
+        let text = send(&fleet, "/match", "x").await;
+        let is_empty = text.ends_with("\r\n\r\n");
+        assert!(
+            text.starts_with(&format!("HTTP/1.1 {status}")) && is_empty,
+            "{text}"
+        );
+    }
+}
+
 /// Guards against a part of a body that looks complete, since the connection was reset while the
 /// upload was written.
 #[actix_rt::test]
