--- a/crates/edge/tests/broken_framing.rs
+++ b/crates/edge/tests/broken_framing.rs
@@ -3,7 +3,6 @@
 mod common;
 
 use common::caller::Caller;
-use common::caller::Response;
 use common::caller::call;
 use common::caller::post;
 use common::engine::Act;
@@ -54,11 +53,6 @@
     ),
 ];
 
-/// Whether a response is the router's own failure, which promises nothing.
-fn is_failure(response: &Response) -> bool {
-    response.status == 502 && response.header("t-signature").is_none() && response.body.is_empty()
-}
-
 /// A response with some framing, after which the connection ends.
 fn framed(version: &str, id: &str, framing: &str, rest: &str) -> Vec<Act> {
     let fields = format!("T-Id: {id}\r\nT-Signature: s\r\n{framing}");
@@ -87,7 +81,7 @@
     let (routers, _store) = routers(&engines, way).await;
     for (number, framing) in FRAMINGS.iter().enumerate() {
         let response = call(routers[0].front, &post(path, &number.to_string(), "x")).await;
-        assert!(is_failure(&response), "{framing:?}: {response:?}");
+        assert!(response.is_own_failure(), "{framing:?}: {response:?}");
     }
     let sent: usize = engines.iter().map(Engine::count).sum();
     assert!(sent >= FRAMINGS.len(), "{sent} were sent");
@@ -103,7 +97,7 @@
     let engine = Engine::start(move |seen| framed("HTTP/1.0", seen.id(), framing, chunks)).await;
     let (node, _store) = single(&[&engine]).await;
     let response = call(node.front, &post("/write/", "r1", "x")).await;
-    assert!(is_failure(&response), "{response:?}");
+    assert!(response.is_own_failure(), "{response:?}");
 }
 
 /// Guards against bytes behind a response that has no body by its status: they would follow the
@@ -153,5 +147,5 @@
     .await;
     let (node, _store) = single(&[&engine]).await;
     let response = call(node.front, &post("/write/", "r1", "x")).await;
-    assert!(is_failure(&response), "{response:?}");
+    assert!(response.is_own_failure(), "{response:?}");
 }
--- a/crates/edge/tests/broken_heads.rs
+++ b/crates/edge/tests/broken_heads.rs
@@ -39,11 +39,6 @@
     "X-A: a\rb",
 ];
 
-/// Whether a response is the router's own failure, which promises nothing.
-fn is_failure(response: &Response) -> bool {
-    response.status == 502 && response.header("t-signature").is_none() && response.body.is_empty()
-}
-
 /// A response with a line in its head, which is whole but for that.
 fn with_line(id: &str, line: &str) -> Act {
     let line = line.replace("ID", id);
@@ -89,7 +84,7 @@
     let script = |number: usize| vec![with_line(&number.to_string(), LINES[number])];
     let responses = responses(LINES.len(), path, way, script).await;
     for (line, response) in LINES.iter().zip(responses) {
-        assert!(is_failure(&response), "{line:?}: {response:?}");
+        assert!(response.is_own_failure(), "{line:?}: {response:?}");
     }
 }
 
@@ -108,7 +103,7 @@
 ) {
     let script = move |number: usize| vec![Act::Write(text.replace("ID", &number.to_string()))];
     for response in responses(4, "/write/", way, script).await {
-        assert!(is_failure(&response), "{response:?}");
+        assert!(response.is_own_failure(), "{response:?}");
     }
 }
 
@@ -132,7 +127,7 @@
     .await;
     let (node, _store) = single(&[&engine]).await;
     let broken = call(node.front, &post("/write/", "broken", "x")).await;
-    assert!(is_failure(&broken), "{broken:?}");
+    assert!(broken.is_own_failure(), "{broken:?}");
     let sound = call(node.front, &post("/write/", "sound", "x")).await;
     assert_eq!((sound.status, sound.body.as_str()), (200, "body"));
 }
@@ -155,7 +150,7 @@
         vec![with_line(&number.to_string(), &line)]
     };
     for response in responses(4, path, way, script).await {
-        assert!(is_failure(&response), "{response:?}");
+        assert!(response.is_own_failure(), "{response:?}");
     }
 }
 
@@ -204,6 +199,6 @@
     };
     let responses = responses(STATUSES.len(), path, way, script).await;
     for (status, response) in STATUSES.iter().zip(responses) {
-        assert!(is_failure(&response), "{status:?}: {response:?}");
+        assert!(response.is_own_failure(), "{status:?}: {response:?}");
     }
 }
--- a/crates/edge/tests/common/caller.rs
+++ b/crates/edge/tests/common/caller.rs
@@ -22,6 +22,11 @@
 }
 
 impl Response {
+    /// Whether it is the router's own failure, which promises nothing.
+    pub fn is_own_failure(&self) -> bool {
+        self.status == 502 && self.header("t-signature").is_none() && self.body.is_empty()
+    }
+
     pub fn header(&self, name: &str) -> Option<&str> {
         self.head.lines().skip(1).find_map(|line| {
             let (key, value) = line.split_once(':')?;
--- a/crates/edge/tests/drawn_answers.rs
+++ b/crates/edge/tests/drawn_answers.rs
@@ -236,9 +236,11 @@
         assert!(is_whole, "seed {seed}: {draw:?}: {got:?}");
         return;
     }
-    let is_own = got.status == 502 && got.header("t-signature").is_none() && got.body.is_empty();
     let is_broken_off = !got.complete && draw.body().starts_with(&got.body);
-    assert!(is_own || is_broken_off, "seed {seed}: {draw:?}: {got:?}");
+    assert!(
+        got.is_own_failure() || is_broken_off,
+        "seed {seed}: {draw:?}: {got:?}"
+    );
 }
 
 fn number(name: &str, default: u64) -> u64 {
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -1,4 +1,4 @@
-//! The check of a response's head.
+//! The check of a response's head, and of the names in that of a request.
 //!
 //! A head with a line that is no field is invalid as a whole (RFC 9112, section 5.1): another
 //! recipient may take the line for another field, or for none, and so see another body.
@@ -44,7 +44,7 @@
         /// The cause.
         source: httparse::Error,
     },
-    /// The status is out of range, or the answer to no request.
+    /// The status is out of range, or switches to a protocol that no request asked for.
     #[snafu(display("the status {status} is not valid"))]
     Status {
         /// The status.
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -99,11 +99,8 @@
         let Some(filter) = filter else {
             return stream.poll_some(cx, buf);
         };
-        let mut bytes = [0; READ_BYTES];
         while filter.is_in_head() {
-            let mut part = ReadBuf::new(&mut bytes);
-            ready!(stream.poll_some(cx, &mut part))?;
-            filter.receive(part.filled()).map_err(io::Error::other)?;
+            ready!(stream.poll_head(cx, filter))?;
         }
         if filter.pass_on(buf) {
             return Poll::Ready(Ok(()));
@@ -174,6 +171,14 @@
         polled
     }
 
+    /// Reads a part of a head.
+    fn poll_head(&mut self, cx: &mut Context<'_>, filter: &mut Filter) -> Poll<io::Result<()>> {
+        let mut bytes = [0; READ_BYTES];
+        let mut part = ReadBuf::new(&mut bytes);
+        ready!(self.poll_some(cx, &mut part))?;
+        Poll::Ready(filter.receive(part.filled()).map_err(io::Error::other))
+    }
+
     fn poll_write(&mut self, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         match self {
             Self::Plain(stream) => Pin::new(stream).poll_write(cx, buf),
