--- a/crates/router/tests/broken_answers.rs
+++ b/crates/router/tests/broken_answers.rs
@@ -18,7 +18,7 @@
 
 /// Limit on the time of a response.
 const TIMEOUT: Duration = Duration::from_secs(10);
-/// Deadline of a request in milliseconds. A router waits until then for an engine that is set aside.
+/// Deadline of a request in milliseconds, up to which a router may wait for an engine.
 const DEADLINE_MS: u64 = 2_000;
 /// Body of an upload: more than is forwarded at once.
 const UPLOAD_BYTES: usize = 900_000;
