--- a/review/.standin-3/lab.rs
+++ b/review/.standin-3/lab.rs
@@ -1460,14 +1460,14 @@
         std::process::exit(2);
     };
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let apart = (case == "cut-and-lost").then_some("front-b-1");
+    let apart = case.starts_with("cut-and-lost").then_some("front-b-1");
     let Some(mut lab) = Lab::open(directory, temporary, apart) else {
         std::process::exit(2)
     };
     let code = match &**case {
         "restored-and-restarted" => restored_and_restarted(&mut lab, has_trouble),
         "cut-and-lost" => cut_and_lost(&mut lab, has_trouble),
-        "restored-then-zone" => restored_then_zone(&mut lab, has_trouble),
+        "cut-and-lost-between-versions" => cut_and_lost_between_versions(&mut lab, has_trouble),
         _ => 2,
     };
     lab.fleet.stop();
@@ -1641,72 +1641,50 @@
     ));
 }
 
-/// Two versions serve side by side; the store comes back from a copy; seconds later, when all has
-/// been calm again, the routers of one zone are lost.
-fn restored_then_zone(lab: &mut Lab, has_trouble: bool) -> i32 {
-    let no_drill = std::env::var("DRILL").as_deref() == Ok("0");
-    const EVENTS: u64 = 130;
-    for (version, zone) in [
-        ("v1", "zone-a"),
-        ("v1", "zone-b"),
-        ("v1", "zone-c"),
-        ("v2", "zone-a"),
-        ("v2", "zone-b"),
-        ("v2", "zone-c"),
-    ] {
-        lab.engine(version, zone, EVENTS);
+/// Two versions serve side by side; one host is cut off from the other hosts and the store, and is
+/// lost while it is.
+fn cut_and_lost_between_versions(lab: &mut Lab, has_trouble: bool) -> i32 {
+    let no_cut = std::env::var("CUT").as_deref() == Ok("0");
+    const EVENTS: u64 = 100;
+    for zone in ["zone-a", "zone-b", "zone-c"] {
+        lab.engine("v1", zone, EVENTS);
+        lab.engine("v2", zone, EVENTS);
     }
+    let links = lab.fleet.open_links();
     if !lab.start_routers() {
         lab.record.say("the routers do not become ready");
         return 2;
     }
     let start = Instant::now();
-    at(start, 24.0);
-    lab.store.take_copy();
-    lab.record.say("the copy is taken");
-    let consumers = lab.begin("zone-b-", "zone-b", 24, Duration::from_millis(40));
-    at(start, 27.0);
-    if has_trouble && !no_drill {
-        lab.store.go_away();
-        lab.record.say("drill: the store is away");
-        at(start, 27.5);
-        lab.store.come_back_older();
-        lab.record.say("drill: the store is back, from the copy");
-    }
-    at(start, 31.2);
-    let lost = lab
-        .fleet
-        .routers
-        .iter()
-        .filter(|router| router.zone == "zone-b");
+    at(start, 5.0);
+    if has_trouble && !no_cut {
+        links.is_cut.store(true, SeqCst);
+        lab.record
+            .say("front-b-1 is cut off from the other hosts and the store");
+    }
+    at(start, 5.2);
+    let consumers = lab.begin("zone-b-", "zone-b", 144, Duration::from_millis(25));
+    at(start, 9.0);
     if has_trouble {
-        lab.record.say("the routers of zone-b are lost");
-        for router in lost {
-            router.kill(&lab.record);
-        }
+        let lost = lab.fleet.routers.iter().find(|router| router.is_apart);
+        lost.expect("a host is apart").kill(&lab.record);
+        lab.record.say("front-b-1 is lost");
     }
-    at(start, 32.0);
-    let new = lab.begin("new-", "zone-a", 12, Duration::from_millis(100));
+    let new = lab.begin("new-", "zone-b", 24, Duration::from_millis(50));
     let outcomes: Vec<Outcome> = consumers
         .into_iter()
         .filter_map(|it| it.join().ok())
         .collect();
     let new: Vec<Outcome> = new.into_iter().filter_map(|it| it.join().ok()).collect();
+    links.is_cut.store(false, SeqCst);
     report(lab, &outcomes);
     let begun = new.iter().filter(|it| it.events > 0).count() as f64 / new.len() as f64;
     let stable = Duration::from_millis(3_000);
+    let in_touch = |it: &&TakeUp| it.uptime >= stable && it.status != 0;
     let taken_up: Vec<bool> = outcomes
         .iter()
-        .filter(|it| {
-            it.take_ups
-                .iter()
-                .any(|it| it.uptime >= stable && it.status != 0)
-        })
-        .map(|it| {
-            it.take_ups
-                .iter()
-                .any(|it| it.uptime >= stable && it.went_on)
-        })
+        .filter(|it| it.take_ups.iter().any(|it| in_touch(&it)))
+        .map(|it| it.take_ups.iter().any(|it| in_touch(&it) && it.went_on))
         .collect();
     let went_on = taken_up.iter().filter(|it| **it).count();
     lab.record.say(&format!(
