review: case 13, streams joined across versions after an outage and a loss of hosts

Shown by review/13/run.sh: the store is down for 4.5 s of a release, and at its end four of seven hosts lose power.

--- a/review/.standin-3/lab.rs
+++ b/review/.standin-3/lab.rs
@@ -469,6 +469,10 @@
         self.changed.notify_all();
     }
 
+    fn come_back(&self) {
+        self.state.lock().unwrap().away = false;
+    }
+
     fn come_back_older(&self) {
         let mut state = self.state.lock().unwrap();
         state.contents = state.copy.clone();
@@ -773,6 +777,8 @@
     ready: SocketAddr,
     settings: PathBuf,
     child: Mutex<Option<Child>>,
+    /// Whether the host is without power, so that nothing answers at its address.
+    is_dark: AtomicBool,
     /// When its process was started last.
     started: Mutex<Instant>,
     /// Questions in a row without a 200, as the platform counts them.
@@ -793,6 +799,13 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("the program starts");
+        let pids = self.settings.with_file_name("pids");
+        let mut pids = File::options()
+            .create(true)
+            .append(true)
+            .open(pids)
+            .expect("pids");
+        writeln!(pids, "{}", child.id()).expect("pids");
         *self.child.lock().unwrap() = Some(child);
         *self.started.lock().unwrap() = Instant::now();
         fleet.record.line(&format!("{} is started", self.name));
@@ -1214,7 +1227,13 @@
         began: Option<&str>,
         left: Duration,
     ) -> std::io::Result<(u16, Tried)> {
-        let mut stream = TcpStream::connect_timeout(&router.front, Duration::from_secs(1))?;
+        // Consumers allow a new channel one second.
+        let limit = Duration::from_secs(1);
+        if router.is_dark.load(SeqCst) {
+            sleep(limit);
+            return Err(ErrorKind::TimedOut.into());
+        }
+        let mut stream = TcpStream::connect_timeout(&router.front, limit)?;
         stream.set_nodelay(true)?;
         // Consumers abandon a stream after a gap; 3.2 s is eight times the longest pause.
         stream.set_read_timeout(Some(left.min(Duration::from_millis(3_200))))?;
@@ -1377,6 +1396,7 @@
                     name,
                     ip,
                     child: Mutex::default(),
+                    is_dark: AtomicBool::new(false),
                     started: Mutex::new(Instant::now()),
                     misses: AtomicU64::new(2),
                 });
@@ -1467,6 +1487,7 @@
     let code = match &**case {
         "restored-and-restarted" => restored_and_restarted(&mut lab, has_trouble),
         "cut-and-lost" => cut_and_lost(&mut lab, has_trouble),
+        "outage-and-herd" => outage_and_herd(&mut lab, has_trouble),
         "cut-and-lost-between-versions" => cut_and_lost_between_versions(&mut lab, has_trouble),
         _ => 2,
     };
@@ -1585,6 +1606,54 @@
     judge_order(lab, &outcomes)
 }
 
+/// A release begins; the store is down for some seconds, and at its end four of seven hosts lose power.
+fn outage_and_herd(lab: &mut Lab, has_trouble: bool) -> i32 {
+    let no_outage = std::env::var("OUTAGE").as_deref() == Ok("0");
+    let no_kill = std::env::var("KILL").as_deref() == Ok("0");
+    const EVENTS: u64 = 100;
+    for zone in ["zone-a", "zone-b", "zone-c", "zone-a"] {
+        lab.engine("v1", zone, EVENTS);
+    }
+    if !lab.start_routers() {
+        lab.record.say("the routers do not become ready");
+        return 2;
+    }
+    let start = Instant::now();
+    at(start, 3.5);
+    lab.record.say("release: engines of version v2 join");
+    lab.engine("v2", "zone-b", EVENTS);
+    at(start, 4.5);
+    lab.engine("v2", "zone-c", EVENTS);
+    at(start, 5.0);
+    if has_trouble && !no_outage {
+        lab.store.go_away();
+        lab.record.say("the store is down");
+    }
+    at(start, 5.2);
+    let consumers = lab.begin("zone-b-", "zone-b", 144, Duration::from_millis(25));
+    at(start, 9.3);
+    if has_trouble && !no_kill {
+        let lost = ["front-b-1", "front-b-2", "front-b-3", "front-a-1"];
+        for router in &lab.fleet.routers {
+            if lost.contains(&&*router.name) {
+                router.is_dark.store(true, SeqCst);
+                router.kill(&lab.record);
+            }
+        }
+        lab.record.say("four hosts lose power");
+    }
+    at(start, 9.5);
+    if has_trouble && !no_outage {
+        lab.store.come_back();
+        lab.record.say("the store is back");
+    }
+    let outcomes: Vec<Outcome> = consumers
+        .into_iter()
+        .filter_map(|it| it.join().ok())
+        .collect();
+    judge_order(lab, &outcomes)
+}
+
 /// Whether more than two streams hold events of two versions.
 fn judge_order(lab: &Lab, outcomes: &[Outcome]) -> i32 {
     report(lab, outcomes);
--- a/review/run-3.sh
+++ b/review/run-3.sh
@@ -9,5 +9,11 @@
 temporary=$(mktemp -d)
 target/lab-3 "$2" "review/$1" "$temporary"
 code=$?
+# The program ends all routers; this is for the case that it failed itself.
+while read -r pid; do
+    if grep -qs "$temporary" "/proc/$pid/environ"; then
+        kill -9 "$pid"
+    fi
+done < <(cat "$temporary/pids" 2>/dev/null)
 rm -rf "$temporary"
 exit "$code"
