review: case 14, streams refused after a kill of all routers

Shown by review/14/run.sh: two versions serve, all routers are killed at once and start again, callers come back for some seconds.

--- a/review/.standin-3/lab.rs
+++ b/review/.standin-3/lab.rs
@@ -350,7 +350,6 @@
     history: u64,
     era: u64,
     away: bool,
-    copy: Contents,
 }
 
 /// The platform's store, by `PROTOCOL.md` and the users' fifth letter.
@@ -452,18 +451,6 @@
         true
     }
 
-    fn read(&self, key: &str) -> Option<String> {
-        let state = self.state.lock().unwrap();
-        let item = state.contents.items.get(key)?;
-        Some(String::from_utf8_lossy(&unbase64(&item.value)).into_owned())
-    }
-
-    /// Takes the copy from which the store may come back.
-    fn take_copy(&self) {
-        let mut state = self.state.lock().unwrap();
-        state.copy = state.contents.clone();
-    }
-
     fn go_away(&self) {
         self.state.lock().unwrap().away = true;
         self.changed.notify_all();
@@ -473,19 +460,6 @@
         self.state.lock().unwrap().away = false;
     }
 
-    fn come_back_older(&self) {
-        let mut state = self.state.lock().unwrap();
-        state.contents = state.copy.clone();
-        state.events.clear();
-        state.history = state.contents.revision;
-        let leases = state.contents.leases.iter();
-        state.expiry = leases
-            .map(|(lease, ttl)| (*lease, Instant::now() + *ttl))
-            .collect();
-        state.era += 1;
-        state.away = false;
-    }
-
     fn item_json(key: &str, item: &Item) -> String {
         let Item {
             value,
@@ -1102,6 +1076,8 @@
 
 // ---- consumers ------------------------------------------------------------------------------
 
+/// Time between two new streams in the case of all routers killed.
+const GAP_US: u64 = 2_000;
 const TIME_LIMIT: Duration = Duration::from_secs(15);
 const TRIES_MAX: u32 = 6;
 
@@ -1138,6 +1114,8 @@
 
 struct Consumer {
     fleet: Arc<Fleet>,
+    /// Least pause after the first refusal, which doubles with each further one.
+    backoff: Duration,
     zone: String,
     outcome: Outcome,
     random: u64,
@@ -1179,7 +1157,9 @@
                 Ok((status, Tried::Refused(after))) => {
                     self.note_take_up(router, uptime, before, status);
                     let left = until.saturating_duration_since(Instant::now());
-                    after.min(left / 3)
+                    let pause = after.max(self.backoff).min(left / 3);
+                    self.backoff *= 2;
+                    pause
                 }
                 Ok((status, Tried::Broken)) => {
                     self.note_take_up(router, uptime, before, status);
@@ -1360,6 +1340,8 @@
 
 struct Lab {
     record: Record,
+    /// See [`Consumer`].
+    backoff: Duration,
     store: Arc<Store>,
     fleet: Arc<Fleet>,
     net: u8,
@@ -1418,6 +1400,7 @@
         });
         Some(Self {
             record,
+            backoff: Duration::ZERO,
             store,
             fleet,
             net,
@@ -1458,6 +1441,7 @@
         let begin = |number: u64| {
             let consumer = Consumer {
                 fleet: Arc::clone(&self.fleet),
+                backoff: self.backoff,
                 zone: zone.to_owned(),
                 outcome: Outcome {
                     id: format!("{name}{number}"),
@@ -1485,8 +1469,8 @@
         std::process::exit(2)
     };
     let code = match &**case {
-        "restored-and-restarted" => restored_and_restarted(&mut lab, has_trouble),
         "cut-and-lost" => cut_and_lost(&mut lab, has_trouble),
+        "all-killed" => all_killed(&mut lab, has_trouble),
         "outage-and-herd" => outage_and_herd(&mut lab, has_trouble),
         "cut-and-lost-between-versions" => cut_and_lost_between_versions(&mut lab, has_trouble),
         _ => 2,
@@ -1501,69 +1485,6 @@
 
 // ---- cases ----------------------------------------------------------------------------------
 
-/// A release begins; seconds later the store comes back from a copy of before it, and all routers
-/// are killed at the same moment.
-fn restored_and_restarted(lab: &mut Lab, has_trouble: bool) -> i32 {
-    let (no_drill, no_kill) = (
-        std::env::var("DRILL").as_deref() == Ok("0"),
-        std::env::var("KILL").as_deref() == Ok("0"),
-    );
-    const EVENTS: u64 = 100;
-    for zone in ["zone-a", "zone-b", "zone-c", "zone-a"] {
-        lab.engine("v1", zone, EVENTS);
-    }
-    if !lab.start_routers() {
-        lab.record.say("the routers do not become ready");
-        return 2;
-    }
-    let start = Instant::now();
-    at(start, 4.0);
-    lab.store.take_copy();
-    lab.record.say("the copy is taken");
-    at(start, 4.5);
-    lab.record.say("release: engines of version v2 join");
-    lab.engine("v2", "zone-b", EVENTS);
-    lab.engine("v2", "zone-c", EVENTS);
-    at(start, 6.0);
-    lab.record.say(&format!(
-        "recorded versions: {:?}",
-        lab.store.read("snipeusher/versions")
-    ));
-    let mut consumers = Vec::new();
-    for zone in ["zone-a", "zone-b", "zone-c"] {
-        consumers.extend(lab.begin(&format!("{zone}-"), zone, 12, Duration::from_millis(20)));
-    }
-    at(start, 9.0);
-    if has_trouble {
-        if !no_drill {
-            lab.store.go_away();
-            lab.record.say("drill: the store is away");
-        }
-        if !no_kill {
-            for router in &lab.fleet.routers {
-                router.kill(&lab.record);
-            }
-            lab.record.say("all routers are killed");
-        }
-        at(start, 9.3);
-        if !no_kill {
-            for router in &lab.fleet.routers {
-                router.start(&lab.fleet, false);
-            }
-        }
-        at(start, 9.5);
-        if !no_drill {
-            lab.store.come_back_older();
-            lab.record.say("drill: the store is back, from the copy");
-        }
-    }
-    let outcomes: Vec<Outcome> = consumers
-        .into_iter()
-        .filter_map(|it| it.join().ok())
-        .collect();
-    judge_order(lab, &outcomes)
-}
-
 /// A release begins; a second later one host is cut off from the other hosts and the store, and is
 /// lost while it is.
 fn cut_and_lost(lab: &mut Lab, has_trouble: bool) -> i32 {
@@ -1710,6 +1631,52 @@
     ));
 }
 
+/// Two versions serve side by side; all routers are killed at once and start again.
+fn all_killed(lab: &mut Lab, has_trouble: bool) -> i32 {
+    const EVENTS: u64 = 60;
+    lab.backoff = Duration::from_millis(600);
+    for zone in ["zone-a", "zone-b", "zone-c"] {
+        for version in ["v1", "v2", "v1", "v2"] {
+            lab.engine(version, zone, EVENTS);
+        }
+    }
+    if !lab.start_routers() {
+        lab.record.say("the routers do not become ready");
+        return 2;
+    }
+    let start = Instant::now();
+    at(start, 5.0);
+    let began = Instant::now();
+    let mut consumers = Vec::new();
+    for number in 0.. {
+        if began.elapsed() >= Duration::from_millis(1_200) {
+            break;
+        }
+        let zone = ["zone-a", "zone-b", "zone-c"][number % 3];
+        let gap = Duration::from_micros(GAP_US);
+        consumers.extend(lab.begin(&format!("{number}-"), zone, 1, gap));
+    }
+    if has_trouble {
+        for router in &lab.fleet.routers {
+            router.kill(&lab.record);
+        }
+        lab.record.say("all routers are killed");
+        sleep(Duration::from_millis(300));
+        for router in &lab.fleet.routers {
+            router.start(&lab.fleet, false);
+        }
+    }
+    sleep(Duration::from_secs(4));
+    let new = lab.begin("new-", "zone-b", 24, Duration::from_millis(50));
+    judge_lost(
+        lab,
+        consumers,
+        new,
+        Duration::from_millis(4_000),
+        has_trouble,
+    )
+}
+
 /// Two versions serve side by side; one host is cut off from the other hosts and the store, and is
 /// lost while it is.
 fn cut_and_lost_between_versions(lab: &mut Lab, has_trouble: bool) -> i32 {
@@ -1740,15 +1707,33 @@
         lab.record.say("front-b-1 is lost");
     }
     let new = lab.begin("new-", "zone-b", 24, Duration::from_millis(50));
+    let code = judge_lost(
+        lab,
+        consumers,
+        new,
+        Duration::from_millis(3_000),
+        has_trouble,
+    );
+    links.is_cut.store(false, SeqCst);
+    code
+}
+
+/// Whether of the streams that are taken up at routers in touch fewer go on than half of the share
+/// of new ones that begin.
+fn judge_lost(
+    lab: &Lab,
+    consumers: Vec<thread::JoinHandle<Outcome>>,
+    new: Vec<thread::JoinHandle<Outcome>>,
+    stable: Duration,
+    has_trouble: bool,
+) -> i32 {
     let outcomes: Vec<Outcome> = consumers
         .into_iter()
         .filter_map(|it| it.join().ok())
         .collect();
     let new: Vec<Outcome> = new.into_iter().filter_map(|it| it.join().ok()).collect();
-    links.is_cut.store(false, SeqCst);
     report(lab, &outcomes);
     let begun = new.iter().filter(|it| it.events > 0).count() as f64 / new.len() as f64;
-    let stable = Duration::from_millis(3_000);
     let in_touch = |it: &&TakeUp| it.uptime >= stable && it.status != 0;
     let taken_up: Vec<bool> = outcomes
         .iter()
