--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec bash "$(dirname "$0")/../run-3.sh" 12 restored-and-restarted
+exec bash "$(dirname "$0")/../run-3.sh" 12 outage-and-herd
