Ask the holders of a stream's record before presuming its version

Cause: the router that begins a stream recorded it at the peer that ranks first outside its own zone; the router that resumes it asked those that rank first outside another zone, often routers of the zone that was lost. A peer with the record lived and was not asked. The peers that answered were none that would have a record, and the store, just back, had none yet, so the version before the release was presumed. The loss of one zone suffices.

Change: all routers compute the same three holders of a stream, in three zones, over the whole fleet. A stream of a new version is announced to them, and its origin follows once the event is passed on. A version is presumed only if a holder answers that it has no announcement and computes the same holders; that peers know one version only counts only if a holder is among them. Holders that are lost rank for another minute, so that a router which is cut off does not take itself for the only one. See docs/design/stream-holders.md.

The paths /fleet/v8/record and /fleet/v8/origin are new; peers of the release before count as silent.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod attempt;
 mod backlog;
+mod begin;
 mod body;
 mod relay;
 mod resume;
@@ -154,7 +155,7 @@
 /// State of one request across its attempts.
 struct Exchange<'a, P: Platform> {
     shared: &'a Rc<Shared<P>>,
-    streams: &'a Streams,
+    streams: &'a Rc<Streams>,
     peers: &'a RefCell<Peers>,
     sender: Sender,
     admitted: Admitted,
--- a/crates/edge/src/exchange/relay.rs
+++ b/crates/edge/src/exchange/relay.rs
@@ -243,7 +243,8 @@
             pending.clear();
             self.status.get_or_insert(head.status);
             self.first_byte.get_or_insert_with(Instant::now);
-            self.record_origin().await;
+            // The peer has announced the stream to its holders before it sent the first event.
+            self.record_origin();
             if let Err(error) = start(&head, responder) {
                 return Relayed::Answered(Err(error));
             }
--- a/crates/edge/src/exchange/resume.rs
+++ b/crates/edge/src/exchange/resume.rs
@@ -15,7 +15,6 @@
 use super::Exchange;
 use crate::dialect::Platform;
 use crate::peer::Answer;
-use crate::peer::Question;
 use crate::refusal::Refusal;
 
 /// How the origin of a stream was determined.
@@ -137,12 +136,10 @@
         // Nobody has a record of a stream that the caller does not name, but peers know whether one
         // version runs. The list of this router may be outdated.
         let own = || Id::of_request(self.admitted.request.id.as_deref().unwrap_or_default());
-        let question = Question {
-            stream: stream.unwrap_or_else(own),
-            service: self.admitted.target.service.clone(),
-            age_ms: age.as_millis() as u64,
-        };
-        match self.streams.query(self.shared, question).await {
+        let stream = stream.unwrap_or_else(own);
+        let service = self.admitted.target.service.clone();
+        let answer = self.streams.query(self.shared, stream, service, age);
+        match answer.await {
             // A peer may not have heard of a second version that this router knows.
             Answer::Sole(origin) if self.has_several_builds(&origin.service) => Finding::Nothing,
             Answer::Recorded(origin) | Answer::Sole(origin) => Finding::Known(origin, Source::Peer),
@@ -184,6 +181,9 @@
         if let Some(origin) = recorded {
             return Ok((origin, Source::Store));
         }
+        if stream.is_some_and(|stream| self.shared.origins.borrow().is_announced(stream)) {
+            return Err(Unknown::Unrecorded);
+        }
         if let Some(found) = self.sole_origin(age) {
             return Ok(found);
         }
@@ -196,22 +196,9 @@
         }
     }
 
-    /// Records what began a stream that goes on here, so that it can be taken up again for as long as
-    /// it may last from now on.
-    fn renew_origin(&self, origin: &Origin) {
-        let Some(began) = self.admitted.request.resumes.as_deref() else {
-            return;
-        };
-        let now = self.shared.now();
-        let mut origins = self.shared.origins.borrow_mut();
-        if origins.record(now, Id::of_request(began), origin.clone()) {
-            self.shared.new_origins.notify_one();
-        }
-    }
-
     /// The origin of a stream that this router has a record of.
     fn recorded_origin(&self, stream: Id) -> Option<Origin> {
-        self.shared.origins.borrow().get(stream).cloned()
+        self.shared.origins.borrow().confirmed(stream).cloned()
     }
 
     /// The origin of all streams of the service while all its upstreams run one version.
@@ -220,39 +207,4 @@
         let origin = self.shared.sole_origin(service, age)?;
         Some((origin, Source::SoleBuild))
     }
-
-    /// Records which version began the stream whose first events are passed on, so that it is
-    /// resumed only at this version. Waits for peers to do so too while a stream without a record is
-    /// presumed to have begun at another version.
-    pub(super) async fn record_origin(&mut self) {
-        if self.origin.is_some() || !self.admitted.is_resumable() {
-            return;
-        }
-        let Some(build) = self.build.clone() else {
-            return;
-        };
-        let origin = Origin {
-            service: self.admitted.target.service.clone(),
-            build,
-        };
-        self.origin = Some(origin.clone());
-        let Some(id) = self.admitted.request.id.as_deref() else {
-            return;
-        };
-        let id = Id::of_request(id);
-        let now = self.shared.now();
-        let is_news = self
-            .shared
-            .origins
-            .borrow_mut()
-            .record(now, id, origin.clone());
-        if !is_news {
-            return;
-        }
-        self.shared.new_origins.notify_one();
-        let age = self.admitted.route.timeout;
-        if self.shared.needs_record(&origin, age) {
-            self.streams.record(self.shared, id, origin).await;
-        }
-    }
 }
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -134,9 +134,7 @@
                 is_proven = true;
                 self.record_served();
             }
-            self.status.get_or_insert(reply.head.status);
-            self.first_byte.get_or_insert_with(Instant::now);
-            self.record_origin().await;
+            self.begin(reply.head.status).await;
             if let Err(error) = self.start(&reply, responder) {
                 return Step::Answered(Err(error));
             }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -77,6 +77,7 @@
     rejections: Family<OutcomeLabels, Counter>,
     attempts: Family<OutcomeLabels, Counter>,
     streams_taken_up: Family<OutcomeLabels, Counter>,
+    streams_begun: Family<OutcomeLabels, Counter>,
     malformed_headers: Counter,
     crashes: Counter,
     relays: Family<OutcomeLabels, Counter>,
@@ -140,14 +141,19 @@
     outcomes
 }
 
-/// Counters by outcome: rejections, streams taken up, attempts, relays, calls of the archive.
-fn counters_by_outcome(registry: &mut Registry) -> [Family<OutcomeLabels, Counter>; 5] {
+/// Counters by outcome: rejections, streams taken up, streams begun, attempts, relays, calls of the
+/// archive.
+fn counters_by_outcome(registry: &mut Registry) -> [Family<OutcomeLabels, Counter>; 6] {
     let counters = [
         ("rejections", "Requests that were not admitted, by reason"),
         (
             "streams_taken_up",
             "Streams that callers took up, by how their software version was determined",
         ),
+        (
+            "streams_begun",
+            "Streams that could not be announced to their holders, by what became of them",
+        ),
         ("attempts", "Sends to upstreams, by how they ended"),
         (
             "relays",
@@ -173,6 +179,7 @@
         let [
             rejections,
             streams_taken_up,
+            streams_begun,
             attempts,
             relays,
             archive_calls,
@@ -239,6 +246,7 @@
             rejections,
             attempts,
             streams_taken_up,
+            streams_begun,
             malformed_headers,
             crashes,
             relays,
@@ -301,6 +309,13 @@
             .inc();
     }
 
+    /// Counts a stream that could not be announced to its holders, by what became of it.
+    pub(crate) fn stream_begun(&self, outcome: &'static str) {
+        self.streams_begun
+            .get_or_create(&OutcomeLabels { outcome })
+            .inc();
+    }
+
     /// Counts headers of upstreams that are ignored since they are repeated or cannot be parsed.
     pub(crate) fn malformed_headers(&self, count: u32) {
         self.malformed_headers.inc_by(u64::from(count));
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -8,9 +8,11 @@
 //! read the store, and a router that cannot reach the store still receives all changes. Changes are
 //! passed on at once. See `docs/platform.md#peers`.
 
+mod announcement;
 mod client;
 mod fetch;
 mod gzip;
+mod holders;
 mod link;
 mod outage;
 mod overdraft;
@@ -19,6 +21,7 @@
 mod server;
 mod spending;
 mod streams;
+mod tally;
 
 use std::net::SocketAddr;
 
@@ -42,6 +45,8 @@
 pub use self::fetch::Announcement;
 pub use self::fetch::fetch_configurations;
 pub use self::fetch::fetch_rosters;
+pub use self::holders::Holder;
+pub use self::holders::Holders;
 pub use self::outage::report_outages;
 pub use self::overdraft::hand_over_overdrafts;
 pub use self::peers::Peers;
@@ -68,8 +73,10 @@
 const OUTAGE_PATH: &str = "/fleet/v6/outage";
 /// Path to which the origins of streams are copied.
 const ORIGINS_PATH: &str = "/fleet/v6/origins";
+/// Path to which a stream is recorded before its caller receives an event.
+const RECORD_PATH: &str = "/fleet/v8/record";
 /// Path of questions for the origin of one stream.
-const ORIGIN_PATH: &str = "/fleet/v7/origin";
+const ORIGIN_PATH: &str = "/fleet/v8/origin";
 /// Path to which routers state what they spend of the retry budgets.
 const SPENDING_PATH: &str = "/fleet/v6/spending";
 /// Path of questions for what an earlier process spent.
--- /dev/null
+++ b/crates/edge/src/peer/announcement.rs
@@ -0,0 +1,155 @@
+//! Announcements of streams that begin at another version than peers presume.
+//!
+//! For some seconds after a second software version appeared, routers presume that a stream without
+//! a record began at the version before. A stream of another version is therefore announced to all
+//! its holders before its caller receives an event: whichever of them is asked then presumes
+//! nothing. Its origin follows once the event is passed on. See `docs/design/stream-holders.md`.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use serde::Deserialize;
+use serde::Serialize;
+use slog::debug;
+use snafu::ResultExt as _;
+use snipeusher::stream::Id;
+use snipeusher::stream::Origin;
+use tokio::time::timeout;
+
+use super::Peers;
+use super::RECORD_PATH;
+use super::client::DecodeSnafu;
+use super::client::Error;
+use super::holders::Holder;
+use super::link::Call;
+use super::streams::Streams;
+use crate::dialect::Platform;
+use crate::shared::Shared;
+
+/// Time limit of announcing a stream, while its caller waits for the first event. Holders
+/// acknowledge it within some milliseconds; longer pauses would show in the stream.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(80);
+/// An announcement of a stream to one of its holders.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Announcement {
+    /// The stream.
+    stream: Id,
+    /// What it begins at.
+    origin: Origin,
+    /// Fingerprint of its holders as the sender computes them.
+    holders: u64,
+}
+
+/// A holder's answer to an announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Acknowledgement {
+    /// Whether the holder computes the same holders.
+    agrees: bool,
+}
+
+impl Streams {
+    /// Announces a stream to its holders. Returns whether all of them acknowledged it and compute
+    /// the same holders, so that none of those that a peer asks presumes another version. A router
+    /// that knows no peer has nobody to announce it to, unless it is the only one.
+    pub(crate) async fn announce<P: Platform>(
+        &self,
+        shared: &Shared<P>,
+        id: Id,
+        origin: &Origin,
+    ) -> bool {
+        let holders = self.peers.borrow().holders(id);
+        if holders.peers.is_empty() {
+            return self.peers.borrow().is_alone();
+        }
+        let announcement = Announcement {
+            stream: id,
+            origin: origin.clone(),
+            holders: holders.fingerprint,
+        };
+        let sends = holders.peers.iter();
+        let sends = sends.map(|holder| self.announce_to(shared, holder, &announcement));
+        let acknowledged = join_all(sends).await;
+        acknowledged
+            .into_iter()
+            .all(|is_acknowledged| is_acknowledged)
+    }
+
+    /// Announces a stream to one holder. Returns whether it acknowledged this.
+    async fn announce_to<P: Platform>(
+        &self,
+        shared: &Shared<P>,
+        holder: &Holder,
+        announcement: &Announcement,
+    ) -> bool {
+        let sent = timeout(
+            ANNOUNCE_TIMEOUT,
+            self.send_announcement(shared, holder, announcement),
+        );
+        match sent.await.unwrap_or(Err(Error::TimedOut)) {
+            Ok(Acknowledgement { agrees: true }) => true,
+            Ok(Acknowledgement { agrees: false }) => {
+                debug!(shared.log, "peer: holders of a stream computed differently";
+                    "id" => announcement.stream.0, "peer" => %holder.address);
+                false
+            }
+            Err(error) => {
+                debug!(shared.log, "peer: stream not announced";
+                    "id" => announcement.stream.0, "peer" => %holder.address, "error" => %error);
+                false
+            }
+        }
+    }
+
+    async fn send_announcement<P: Platform>(
+        &self,
+        shared: &Shared<P>,
+        holder: &Holder,
+        announcement: &Announcement,
+    ) -> Result<Acknowledgement, Error> {
+        let call = Call::post(RECORD_PATH, announcement)?;
+        let answer = self
+            .links
+            .call(holder.address, &shared.http, call, ANNOUNCE_TIMEOUT)
+            .await?;
+        rmp_serde::from_slice(&answer).context(DecodeSnafu)
+    }
+
+    /// Sends the origin of an announced stream to its holders, without waiting for them.
+    pub(crate) fn confirm<P: Platform>(
+        self: &Rc<Self>,
+        shared: &Rc<Shared<P>>,
+        id: Id,
+        origin: Origin,
+    ) {
+        let holders = self.peers.borrow().holders(id);
+        let (streams, shared) = (Rc::clone(self), Rc::clone(shared));
+        actix_rt::spawn(async move {
+            let batch = [(id, origin)];
+            let sends = holders.peers.iter();
+            let sends = sends.map(|holder| streams.send(&shared, holder.address, &batch));
+            for sent in join_all(sends).await {
+                if let Err(error) = sent {
+                    debug!(shared.log, "peer: origins of streams not sent";
+                        "streams" => 1, "error" => %error);
+                }
+            }
+        });
+    }
+}
+
+/// Records an announcement of a peer's stream.
+pub(super) fn accept<P: Platform>(
+    shared: &Shared<P>,
+    peers: &Peers,
+    announcement: Announcement,
+) -> Acknowledgement {
+    let holders = peers.holders(announcement.stream);
+    let mut origins = shared.origins.borrow_mut();
+    origins.announce(shared.now(), announcement.stream, announcement.origin);
+    Acknowledgement {
+        agrees: holders.fingerprint == announcement.holders,
+    }
+}
--- a/crates/edge/src/peer/peers.rs
+++ b/crates/edge/src/peer/peers.rs
@@ -8,13 +8,19 @@
 
 use snipeusher::hash;
 use snipeusher::name;
+use snipeusher::stream;
 use snipeusher::time::Time;
 
 use super::Digest;
 use super::Member;
+use super::holders::Holder;
+use super::holders::Holders;
 
 /// A router is removed if no router has received a digest from it for this time.
 const EXPIRY: Duration = Duration::from_secs(20);
+/// Time after its last digest for which a router ranks as a holder of records of streams. A router
+/// that is cut off from the others must not take itself for the only holder during a release.
+const HOLDER_FOR: Duration = Duration::from_mins(1);
 /// A router counts as running, and gets a share of the retry budget, for this time after its last
 /// digest.
 const COUNTED_FOR: Duration = Duration::from_secs(12);
@@ -55,6 +61,8 @@
     /// Routers that were found by their records, and when.
     introduced: BTreeMap<SocketAddr, Time>,
     known: BTreeMap<name::Host, Known>,
+    /// Routers that were removed a short time ago.
+    lost: BTreeMap<name::Host, Known>,
     queue: VecDeque<SocketAddr>,
     /// The last member listed in a digest.
     last_listed: Option<name::Host>,
@@ -73,6 +81,7 @@
             seeds: without(seeds, own),
             introduced: BTreeMap::new(),
             known: BTreeMap::new(),
+            lost: BTreeMap::new(),
             queue: VecDeque::new(),
             last_listed: None,
             was_contacted: false,
@@ -186,6 +195,25 @@
         rank(candidates, &self.zone, key, count)
     }
 
+    /// The routers that hold the record of a stream.
+    pub fn holders(&self, stream: stream::Id) -> Holders {
+        let peers = self.known.iter().chain(&self.lost);
+        let peers = peers.map(|(host, known)| (host, &known.zone));
+        let hosts = stream::holders(stream, peers.chain([(&self.host, &self.zone)]));
+        let holder = |host: &name::Host| {
+            let known = self.known.get(host).or_else(|| self.lost.get(host))?;
+            Some(Holder {
+                host: host.clone(),
+                address: known.address,
+            })
+        };
+        Holders {
+            peers: hosts.iter().filter_map(|host| holder(host)).collect(),
+            include_self: hosts.contains(&&self.host),
+            fingerprint: stream::fingerprint(&hosts),
+        }
+    }
+
     /// The routers that rank first for the host of another router, by the host's name and zone. Here
     /// `own` is the address of this router, which may be one of them.
     pub fn ranked_for(
@@ -260,8 +288,7 @@
             let last_seen = Time(now.0.saturating_sub(age));
             self.update(&member.host, &member.zone, member.address, last_seen);
         }
-        self.known
-            .retain(|_, known| now.since(known.last_seen) < EXPIRY);
+        self.expire(now);
         self.introduced
             .retain(|_, at| now.since(*at) < INTRODUCED_FOR);
     }
@@ -332,6 +359,16 @@
         (rotated(local), rotated(remote))
     }
 
+    /// Removes the routers that no router has heard of for some time.
+    fn expire(&mut self, now: Time) {
+        let expired = self
+            .known
+            .extract_if(.., |_, known| now.since(known.last_seen) >= EXPIRY);
+        self.lost.extend(expired);
+        self.lost
+            .retain(|_, known| now.since(known.last_seen) < HOLDER_FOR);
+    }
+
     fn update(
         &mut self,
         host: &name::Host,
@@ -352,6 +389,7 @@
             None => {
                 self.was_contacted = true;
                 self.has_other_zones |= !self.is_local(zone);
+                self.lost.remove(host);
                 let newer = Known {
                     address,
                     zone: zone.clone(),
--- a/crates/edge/src/peer/server.rs
+++ b/crates/edge/src/peer/server.rs
@@ -32,10 +32,12 @@
 use super::OutageReport;
 use super::Peers;
 use super::Question;
+use super::RECORD_PATH;
 use super::Response;
 use super::SPENDING_PATH;
 use super::SPENT_PATH;
 use super::UPSTREAMS_PATH;
+use super::announcement;
 use super::digest;
 use super::gzip;
 use super::merge;
@@ -109,7 +111,14 @@
 
     fn origin(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
         let question: Question = self.decode(body)?;
-        self.encode(&streams::answer(&self.shared, &question))
+        let peers = self.peers.borrow();
+        self.encode(&streams::answer(&self.shared, &peers, &question))
+    }
+
+    fn record(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
+        let announced = self.decode(body)?;
+        let peers = self.peers.borrow();
+        self.encode(&announcement::accept(&self.shared, &peers, announced))
     }
 
     fn spending(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
@@ -281,6 +290,7 @@
             EXCHANGE_PATH => self.exchange(&request.body),
             OUTAGE_PATH => self.outage(&request.body),
             ORIGINS_PATH => self.origins(&request.body),
+            RECORD_PATH => self.record(&request.body),
             ORIGIN_PATH => self.origin(&request.body),
             SPENDING_PATH => self.spending(&request.body),
             SPENT_PATH => self.spent(&request.body),
--- a/crates/edge/src/peer/streams.rs
+++ b/crates/edge/src/peer/streams.rs
@@ -7,6 +7,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
@@ -33,8 +34,10 @@
 use super::Peers;
 use super::client::DecodeSnafu;
 use super::client::Error;
+use super::holders::Holders;
 use super::link::Call;
 use super::link::Links;
+use super::tally::Tally;
 use crate::dialect::Platform;
 use crate::shared::Shared;
 
@@ -43,8 +46,8 @@
 /// Peers that are queried for the origin of a stream. One more than there are copies, since the
 /// router that began the stream and the one that queries them rank different peers.
 const QUERIED: usize = COPIES + 1;
-/// Peers of other zones that are queried besides. One is enough for an answer; others take its place
-/// if it is lost.
+/// Peers of other zones that are queried besides. One is enough to confirm the only version; others
+/// take its place if it is lost.
 const QUERIED_ELSEWHERE: usize = 2;
 /// Time for which new origins are collected. Streams that began since the last copy cannot be
 /// resumed if their router is killed.
@@ -55,9 +58,6 @@
 const SEND_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time limit of a question for an origin, while a caller waits.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
-/// Time limit of recording a stream before its first event is passed on. Peers acknowledge it within
-/// some milliseconds; longer pauses would show in the stream.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(80);
 
 /// A question for the origin of a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -69,10 +69,23 @@
     pub service: name::Service,
     /// Longest time since the stream may have begun, in milliseconds.
     pub age_ms: u64,
+    /// Fingerprint of the stream's holders as this router computes them.
+    pub holders: u64,
 }
 
 /// A peer's answer to a question for the origin of a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct Reply {
+    /// What the peer knows of the stream; `None` if it knows of several versions or of an
+    /// announcement, so that it cannot tell.
+    pub(super) known: Option<Known>,
+    /// Whether the peer computes the same holders.
+    pub(super) agrees: bool,
+}
+
+/// What a peer knows of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) enum Known {
     /// The peer has a record of the stream.
     Recorded(Origin),
@@ -90,13 +103,15 @@
     /// A peer has a record of it.
     Recorded(Origin),
     /// No peer that answered has one, and all of them know the same version of the service only. At
-    /// least one of them is in another zone, if the fleet has several.
+    /// least one of them is in another zone, if the fleet has several, and a holder of the stream is
+    /// among them or is this router.
     Sole(Origin),
     /// No peer that answered has one, and all of them know of a second version since a short time
-    /// ago, before which the same version ran alone.
+    /// ago, before which the same version ran alone. A holder of the stream is among them or is this
+    /// router, and all holders that answered compute the same ones.
     Presumed(Origin),
     /// No peer answered, or one that did has no record and cannot tell the version, or only those of
-    /// the own zone did.
+    /// the own zone did, or no holder.
     Unknown,
     /// This router is the only one.
     Alone,
@@ -105,8 +120,8 @@
 /// Sends origins of streams to peers and asks them for others.
 #[derive(Debug)]
 pub struct Streams {
-    peers: Rc<RefCell<Peers>>,
-    links: Links,
+    pub(super) peers: Rc<RefCell<Peers>>,
+    pub(super) links: Links,
 }
 
 impl Streams {
@@ -160,38 +175,6 @@
         }
     }
 
-    /// Records a stream at peers before its caller receives an event: at one of those that the
-    /// routers of this zone query, and at one of another zone, since a zone may be lost as a whole.
-    pub(crate) async fn record<P: Platform>(&self, shared: &Shared<P>, id: Id, origin: Origin) {
-        let batch = [(id, origin)];
-        let ranked = self.peers.borrow().ranked(id.0, COPIES);
-        let elsewhere = self.peers.borrow().ranked_elsewhere(id.0, 1);
-        let records = join(
-            self.send_to_any(shared, &ranked, &batch),
-            self.send_to_any(shared, &elsewhere, &batch),
-        );
-        if timeout(RECORD_TIMEOUT, records).await.is_err() {
-            debug!(shared.log, "peer: origin of a stream not acknowledged in time"; "id" => id.0);
-        }
-    }
-
-    /// Sends origins to several peers at once and returns when one of them has them.
-    async fn send_to_any<P: Platform>(
-        &self,
-        shared: &Shared<P>,
-        addresses: &[SocketAddr],
-        batch: &[(Id, Origin)],
-    ) {
-        let sends = addresses.iter();
-        let sends = sends.map(|address| self.send(shared, *address, batch));
-        let mut sends: FuturesUnordered<_> = sends.collect();
-        while let Some(sent) = sends.next().await {
-            if sent.is_ok() {
-                return;
-            }
-        }
-    }
-
     /// Sends each stream to the peers that rank first, and to the next one in place of a peer that
     /// does not receive it.
     async fn send_copies<P: Platform>(&self, shared: &Shared<P>, unsent: Vec<(Id, Origin)>) {
@@ -227,7 +210,7 @@
         join_all(sends).await.concat()
     }
 
-    async fn send<P: Platform>(
+    pub(super) async fn send<P: Platform>(
         &self,
         shared: &Shared<P>,
         address: SocketAddr,
@@ -241,56 +224,70 @@
         Ok(())
     }
 
-    /// Queries the peers that should have a copy for the origin of a stream, and some of other zones.
+    /// Queries the peers that should have a copy for the origin of a stream, its holders, and some of
+    /// other zones.
     ///
     /// All routers of a zone that is cut off, from the store too, know the same old list of upstreams,
     /// so that their agreement on one version says nothing about upstreams that have joined since.
+    /// A stream of a version that others do not presume is announced to all its holders, so that one
+    /// holder without an announcement suffices; peers that are no holders say nothing about it.
     pub(crate) async fn query<P: Platform>(
         &self,
         shared: &Shared<P>,
-        question: Question,
+        stream: Id,
+        service: name::Service,
+        age: Duration,
     ) -> Answer {
         if self.peers.borrow().is_alone() {
             return Answer::Alone;
         }
-        let key = question.stream.0;
-        let elsewhere = self.peers.borrow().ranked_elsewhere(key, QUERIED_ELSEWHERE);
-        let mut addresses = self.peers.borrow().ranked(key, QUERIED);
-        addresses.retain(|address| !elsewhere.contains(address));
-        addresses.extend(&elsewhere);
-        let question = &question;
+        let elsewhere = self
+            .peers
+            .borrow()
+            .ranked_elsewhere(stream.0, QUERIED_ELSEWHERE);
+        let holders = self.peers.borrow().holders(stream);
+        let question = &Question {
+            stream,
+            service,
+            age_ms: age.as_millis() as u64,
+            holders: holders.fingerprint,
+        };
+        let has_other_zones = self.peers.borrow().has_other_zones();
+        let is_announced = shared.origins.borrow().is_announced(stream);
+        let mut tally = Tally::new(&holders, &elsewhere, has_other_zones, is_announced);
+        let addresses = self.addresses_to_query(stream, &elsewhere, &holders);
         let questions = addresses.into_iter().map(|address| async move {
-            let answer = self.query_peer(shared, address, question).await;
-            (address, answer)
+            let reply = self.query_peer(shared, address, question).await;
+            (address, reply)
         });
         let mut questions: FuturesUnordered<_> = questions.collect();
-        let mut soles = Vec::new();
-        let mut presumed = Vec::new();
-        let mut is_doubtful = false;
-        let mut is_confirmed = !self.peers.borrow().has_other_zones();
-        while let Some((address, answer)) = questions.next().await {
-            match answer {
-                Ok(Some(Known::Recorded(origin))) => return Answer::Recorded(origin),
-                Ok(Some(Known::Sole(origin))) => {
-                    is_confirmed |= elsewhere.contains(&address);
-                    soles.push(origin);
-                }
-                Ok(Some(Known::Presumed(origin))) => presumed.push(origin),
-                // It may know of several versions, which the others have not heard of.
-                Ok(None) => is_doubtful = true,
+        while let Some((address, reply)) = questions.next().await {
+            match reply {
+                Ok(Reply {
+                    known: Some(Known::Recorded(origin)),
+                    ..
+                }) => return Answer::Recorded(origin),
+                Ok(reply) => tally.add(address, reply),
                 Err(error) => {
                     debug!(shared.log, "peer: origin of a stream not received"; "error" => %error);
                 }
             }
         }
-        soles.dedup();
-        presumed.dedup();
-        match (&*soles, &*presumed) {
-            _ if is_doubtful => Answer::Unknown,
-            ([origin], []) if is_confirmed => Answer::Sole(origin.clone()),
-            ([], [origin]) => Answer::Presumed(origin.clone()),
-            _ => Answer::Unknown,
-        }
+        tally.answer()
+    }
+
+    fn addresses_to_query(
+        &self,
+        stream: Id,
+        elsewhere: &[SocketAddr],
+        holders: &Holders,
+    ) -> BTreeSet<SocketAddr> {
+        let ranked = self.peers.borrow().ranked(stream.0, QUERIED).into_iter();
+        let holders = holders.peers.iter().map(|holder| holder.address);
+        ranked
+            .chain(elsewhere.iter().copied())
+            .chain(holders)
+            .collect()
     }
 
     async fn query_peer<P: Platform>(
@@ -298,7 +295,7 @@
         shared: &Shared<P>,
         address: SocketAddr,
         question: &Question,
-    ) -> Result<Option<Known>, Error> {
+    ) -> Result<Reply, Error> {
         let call = Call::post(ORIGIN_PATH, question)?;
         let answer = self
             .links
@@ -319,11 +316,24 @@
     origins.take_unsent(now, |service| fleet.has_several_builds(now, service))
 }
 
+/// The answer to a peer's question for the origin of a stream.
+pub(super) fn answer<P: Platform>(shared: &Shared<P>, peers: &Peers, question: &Question) -> Reply {
+    let holders = peers.holders(question.stream);
+    Reply {
+        known: known(shared, question),
+        agrees: holders.fingerprint == question.holders,
+    }
+}
+
 /// The origin of a stream as far as this router knows it.
-pub(super) fn answer<P: Platform>(shared: &Shared<P>, question: &Question) -> Option<Known> {
-    if let Some(origin) = shared.origins.borrow().get(question.stream) {
+fn known<P: Platform>(shared: &Shared<P>, question: &Question) -> Option<Known> {
+    let origins = shared.origins.borrow();
+    if let Some(origin) = origins.confirmed(question.stream) {
         return Some(Known::Recorded(origin.clone()));
     }
+    if origins.is_announced(question.stream) {
+        return None;
+    }
     let age = Duration::from_millis(question.age_ms);
     if let Some(origin) = shared.sole_origin(&question.service, age) {
         return Some(Known::Sole(origin));
--- a/crates/edge/tests/builds.rs
+++ b/crates/edge/tests/builds.rs
@@ -28,6 +28,7 @@
 use snipeusher::stream::Origin;
 use snipeusher::stream::Origins;
 use snipeusher::stream::group;
+use snipeusher::stream::holders;
 use snipeusher_fakes::address::free_address;
 
 /// Time for which the route lets a stream last; from then on a router infers the only version.
@@ -296,6 +297,105 @@
     assert_eq!(take_up_unnamed(&nodes[0], "r2-b").await.status, 503);
 }
 
+/// A stream whose holders among some hosts are all in zones other than `here`, or not.
+fn stream_held(hosts: &[(name::Host, name::Zone)], here: &str, is_elsewhere: bool) -> String {
+    let mut ids = (0..).map(|index| format!("held-{index}"));
+    let id = ids.find(|id| {
+        let routers = hosts.iter().map(|(host, zone)| (host, zone));
+        let holders = holders(Id::of_request(id), routers);
+        let is_here = |host: &name::Host| {
+            let mut hosts = hosts.iter();
+            hosts.any(|(other, zone)| other == host && zone.as_str() == here)
+        };
+        holders.iter().all(|host| !is_here(host)) == is_elsewhere
+    });
+    id.expect("one of them has such holders")
+}
+
+/// Guards against a stream of a new version that goes on at the version before, since the peers that
+/// have a record of it are lost and those that answer are none of them.
+#[rstest]
+#[case::all_holders_are_lost(true, 503)]
+#[case::one_answers(false, 200)]
+#[actix_rt::test]
+async fn peers_that_would_have_no_record_presume_nothing(
+    #[case] are_lost: bool,
+    #[case] status: u16,
+) {
+    let engines = Engines::start(Act::Hang).await;
+    let [(first, _), (second, _), (third, _), (fourth, _)] = engines.with_builds();
+    let (nodes, store) = zone(3, &[(first, "v1"), (second, "v1")]).await;
+    let mut hosts: Vec<(name::Host, name::Zone)> = nodes
+        .iter()
+        .map(|node| (node.shared.settings.host.clone(), "here".into()))
+        .collect();
+    for zone in ["there", "far", "farther"] {
+        let host = name::Host::from(format!("lost-{zone}"));
+        let zone = name::Zone::from(zone);
+        for node in &nodes {
+            let lost = digest(node, host.clone(), zone.clone(), free_address());
+            exchange(node, &lost).await;
+        }
+        hosts.push((host, zone));
+    }
+    store.silence(true);
+    for node in &nodes {
+        add_second_build(node, [third, fourth]);
+    }
+    store.silence(false);
+    let stream = stream_held(&hosts, "here", are_lost);
+    let answered = take_up(&nodes[0], "r1-b", &stream).await;
+    assert_eq!(answered.status, status);
+    let expected: &[&str] = if are_lost { &[] } else { &["v1"] };
+    assert_eq!(engines.builds("r1"), expected);
+}
+
+/// Guards against a stream that was announced and may have begun at another version, but goes on at
+/// the version before, and against one that is refused although its origin has followed.
+#[rstest]
+#[case::announced("v2", false, 503)]
+#[case::begun_as_announced("v2", true, 200)]
+#[case::begun_at_the_version_before("v1", true, 200)]
+#[actix_rt::test]
+async fn an_announced_stream_is_presumed_to_be_of_no_version(
+    #[case] build: &'static str,
+    #[case] has_begun: bool,
+    #[case] status: u16,
+) {
+    let engines = Engines::start(Act::Hang).await;
+    let [(first, _), (second, _), (third, _), (fourth, _)] = engines.with_builds();
+    let (nodes, store) = zone(3, &[(first, "v1"), (second, "v1")]).await;
+    store.silence(true);
+    for node in &nodes {
+        add_second_build(node, [third, fourth]);
+    }
+    store.silence(false);
+    let origin = |build: &str| Origin {
+        service: "letters".into(),
+        build: build.into(),
+    };
+    let stream = Id::of_request("r1-a");
+    let announce = |node: &Node| {
+        let now = node.shared.now();
+        let mut origins = node.shared.origins.borrow_mut();
+        origins.announce(now, stream, origin("v2"));
+        if has_begun {
+            origins.merge(now, group([(stream, origin(build))]));
+        }
+    };
+    announce(&nodes[1]);
+    for (index, node) in nodes.iter().enumerate() {
+        let id = format!("r1-b{index}");
+        assert_eq!(
+            take_up(node, &id, "r1-a").await.status,
+            status,
+            "router {index}"
+        );
+        let expected: &[&str] = if has_begun { &[build] } else { &[] };
+        assert_eq!(engines.builds(&id), expected, "router {index}");
+    }
+}
+
 /// A configuration with streams of more than a minute, and one in which they are shorter again.
 const LONG_STREAMS: [&str; 2] = [
     "2\n/chat/ resumable 2 95000 public\n",
--- a/crates/snipeusher/src/stream.rs
+++ b/crates/snipeusher/src/stream.rs
@@ -7,6 +7,8 @@
 //! availability zone also records them in the store ([`crate::archive`]). What is lost only makes a
 //! router refuse to resume the stream. See `docs/platform.md#streams`.
 
+mod holders;
+
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -14,6 +16,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use self::holders::HOLDERS;
+pub use self::holders::fingerprint;
+pub use self::holders::holders;
 use crate::hash;
 use crate::name;
 use crate::time::Time;
@@ -113,6 +118,9 @@
 struct Known {
     origin: Origin,
     recorded_at: Time,
+    /// Whether its caller has received an event, as far as is known. A stream that was announced only
+    /// may still begin at another version.
+    is_confirmed: bool,
 }
 
 impl Origins {
@@ -153,18 +161,37 @@
     pub fn merge_stored(&mut self, now: Time, groups: Vec<Group>) {
         for group in groups {
             for id in group.streams {
-                if !self.known.contains_key(&id) {
+                if self.confirmed(id).is_none() {
                     self.insert(now, id, group.origin.clone());
                 }
             }
         }
     }
 
-    /// What began a stream, if it is known.
+    /// Records that another router is about to begin a stream.
+    pub fn announce(&mut self, now: Time, id: Id, origin: Origin) {
+        self.expire(now);
+        if !self.known.contains_key(&id) {
+            self.add(now, id, origin, false);
+        }
+    }
+
+    /// What began a stream, or was announced to begin it, if that is known.
     pub fn get(&self, id: Id) -> Option<&Origin> {
         self.known.get(&id).map(|known| &known.origin)
     }
 
+    /// What began a stream whose caller has received an event, if that is known.
+    pub fn confirmed(&self, id: Id) -> Option<&Origin> {
+        let known = self.known.get(&id).filter(|known| known.is_confirmed);
+        known.map(|known| &known.origin)
+    }
+
+    /// Whether a stream was announced and no event of it is known to have reached its caller.
+    pub fn is_announced(&self, id: Id) -> bool {
+        self.known.get(&id).is_some_and(|known| !known.is_confirmed)
+    }
+
     /// Streams of this router to be sent to peers: those of services that run several versions. The
     /// others wait, in case that a second version appears while callers may take them up.
     pub fn take_unsent(
@@ -195,25 +222,29 @@
     /// Adds a stream, or renews it. Returns whether this is news.
     fn insert(&mut self, now: Time, id: Id, origin: Origin) -> bool {
         self.expire(now);
-        if let Some(known) = self.known.get_mut(&id) {
+        let confirmed = self.known.get_mut(&id).filter(|known| known.is_confirmed);
+        if let Some(known) = confirmed {
             if now.since(known.recorded_at) < RENEW_AFTER {
                 return false;
             }
             known.recorded_at = now;
+            self.order.push_back((now, id));
         } else {
-            let recorded_at = now;
-            self.known.insert(
-                id,
-                Known {
-                    origin,
-                    recorded_at,
-                },
-            );
+            self.add(now, id, origin, true);
         }
-        self.order.push_back((now, id));
         true
     }
 
+    fn add(&mut self, now: Time, id: Id, origin: Origin, is_confirmed: bool) {
+        let known = Known {
+            origin,
+            recorded_at: now,
+            is_confirmed,
+        };
+        self.known.insert(id, known);
+        self.order.push_back((now, id));
+    }
+
     fn expire(&mut self, now: Time) {
         while let Some((at, id)) = self.order.front().copied() {
             if now.since(at) < self.retention.get() && self.order.len() < ORIGINS_MAX {
--- a/crates/snipeusher/tests/stream.rs
+++ b/crates/snipeusher/tests/stream.rs
@@ -1,6 +1,7 @@
 //! Software versions of streams: origins of streams, versions of a service, and the choice among
 //! upstreams of one version.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -21,6 +22,7 @@
 use snipeusher::stream::Origin;
 use snipeusher::stream::Origins;
 use snipeusher::stream::group;
+use snipeusher::stream::holders;
 use snipeusher::time::Time;
 
 /// Longer than any caller takes its stream up again.
@@ -318,6 +320,57 @@
     }
 }
 
+/// Guards against an announcement that is taken for the origin of a stream, which may have begun at
+/// another version since.
+#[rstest]
+fn an_announced_stream_has_no_origin_until_it_begins() {
+    let mut origins = Origins::default();
+    origins.announce(at(0), Id(1), origin("v2"));
+    assert!(origins.is_announced(Id(1)));
+    assert_eq!(origins.confirmed(Id(1)), None);
+    let added = origins.merge(at(1), group([(Id(1), origin("v1"))]));
+    assert_eq!(added, [(Id(1), origin("v1"))]);
+    assert_eq!(origins.confirmed(Id(1)), Some(&origin("v1")));
+    origins.announce(at(2), Id(1), origin("v2"));
+    assert!(!origins.is_announced(Id(1)));
+    assert_eq!(origins.confirmed(Id(1)), Some(&origin("v1")));
+}
+
+/// Routers of a fleet, by zone.
+fn routers(zones: &[(&str, usize)]) -> Vec<(name::Host, name::Zone)> {
+    let zones = zones.iter().flat_map(|(zone, count)| {
+        (0..*count).map(move |index| (format!("{zone}-{index}").into(), (*zone).into()))
+    });
+    zones.collect()
+}
+
+/// Guards against routers that record a stream at other peers than those which are asked for it, and
+/// against holders that are lost together with one zone.
+#[rstest]
+#[case::one_router(&[("a", 1)], 1, 1)]
+#[case::one_zone(&[("a", 5)], 3, 1)]
+#[case::two_zones(&[("a", 1), ("b", 3)], 3, 2)]
+#[case::three_zones(&[("a", 2), ("b", 3), ("c", 2)], 3, 3)]
+#[case::many_zones(&[("a", 9), ("b", 9), ("c", 9), ("d", 9), ("e", 9)], 3, 3)]
+fn all_routers_compute_the_same_holders_in_several_zones(
+    #[case] zones: &[(&str, usize)],
+    #[case] count: usize,
+    #[case] zone_count: usize,
+) {
+    let routers = routers(zones);
+    for id in 0..200 {
+        let pairs = || routers.iter().map(|(host, zone)| (host, zone));
+        let chosen = holders(Id(id), pairs());
+        let elsewhere = holders(Id(id), pairs().rev());
+        assert_eq!(chosen, elsewhere, "in another order");
+        let of_zones: BTreeSet<_> = pairs()
+            .filter(|(host, _)| chosen.contains(host))
+            .map(|(_, zone)| zone)
+            .collect();
+        assert_eq!((chosen.len(), of_zones.len()), (count, zone_count));
+    }
+}
+
 /// Guards against a version that leaves and comes back, and is then taken for a new one although
 /// streams that it began may still run.
 #[rstest]
