Begin a stream at the version before while its holders do not acknowledge it

Cause: the router gave up recording a stream of the new version after 80 ms and passed its first event on without a record. The others, which have none, presume the version before the release.

Change: no event is passed on until all holders have acknowledged the announcement. If one does not, or computes other holders, the run is ended and the request runs again at the version before, for which the presumption is true. From then on streams with that holder begin there straight away, until a later digest of it is received. An announcement is no origin: it only keeps its holder from presuming, so a late one does no harm to the second run. Without any upstream of the version before, at which nobody could resume the stream, it begins all the same.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -166,6 +166,8 @@
     build: Option<name::Build>,
     /// What began the stream that the caller receives; the stream may go on only there.
     origin: Option<Origin>,
+    /// Version at which the stream has to begin, since an announcement of it is not acknowledged.
+    incumbent: Option<name::Build>,
     /// Peers that the request was relayed to, in order.
     relays: Vec<SocketAddr>,
     /// When the caller may retry, as stated by the last peer that refused it.
@@ -199,6 +201,7 @@
             tried: Vec::new(),
             build: None,
             origin: None,
+            incumbent: None,
             relays: Vec::new(),
             relay_refused_for: None,
             sends: 0,
@@ -243,6 +246,7 @@
         if let Err(refusal) = self.restrict_to_origin().await {
             return (self.refuse(refusal, responder).await, refusal.reason());
         }
+        self.restrict_to_incumbent();
         loop {
             let placement = match self.next_hop(responder) {
                 Ok(Hop::Send(placement)) => placement,
@@ -353,7 +357,7 @@
 
     /// Name of the cause of a refusal.
     const fn cause(&self, cause: Cause) -> &'static str {
-        match (cause, &self.origin) {
+        match (cause, self.required_build()) {
             (Cause::Paused, _) => "paused",
             (Cause::Evacuated, _) => "evacuated",
             (Cause::NoHome, _) => "no_home",
@@ -389,13 +393,21 @@
             service: &self.admitted.target.service,
             session: self.admitted.target.session,
             max_connections: self.admitted.target.connections,
-            build: self.origin.as_ref().map(|origin| &origin.build),
+            build: self.required_build(),
             tried: &self.tried,
             homes: &self.admitted.homes,
             tie_breaker,
         }
     }
 
+    /// The only version at which the request may run.
+    const fn required_build(&self) -> Option<&name::Build> {
+        match &self.origin {
+            Some(origin) => Some(&origin.build),
+            None => self.incumbent.as_ref(),
+        }
+    }
+
     /// Whether a request whose upstream does not respond may be retried at another one.
     fn has_alternative(&self) -> bool {
         let query = self.query(0);
--- a/crates/edge/src/exchange/stream.rs
+++ b/crates/edge/src/exchange/stream.rs
@@ -134,7 +134,9 @@
                 is_proven = true;
                 self.record_served();
             }
-            self.begin(reply.head.status).await;
+            if let Err(unannounced) = self.begin(reply.head.status).await {
+                return self.run_at_incumbent(unannounced, guard);
+            }
             if let Err(error) = self.start(&reply, responder) {
                 return Step::Answered(Err(error));
             }
--- a/crates/edge/src/peer/announcement.rs
+++ b/crates/edge/src/peer/announcement.rs
@@ -5,6 +5,9 @@
 //! its holders before its caller receives an event: whichever of them is asked then presumes
 //! nothing. Its origin follows once the event is passed on. See `docs/design/stream-holders.md`.
 
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,8 +16,10 @@
 use serde::Serialize;
 use slog::debug;
 use snafu::ResultExt as _;
+use snipeusher::name;
 use snipeusher::stream::Id;
 use snipeusher::stream::Origin;
+use snipeusher::time::Time;
 use tokio::time::timeout;
 
 use super::Peers;
@@ -22,6 +27,7 @@
 use super::client::DecodeSnafu;
 use super::client::Error;
 use super::holders::Holder;
+use super::holders::Holders;
 use super::link::Call;
 use super::streams::Streams;
 use crate::dialect::Platform;
@@ -30,6 +36,10 @@
 /// Time limit of announcing a stream, while its caller waits for the first event. Holders
 /// acknowledge it within some milliseconds; longer pauses would show in the stream.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(80);
+/// Time for which no stream is announced after a holder computed other holders than this router.
+/// Routers agree again once digests have told them of the same peers.
+const DISAGREEMENT_PAUSE: Duration = Duration::from_secs(5);
+
 /// An announcement of a stream to one of its holders.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -50,7 +60,50 @@
     agrees: bool,
 }
 
+/// Which announcements can be expected to be acknowledged.
+#[derive(Debug, Default)]
+pub(super) struct Reachability {
+    /// When a holder last failed to acknowledge one.
+    failed_at: RefCell<BTreeMap<name::Host, Time>>,
+    /// When a holder last computed other holders.
+    disagreed_at: Cell<Option<Time>>,
+}
+
+impl Reachability {
+    /// Whether all holders may acknowledge an announcement. One that failed to do so may again once
+    /// a later digest of it was received anywhere.
+    fn admits(&self, now: Time, holders: &Holders, peers: &Peers) -> bool {
+        let disagreed_at = self.disagreed_at.get();
+        let failed_at = self.failed_at.borrow();
+        let is_silent = |holder: &Holder| {
+            let failed_at = failed_at.get(&holder.host);
+            failed_at.is_some_and(|at| {
+                let seen = peers.last_seen(&holder.host);
+                seen.is_none_or(|seen| seen <= *at)
+            })
+        };
+        disagreed_at.is_none_or(|at| now.since(at) >= DISAGREEMENT_PAUSE)
+            && !holders.peers.iter().any(is_silent)
+    }
+
+    fn record_failure(&self, now: Time, host: &name::Host) {
+        self.failed_at.borrow_mut().insert(host.clone(), now);
+    }
+
+    fn record_success(&self, host: &name::Host) {
+        self.failed_at.borrow_mut().remove(host);
+    }
+}
+
 impl Streams {
+    /// Whether an announcement of a stream can be expected to be acknowledged by all its holders.
+    pub(crate) fn can_announce<P: Platform>(&self, shared: &Shared<P>, id: Id) -> bool {
+        let peers = self.peers.borrow();
+        let holders = peers.holders(id);
+        let is_held = peers.is_alone() || !holders.peers.is_empty();
+        is_held && self.reachability.admits(shared.now(), &holders, &peers)
+    }
+
     /// Announces a stream to its holders. Returns whether all of them acknowledged it and compute
     /// the same holders, so that none of those that a peer asks presumes another version. A router
     /// that knows no peer has nobody to announce it to, unless it is the only one.
@@ -70,7 +123,8 @@
             holders: holders.fingerprint,
         };
         let sends = holders.peers.iter();
-        let sends = sends.map(|holder| self.announce_to(shared, holder, &announcement));
+        let began = shared.now();
+        let sends = sends.map(|holder| self.announce_to(shared, began, holder, &announcement));
         let acknowledged = join_all(sends).await;
         acknowledged
             .into_iter()
@@ -81,6 +135,7 @@
     async fn announce_to<P: Platform>(
         &self,
         shared: &Shared<P>,
+        began: Time,
         holder: &Holder,
         announcement: &Announcement,
     ) -> bool {
@@ -89,13 +144,18 @@
             self.send_announcement(shared, holder, announcement),
         );
         match sent.await.unwrap_or(Err(Error::TimedOut)) {
-            Ok(Acknowledgement { agrees: true }) => true,
+            Ok(Acknowledgement { agrees: true }) => {
+                self.reachability.record_success(&holder.host);
+                true
+            }
             Ok(Acknowledgement { agrees: false }) => {
+                self.reachability.disagreed_at.set(Some(shared.now()));
                 debug!(shared.log, "peer: holders of a stream computed differently";
                     "id" => announcement.stream.0, "peer" => %holder.address);
                 false
             }
             Err(error) => {
+                self.reachability.record_failure(began, &holder.host);
                 debug!(shared.log, "peer: stream not announced";
                     "id" => announcement.stream.0, "peer" => %holder.address, "error" => %error);
                 false
--- a/crates/edge/src/peer/peers.rs
+++ b/crates/edge/src/peer/peers.rs
@@ -214,6 +214,11 @@
         }
     }
 
+    /// When the last digest of a peer was received by any router.
+    pub fn last_seen(&self, host: &name::Host) -> Option<Time> {
+        self.known.get(host).map(|known| known.last_seen)
+    }
+
     /// The routers that rank first for the host of another router, by the host's name and zone. Here
     /// `own` is the address of this router, which may be one of them.
     pub fn ranked_for(
--- a/crates/edge/src/peer/streams.rs
+++ b/crates/edge/src/peer/streams.rs
@@ -32,6 +32,7 @@
 use super::ORIGIN_PATH;
 use super::ORIGINS_PATH;
 use super::Peers;
+use super::announcement::Reachability;
 use super::client::DecodeSnafu;
 use super::client::Error;
 use super::holders::Holders;
@@ -122,6 +123,7 @@
 pub struct Streams {
     pub(super) peers: Rc<RefCell<Peers>>,
     pub(super) links: Links,
+    pub(super) reachability: Reachability,
 }
 
 impl Streams {
@@ -130,6 +132,7 @@
         Self {
             peers,
             links: Links::default(),
+            reachability: Reachability::default(),
         }
     }
 
--- a/crates/edge/tests/builds.rs
+++ b/crates/edge/tests/builds.rs
@@ -3,6 +3,8 @@
 
 mod common;
 
+use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::time::Duration;
 
 use actix_rt::time::sleep;
@@ -17,6 +19,7 @@
 use common::engine::Act;
 use common::engine::Engine;
 use common::exchange;
+use common::introduce_as;
 use common::start;
 use common::start_in;
 use common::until;
@@ -297,6 +300,83 @@
     assert_eq!(take_up_unnamed(&nodes[0], "r2-b").await.status, 503);
 }
 
+/// What becomes of the announcement of a stream at a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Peer {
+    /// Nothing listens at its address.
+    Refuses,
+    /// It accepts connections and never answers.
+    Silent,
+}
+
+impl Peer {
+    /// Its address, and what has to be kept for as long as it is used.
+    fn start(self) -> (SocketAddr, Option<TcpListener>) {
+        if self == Self::Refuses {
+            return (free_address(), None);
+        }
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        (listener.local_addr().expect("it is bound"), Some(listener))
+    }
+}
+
+/// Guards against a stream of a new version that is known to its router alone, since the router is
+/// cut off from its peers: if it is lost, the others take the stream for one of the version before.
+#[rstest]
+#[actix_rt::test]
+async fn a_stream_that_no_peer_acknowledges_begins_at_the_version_before(
+    #[values(Peer::Refuses, Peer::Silent)] peer: Peer,
+) {
+    let engines = Engines::start(Act::Hang).await;
+    let [(first, _), (second, _), ..] = engines.with_builds();
+    let (nodes, store) = zone(1, &[(first, "v1"), (second, "v1")]).await;
+    let node = &nodes[0];
+    let (address, _listener) = peer.start();
+    introduce_as(node, "host-2".into(), address).await;
+    engines.list(&store, "v2");
+    until("the router knows both versions", || {
+        node.shared.fleet.borrow().upstreams().len() == 4
+    })
+    .await;
+    let mut discarded = 0;
+    for index in 0..4 * STREAMS {
+        let id = format!("r{index}-");
+        begin(node, &id).await;
+        let builds = engines.builds(&id);
+        assert!(builds.contains(&"v1"), "stream {index} ran at {builds:?}");
+        discarded += builds.len() - 1;
+    }
+    // The peer is not tried again until a digest of it arrives.
+    assert!(discarded <= 1, "{discarded} streams ran twice");
+}
+
+/// Guards against streams that are refused for lack of a record, although no upstream of the version
+/// before is left at which others could resume them.
+#[actix_rt::test]
+async fn a_stream_that_no_peer_acknowledges_begins_at_the_only_version_left() {
+    let engines = Engines::start(Act::Hang).await;
+    let [(first, _), (second, _), ..] = engines.with_builds();
+    let (nodes, store) = zone(1, &[(first, "v1"), (second, "v1")]).await;
+    let node = &nodes[0];
+    introduce_as(node, "host-2".into(), free_address()).await;
+    engines.list(&store, "v2");
+    engines.unlist(&store, "v1");
+    until("the version before has left", || {
+        let fleet = node.shared.fleet.borrow();
+        let mut builds = fleet
+            .upstreams()
+            .iter()
+            .map(|upstream| &upstream.entry.build);
+        builds.len() == 2 && builds.all(|build| build.as_str() == "v2")
+    })
+    .await;
+    for index in 0..STREAMS {
+        let id = format!("r{index}-");
+        begin(node, &id).await;
+        assert_eq!(engines.builds(&id), ["v2"], "stream {index}");
+    }
+}
+
 /// A stream whose holders among some hosts are all in zones other than `here`, or not.
 fn stream_held(hosts: &[(name::Host, name::Zone)], here: &str, is_elsewhere: bool) -> String {
     let mut ids = (0..).map(|index| format!("held-{index}"));
--- a/crates/snipeusher/src/fleet/builds.rs
+++ b/crates/snipeusher/src/fleet/builds.rs
@@ -175,6 +175,18 @@
         rollout.presumed(now, self.age_limit(age))
     }
 
+    /// The version that other routers may presume of a stream of a service without a record; see
+    /// [`Rollout::presumed_elsewhere`].
+    pub(super) fn presumed_elsewhere(
+        &self,
+        now: Time,
+        service: &name::Service,
+        age: Duration,
+    ) -> Option<&name::Build> {
+        let rollout = self.rollouts.get(service)?;
+        rollout.presumed_elsewhere(now, self.age_limit(age))
+    }
+
     /// Whether a stream that begins at a version has to be recorded before its caller receives an
     /// event; see [`Rollout::needs_record`].
     pub(super) fn needs_record(
--- a/crates/snipeusher/src/fleet/builds/rollout.rs
+++ b/crates/snipeusher/src/fleet/builds/rollout.rs
@@ -50,6 +50,12 @@
         self.incumbent(age).filter(|_| is_recent)
     }
 
+    /// The version that other routers may presume of a stream without a record.
+    pub(super) fn presumed_elsewhere(&self, now: Time, age: Duration) -> Option<&name::Build> {
+        let is_recent = now.since(self.noticed_at) < RECORDED_FOR;
+        self.incumbent(age).filter(|_| is_recent)
+    }
+
     /// Whether a stream that begins at a version has to be recorded before its caller receives an
     /// event, since other routers may presume that it began at another version.
     pub(super) fn needs_record(&self, now: Time, build: &name::Build, age: Duration) -> bool {
--- a/crates/snipeusher/src/fleet/view/versions.rs
+++ b/crates/snipeusher/src/fleet/view/versions.rs
@@ -61,6 +61,22 @@
         self.builds.presumed(now, service, age)
     }
 
+    /// The software version at which a stream begins while its record cannot be confirmed: the one
+    /// that other routers presume of a stream without a record, if upstreams of it are listed.
+    /// Without any, nobody can resume the stream at that version.
+    pub fn unrecorded_build(
+        &self,
+        now: Time,
+        service: &name::Service,
+        age: Duration,
+    ) -> Option<&name::Build> {
+        let build = self.builds.presumed_elsewhere(now, service, age)?;
+        let entries = self.upstreams().iter().map(|upstream| &upstream.entry);
+        let mut of_service = entries.filter(|entry| entry.service == *service);
+        let is_listed = of_service.any(|entry| entry.build == *build);
+        is_listed.then_some(build)
+    }
+
     /// Whether a stream that begins at a software version has to be recorded before its caller
     /// receives an event, since other routers may presume that it began at another version.
     pub fn needs_record(
--- a/crates/snipeusher/tests/stream.rs
+++ b/crates/snipeusher/tests/stream.rs
@@ -320,6 +320,24 @@
     }
 }
 
+/// Guards against a stream that is kept to a version which no upstream runs, or for longer than
+/// others presume it.
+#[rstest]
+#[case::it_serves(&["v1", "v2"], 39_999, Some("v1"))]
+#[case::nobody_presumes_it(&["v1", "v2"], 40_000, None)]
+#[case::it_has_left(&["v2"], 22_000, None)]
+fn a_stream_without_a_record_begins_at_the_incumbent_version(
+    #[case] listed: &[&str],
+    #[case] ms: u64,
+    #[case] expected: Option<&str>,
+) {
+    let mut fleet = fleet(&["v1", "v1"]);
+    list(&mut fleet, 20_000, 2, &["v1", "v2"]);
+    list(&mut fleet, 21_000, 3, listed);
+    let build = fleet.unrecorded_build(at(ms), &service(), AGE);
+    assert_eq!(build.map(name::Build::as_str), expected);
+}
+
 /// Guards against an announcement that is taken for the origin of a stream, which may have begun at
 /// another version since.
 #[rstest]
