Announce streams of a new version also after the store was restored

What callers could see (ORDER): a router that notices a restored store during a release stops recording streams of the new version before their first event, while routers that have not noticed it yet still presume the version before.

Cause: all that is known of rollouts was dropped with the era of the store, what others may presume included.

Change: such a router presumes nothing any more, but announces on.

Measured: the new line in a_version_is_presumed_only_by_a_router_that_saw_it_alone fails without the change.

--- a/crates/snipeusher/src/fleet/builds.rs
+++ b/crates/snipeusher/src/fleet/builds.rs
@@ -48,8 +48,8 @@
 
     /// Applies the present list of upstreams.
     ///
-    /// A store that was restored may list versions later than they appeared, and lacks records of
-    /// streams, so what is known of rollouts no longer holds in another era.
+    /// What is known of rollouts holds only in part once the store is in another era; see
+    /// [`Rollout::record_restore`].
     pub(super) fn update<'a>(
         &mut self,
         now: Time,
@@ -57,7 +57,9 @@
         entries: impl Iterator<Item = &'a Entry>,
     ) {
         if self.era.replace(era).is_some_and(|before| before != era) {
-            self.rollouts.clear();
+            for rollout in self.rollouts.values_mut() {
+                rollout.record_restore();
+            }
         }
         let retention = self.retention.get();
         for builds in self.services.values_mut() {
--- a/crates/snipeusher/src/fleet/builds/rollout.rs
+++ b/crates/snipeusher/src/fleet/builds/rollout.rs
@@ -29,6 +29,8 @@
     /// For how long this router had known the upstreams then; `None` if it learned of both versions
     /// with its first list.
     known_for: Option<Duration>,
+    /// Whether the store was restored since.
+    is_restored: bool,
 }
 
 impl Rollout {
@@ -40,14 +42,22 @@
             noticed_at: now,
             incumbent,
             known_for: known_since.map(|since| now.since(since)),
+            is_restored: false,
         }
     }
 
+    /// Records that the store was restored. It may list versions later than they appeared, and lacks
+    /// records of streams, so this router presumes nothing. Others may not have noticed yet.
+    pub(super) const fn record_restore(&mut self) {
+        self.is_restored = true;
+    }
+
     /// The version that began each stream without a record. The incumbent version has to have been
     /// the only one for `age`, the longest time since a stream may have begun.
     pub(super) fn presumed(&self, now: Time, age: Duration) -> Option<&name::Build> {
         let is_recent = now.since(self.noticed_at) < PRESUMED_FOR;
-        self.incumbent(age).filter(|_| is_recent)
+        let may_presume = is_recent && !self.is_restored;
+        self.incumbent(age).filter(|_| may_presume)
     }
 
     /// The version that other routers may presume of a stream without a record.
--- a/crates/snipeusher/tests/stream.rs
+++ b/crates/snipeusher/tests/stream.rs
@@ -317,6 +317,8 @@
             vec![entry(0, "v1"), entry(1, "v2")],
         );
         assert_eq!(presumed(&fleet, second_at + 4), None);
+        // Routers that have not noticed the restored store may presume the version before.
+        assert!(needs_record(&fleet, second_at + 4, "v2"));
     }
 }
 
