Name the path of announcements for what it carries, keep failures of holders for a minute

The map of holders that failed to acknowledge an announcement kept a host for ever; entries older than the time for which a lost host ranks are dropped. One time limit of a call instead of two around each other.

--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -73,8 +73,8 @@
 const OUTAGE_PATH: &str = "/fleet/v6/outage";
 /// Path to which the origins of streams are copied.
 const ORIGINS_PATH: &str = "/fleet/v6/origins";
-/// Path to which a stream is recorded before its caller receives an event.
-const RECORD_PATH: &str = "/fleet/v8/record";
+/// Path of announcements of streams.
+const ANNOUNCEMENT_PATH: &str = "/fleet/v8/announcement";
 /// Path of questions for the origin of one stream.
 const ORIGIN_PATH: &str = "/fleet/v8/origin";
 /// Path to which routers state what they spend of the retry budgets.
--- a/crates/edge/src/peer/announcement.rs
+++ b/crates/edge/src/peer/announcement.rs
@@ -20,15 +20,15 @@
 use snipeusher::stream::Id;
 use snipeusher::stream::Origin;
 use snipeusher::time::Time;
-use tokio::time::timeout;
 
+use super::ANNOUNCEMENT_PATH;
 use super::Peers;
-use super::RECORD_PATH;
 use super::client::DecodeSnafu;
 use super::client::Error;
 use super::holders::Holder;
 use super::holders::Holders;
 use super::link::Call;
+use super::peers::HOLDER_FOR;
 use super::streams::Streams;
 use crate::dialect::Platform;
 use crate::shared::Shared;
@@ -87,7 +87,9 @@
     }
 
     fn record_failure(&self, now: Time, host: &name::Host) {
-        self.failed_at.borrow_mut().insert(host.clone(), now);
+        let mut failed_at = self.failed_at.borrow_mut();
+        failed_at.retain(|_, at| now.since(*at) < HOLDER_FOR);
+        failed_at.insert(host.clone(), now);
     }
 
     fn record_success(&self, host: &name::Host) {
@@ -139,11 +141,7 @@
         holder: &Holder,
         announcement: &Announcement,
     ) -> bool {
-        let sent = timeout(
-            ANNOUNCE_TIMEOUT,
-            self.send_announcement(shared, holder, announcement),
-        );
-        match sent.await.unwrap_or(Err(Error::TimedOut)) {
+        match self.send_announcement(shared, holder, announcement).await {
             Ok(Acknowledgement { agrees: true }) => {
                 self.reachability.record_success(&holder.host);
                 true
@@ -169,7 +167,7 @@
         holder: &Holder,
         announcement: &Announcement,
     ) -> Result<Acknowledgement, Error> {
-        let call = Call::post(RECORD_PATH, announcement)?;
+        let call = Call::post(ANNOUNCEMENT_PATH, announcement)?;
         let answer = self
             .links
             .call(holder.address, &shared.http, call, ANNOUNCE_TIMEOUT)
--- a/crates/edge/src/peer/peers.rs
+++ b/crates/edge/src/peer/peers.rs
@@ -20,7 +20,7 @@
 const EXPIRY: Duration = Duration::from_secs(20);
 /// Time after its last digest for which a router ranks as a holder of records of streams. A router
 /// that is cut off from the others must not take itself for the only holder during a release.
-const HOLDER_FOR: Duration = Duration::from_mins(1);
+pub(super) const HOLDER_FOR: Duration = Duration::from_mins(1);
 /// A router counts as running, and gets a share of the retry budget, for this time after its last
 /// digest.
 const COUNTED_FOR: Duration = Duration::from_secs(12);
--- a/crates/edge/src/peer/server.rs
+++ b/crates/edge/src/peer/server.rs
@@ -20,6 +20,7 @@
 use snipeusher::route::Position;
 use snipeusher::stream::Group;
 
+use super::ANNOUNCEMENT_PATH;
 use super::BYTES_MAX;
 use super::CONFIGURATION_PATH;
 use super::Configuration;
@@ -32,7 +33,6 @@
 use super::OutageReport;
 use super::Peers;
 use super::Question;
-use super::RECORD_PATH;
 use super::Response;
 use super::SPENDING_PATH;
 use super::SPENT_PATH;
@@ -115,10 +115,10 @@
         self.encode(&streams::answer(&self.shared, &peers, &question))
     }
 
-    fn record(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
-        let announced = self.decode(body)?;
+    fn announcement(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
+        let received = self.decode(body)?;
         let peers = self.peers.borrow();
-        self.encode(&announcement::accept(&self.shared, &peers, announced))
+        self.encode(&announcement::accept(&self.shared, &peers, received))
     }
 
     fn spending(&self, body: &[u8]) -> Result<Vec<u8>, StatusCode> {
@@ -290,7 +290,7 @@
             EXCHANGE_PATH => self.exchange(&request.body),
             OUTAGE_PATH => self.outage(&request.body),
             ORIGINS_PATH => self.origins(&request.body),
-            RECORD_PATH => self.record(&request.body),
+            ANNOUNCEMENT_PATH => self.announcement(&request.body),
             ORIGIN_PATH => self.origin(&request.body),
             SPENDING_PATH => self.spending(&request.body),
             SPENT_PATH => self.spent(&request.body),
