Keep no stream to a version whose upstreams take no new work

What callers could see: at the end of a release, streams that cannot be announced are refused, since their router keeps them to the version before while its last upstreams drain, or are gone but for requests in flight.

Cause: the check for upstreams of that version counted those as well. Nobody can resume a stream there either, so it may begin at the version that is left.

Measured: no_stream_is_kept_to_a_version_that_takes_no_new_work fails without the change. Found by reading.

--- a/crates/snipeusher/src/fleet/view/versions.rs
+++ b/crates/snipeusher/src/fleet/view/versions.rs
@@ -62,7 +62,7 @@
     }
 
     /// The software version at which a stream begins while its record cannot be confirmed: the one
-    /// that other routers presume of a stream without a record, if upstreams of it are listed.
+    /// that other routers presume of a stream without a record, if upstreams of it are ready.
     /// Without any, nobody can resume the stream at that version.
     pub fn unrecorded_build(
         &self,
@@ -71,10 +71,10 @@
         age: Duration,
     ) -> Option<&name::Build> {
         let build = self.builds.presumed_elsewhere(now, service, age)?;
-        let entries = self.upstreams().iter().map(|upstream| &upstream.entry);
+        let entries = self.roster().ready(now);
         let mut of_service = entries.filter(|entry| entry.service == *service);
-        let is_listed = of_service.any(|entry| entry.build == *build);
-        is_listed.then_some(build)
+        let is_ready = of_service.any(|entry| entry.build == *build);
+        is_ready.then_some(build)
     }
 
     /// Whether a stream that begins at a software version has to be recorded before its caller
--- a/crates/snipeusher/tests/stream.rs
+++ b/crates/snipeusher/tests/stream.rs
@@ -340,6 +340,33 @@
     assert_eq!(build.map(name::Build::as_str), expected);
 }
 
+/// Guards against streams that are refused at the end of a release, since they are kept to a version
+/// whose upstreams only finish what they run.
+#[rstest]
+fn no_stream_is_kept_to_a_version_that_takes_no_new_work() {
+    let mut fleet = fleet(&["v1"]);
+    list(&mut fleet, 20_000, 2, &["v1", "v2"]);
+    fleet.record_sent(at(20_000), &"e0".into());
+    let unrecorded = |fleet: &Fleet| {
+        let build = fleet.unrecorded_build(at(21_000), &service(), AGE);
+        build.cloned()
+    };
+    assert_eq!(unrecorded(&fleet), Some("v1".into()));
+    let draining = Entry {
+        draining: true,
+        revision: Revision::new(3),
+        ..entry(0, "v1")
+    };
+    fleet.upsert(at(21_000), draining);
+    assert_eq!(unrecorded(&fleet), None, "it drains");
+    fleet.remove(at(21_000), &"e0".into(), Revision::new(4));
+    assert_eq!(
+        unrecorded(&fleet),
+        None,
+        "it is gone, but for a request in flight"
+    );
+}
+
 /// Guards against an announcement that is taken for the origin of a stream, which may have begun at
 /// another version since.
 #[rstest]
