Send undecodable messages to the paths of announcements and origins

The origin of a stream is asked for under a new path since routers ask holders; the test sent its messages to the old one, which answers 404. It covers the path of announcements too.

--- a/crates/edge/tests/extremes.rs
+++ b/crates/edge/tests/extremes.rs
@@ -172,7 +172,13 @@
 async fn an_undecodable_message_is_survived(#[case] body: &[u8]) {
     let engine = healthy().await;
     let (node, _store) = single(&[&engine]).await;
-    for path in ["v6/exchange", "v6/outage", "v6/origins", "v7/origin"] {
+    for path in [
+        "v6/exchange",
+        "v6/outage",
+        "v6/origins",
+        "v8/announcement",
+        "v8/origin",
+    ] {
         let status = send(&node, &format!("/fleet/{path}"), body).await;
         assert_eq!(status, 400, "{path}");
     }
